Add the design page, the schema and the thin path of a request

Cause: the repository was empty; later parts need one schema, one log client and one path of a request to build on.

Change: design page; thrift schema with generated attrs classes that the accelerated compact protocol encodes directly; settings, errors, logs, log client, configuration fold and follower; platform and engine stand-ins; an entry host that relays a streamed chat completion.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,29 @@
+VENV := .venv
+PYTHON := $(VENV)/bin/python
+
+.PHONY: test demo generate format lint check clean
+
+$(VENV)/.installed: requirements.txt pyproject.toml
+	python3 -m venv $(VENV)
+	$(VENV)/bin/pip install --quiet --requirement requirements.txt
+	$(VENV)/bin/pip install --quiet --no-deps --no-build-isolation --editable . || \
+	$(VENV)/bin/pip install --quiet --no-deps --editable .
+	touch $@
+
+test: $(VENV)/.installed
+	$(PYTHON) -m pytest -q
+
+demo: $(VENV)/.installed
+	$(PYTHON) -m galenascale demo
+
+generate: $(VENV)/.installed
+	$(PYTHON) tools/generate.py
+
+format: $(VENV)/.installed
+	$(VENV)/bin/ruff format .
+	$(VENV)/bin/ruff check --fix .
+
+lint: $(VENV)/.installed
+	$(VENV)/bin/ruff format --check .
+	$(VENV)/bin/ruff check .
+	$(PYTHON) tools/generate.py --check
--- /dev/null
+++ b/galenascale/clock.py
@@ -0,0 +1,57 @@
+"""Time sources, so that tests can run on a fake clock."""
+
+import asyncio
+import time
+
+
+class Clock:
+    """The clock of the machine."""
+
+    def monotonic(self):
+        """Return seconds that never go back."""
+        return time.monotonic()
+
+    def wall_ms(self):
+        """Return milliseconds since the epoch."""
+        return int(time.time() * 1000)
+
+    async def sleep(self, seconds):
+        """Sleep for a time in seconds."""
+        await asyncio.sleep(seconds)
+
+
+class FakeClock(Clock):
+    """A clock that only moves when a test advances it."""
+
+    def __init__(self, start_s=1000.0):
+        self.now_s = start_s
+        self._waiters = []
+
+    def monotonic(self):
+        return self.now_s
+
+    def wall_ms(self):
+        return int(self.now_s * 1000)
+
+    async def sleep(self, seconds):
+        future = asyncio.get_running_loop().create_future()
+        self._waiters.append((self.now_s + seconds, future))
+        await future
+
+    async def advance(self, seconds):
+        """Move time on, waking sleepers in the order of their deadlines."""
+        end = self.now_s + seconds
+        await self._settle()
+        while due := [item for item in self._waiters if item[0] <= end]:
+            at, future = min(due, key=lambda item: item[0])
+            self._waiters.remove((at, future))
+            self.now_s = max(self.now_s, at)
+            if not future.done():
+                future.set_result(None)
+            await self._settle()
+        self.now_s = end
+        await self._settle()
+
+    async def _settle(self):
+        for _ in range(20):
+            await asyncio.sleep(0)
--- /dev/null
+++ b/galenascale/commands/serve.py
@@ -0,0 +1,31 @@
+"""`galenascale serve`: run one entry host."""
+
+import asyncio
+
+from galenascale.commands.signals import wait_for_stop
+from galenascale.host import Host
+from galenascale.logs import setup_logging
+from galenascale.settings import load_settings
+
+
+def serve(*, settings: str):
+    """
+    Run one entry host until SIGTERM or SIGINT.
+
+    Parameters
+    ----------
+    settings
+        JSON file with the settings of the host.
+    """
+    loaded = load_settings(settings)
+    setup_logging(loaded.log_level, loaded.log_format)
+    asyncio.run(_serve(loaded))
+
+
+async def _serve(settings):
+    host = Host.from_config(settings)
+    await host.start()
+    try:
+        await wait_for_stop()
+    finally:
+        await host.stop()
--- /dev/null
+++ b/galenascale/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins of the outside systems, for tests and development."""
--- /dev/null
+++ b/schema/galenascale.thrift
@@ -0,0 +1,697 @@
+/**
+ * The schema of galenascale: log records, peer messages and settings.
+ *
+ * `make generate` turns it into galenascale/generated/messages.py. Field numbers
+ * are never reused. A reader skips fields that it does not know; records are
+ * carried forward as raw bytes, so such fields survive.
+ */
+
+// --- Log records -----------------------------------------------------------
+
+enum RecordKind {
+  FILE_CREATED = 1,
+  FILE_DELETED = 2,
+  JOB_CREATED = 3,
+  JOB_CANCELLED = 4,
+  JOB_EXPIRED = 5,
+  CHUNK_CLAIM = 6,
+  CHUNK_RELEASE = 7,
+  OUTCOMES = 8,
+  ITEM_INTENT = 9,
+  CALL_INTENT = 10,
+  CALL_OUTCOME = 11,
+  SERVER_CLAIM = 12,
+  SERVER_ORDER = 13,
+  POISON_VERDICT = 14,
+  SNAPSHOT_PART = 15,
+  CARRIED = 16,
+  CONFIG_CHANGE = 17,
+  DATA_CHUNK = 18,
+  SERVER_RELEASE = 19,
+}
+
+/** How the run of an item or a call ended. */
+enum OutcomeStatus {
+  SUCCEEDED = 1,
+  FAILED = 2,
+  MAY_HAVE_RUN = 3,
+  NOT_RUN = 4,
+  EXPIRED = 5,
+}
+
+/** One record; `body` is the encoded struct that `kind` names. */
+struct LogRecord {
+  1: string record_id = "",
+  2: i32 kind = 0,
+  /** Readers act on records whose schema version they know. */
+  3: i32 schema_version = 1,
+  4: binary body = "",
+}
+
+/** What one append to a stream holds. */
+struct LogBatch {
+  1: i32 schema_version = 1,
+  2: string writer = "",
+  3: string incarnation = "",
+  4: list<LogRecord> records,
+}
+
+/** Position of a record body in the log. */
+struct Position {
+  1: string stream = "",
+  2: i64 offset = -1,
+  /** Index of the record in its LogBatch. */
+  3: i32 index = 0,
+}
+
+/** A run of consecutive input lines kept in one DATA_CHUNK record. */
+struct ChunkRef {
+  1: Position position,
+  2: i64 first_item = 0,
+  3: i32 item_count = 0,
+  4: i64 size_bytes = 0,
+}
+
+struct DataChunk {
+  1: string file_id = "",
+  2: i32 chunk = 0,
+  3: binary content = "",
+}
+
+struct FileCreated {
+  1: string file_id = "",
+  2: string tenant = "",
+  3: string filename = "",
+  4: string purpose = "",
+  5: i64 size_bytes = 0,
+  6: string digest = "",
+  7: list<ChunkRef> chunks,
+  8: i64 created_ms = 0,
+  9: i64 expires_ms = 0,
+}
+
+struct FileDeleted {
+  1: string file_id = "",
+  2: string tenant = "",
+}
+
+struct JobCreated {
+  1: string job_id = "",
+  2: string tenant = "",
+  /** Digest of the Idempotency-Key; empty when the caller sent none. */
+  3: string key_digest = "",
+  4: string body_digest = "",
+  5: string endpoint = "",
+  6: string service_name = "",
+  7: string model = "",
+  8: string input_file_id = "",
+  9: list<ChunkRef> chunks,
+  10: i64 item_count = 0,
+  11: bool idempotent = true,
+  12: i64 created_ms = 0,
+  13: i64 due_ms = 0,
+  14: i64 expires_ms = 0,
+  /** Caller's metadata as a JSON object. */
+  15: string metadata_json = "",
+  16: string completion_window = "",
+}
+
+struct JobCancelled {
+  1: string job_id = "",
+  2: string tenant = "",
+  3: i64 at_ms = 0,
+}
+
+struct JobExpired {
+  1: string job_id = "",
+  /** True when the results' expiry passed; false when the due time passed. */
+  2: bool results_expired = false,
+  3: i64 at_ms = 0,
+}
+
+struct ChunkClaim {
+  1: string job_id = "",
+  2: i32 chunk = 0,
+  3: string holder = "",
+  4: string incarnation = "",
+  5: i64 lease_ms = 0,
+  /** Offset of the lapsed claim that this one replaces; -1 for none. */
+  6: i64 supersedes = -1,
+}
+
+struct ChunkRelease {
+  1: string job_id = "",
+  2: i32 chunk = 0,
+  3: i64 claim_offset = -1,
+}
+
+struct ItemOutcome {
+  /** Index of the item in its job. */
+  1: i64 item = 0,
+  2: i32 status = 0,
+  3: i32 http_status = 0,
+  4: binary body = "",
+  5: i32 attempts = 0,
+  6: string error_code = "",
+}
+
+struct Outcomes {
+  1: string job_id = "",
+  2: i32 chunk = 0,
+  3: i64 claim_offset = -1,
+  4: list<ItemOutcome> outcomes,
+}
+
+struct ItemIntent {
+  1: string job_id = "",
+  2: i32 chunk = 0,
+  3: i64 claim_offset = -1,
+  4: list<i64> items,
+}
+
+struct CallIntent {
+  1: string call_id = "",
+  2: string tenant = "",
+  3: string service_name = "",
+  4: string request_digest = "",
+  5: string holder = "",
+  6: string incarnation = "",
+  7: i64 created_ms = 0,
+  8: i64 expires_ms = 0,
+}
+
+struct CallOutcome {
+  1: string call_id = "",
+  2: i64 intent_offset = -1,
+  3: i32 status = 0,
+  4: i32 http_status = 0,
+  5: string content_type = "",
+  6: binary body = "",
+}
+
+/** Lease on a backend server for orders; its offset is the fencing number. */
+struct ServerClaim {
+  1: string server_id = "",
+  2: string holder = "",
+  3: string incarnation = "",
+  4: i64 lease_ms = 0,
+  5: i64 supersedes = -1,
+}
+
+struct ServerRelease {
+  1: string server_id = "",
+  2: i64 claim_offset = -1,
+}
+
+struct ServerOrder {
+  1: string server_id = "",
+  2: i64 claim_offset = -1,
+  3: string action = "",
+  4: string target = "",
+}
+
+struct PoisonVerdict {
+  1: string fingerprint = "",
+  2: string service_name = "",
+  3: list<string> crashed_servers,
+  4: i64 created_ms = 0,
+  5: i64 expires_ms = 0,
+  /** True when the request is refused from now on; false for a suspect. */
+  6: bool contained = false,
+}
+
+struct SnapshotPart {
+  1: string snapshot_id = "",
+  2: i32 part = 0,
+  3: i32 part_count = 0,
+  /** Offset of the last record that the state covers. */
+  4: i64 through_offset = -1,
+  5: binary content = "",
+}
+
+/** A copy of a body at a new position; readers use the newest position. */
+struct Carried {
+  1: Position original,
+  2: i32 kind = 0,
+  3: i32 schema_version = 1,
+  4: binary body = "",
+}
+
+// --- Ledger snapshots ------------------------------------------------------
+
+struct ClaimState {
+  1: i32 chunk = 0,
+  2: string holder = "",
+  3: string incarnation = "",
+  4: i64 lease_ms = 0,
+  5: i64 offset = -1,
+}
+
+struct IntentState {
+  1: i64 item = 0,
+  2: i64 claim_offset = -1,
+}
+
+struct OutcomePosition {
+  1: Position position,
+  2: i32 chunk = 0,
+  /** Items whose first outcome is in that record. */
+  3: list<i64> items,
+}
+
+struct JobState {
+  /** Raw body of JOB_CREATED, so that unknown fields survive. */
+  1: binary created = "",
+  2: i64 offset = -1,
+  3: bool cancelled = false,
+  4: bool due_passed = false,
+  5: i64 cancelled_ms = 0,
+  6: list<ClaimState> claims,
+  7: list<IntentState> intents,
+  8: list<OutcomePosition> outcomes,
+  /** One status byte an item, 0 while it has no outcome. */
+  9: binary statuses = "",
+  10: i64 finished_ms = 0,
+}
+
+struct CallState {
+  1: binary intent = "",
+  2: i64 offset = -1,
+  3: bool has_outcome = false,
+  4: binary outcome = "",
+  5: Position outcome_position,
+}
+
+struct FileState {
+  1: binary created = "",
+  2: i64 offset = -1,
+}
+
+struct ServerLeaseState {
+  1: string server_id = "",
+  2: string holder = "",
+  3: string incarnation = "",
+  4: i64 lease_ms = 0,
+  5: i64 offset = -1,
+}
+
+struct MovedBody {
+  1: Position original,
+  2: Position current,
+}
+
+struct KeptRecord {
+  1: i64 offset = -1,
+  2: i32 index = 0,
+  3: LogRecord record,
+}
+
+struct ShardSnapshot {
+  1: i64 through_offset = -1,
+  2: list<FileState> files,
+  3: list<JobState> jobs,
+  4: list<CallState> calls,
+  5: list<ServerLeaseState> server_leases,
+  6: list<PoisonVerdict> poison_verdicts,
+  7: list<MovedBody> moved,
+  /** Records of kinds that the writer does not know, verbatim. */
+  8: list<KeptRecord> unknown_records,
+  9: list<string> recent_record_ids,
+  10: list<string> cancelled_jobs,
+}
+
+// --- Configuration ---------------------------------------------------------
+
+struct ConfigEntry {
+  /** service, model, tenant, backend_server, operator */
+  1: string kind = "",
+  2: string name = "",
+  /** The declaration as JSON; empty when it is deleted. */
+  3: string json = "",
+  4: bool deleted = false,
+}
+
+struct ConfigChange {
+  1: string change_id = "",
+  /** Version (offset) that the change was made against; -1 for the first. */
+  2: i64 base_version = -1,
+  3: list<ConfigEntry> entries,
+  4: string author = "",
+  5: i64 created_ms = 0,
+  6: string message = "",
+}
+
+struct ConfigEntryState {
+  1: ConfigEntry entry,
+  2: i64 changed_version = -1,
+}
+
+struct ConfigSnapshot {
+  1: i64 version = -1,
+  2: i64 through_offset = -1,
+  3: list<ConfigEntryState> entries,
+  4: list<KeptRecord> unknown_records,
+  5: list<string> recent_change_ids,
+}
+
+// --- Declarations ----------------------------------------------------------
+
+struct ServiceDeclaration {
+  1: i32 schema_version = 1,
+  2: string kind = "service",
+  3: string name = "",
+  /** engine or plain */
+  4: string type = "engine",
+  /**
+   * Slots on each server that batch leaves free for online bursts. Larger
+   * values favour online latency, smaller ones batch throughput.
+   */
+  5: i32 batch_reserve = 1,
+  /** Online requests that may wait on one host before it refuses. */
+  6: i32 max_queue = 256,
+  /** Retries allowed as a share of requests. */
+  7: double retry_budget = 0.2,
+  8: i32 max_attempts = 3,
+  /** Path prefixes of a plain service whose calls may not be repeated. */
+  9: list<string> non_idempotent_paths,
+  10: double default_deadline_s = 120.0,
+}
+
+struct ModelVersion {
+  1: string name = "",
+  /** Share of the traffic, relative to the other versions. */
+  2: i32 weight = 100,
+}
+
+struct ModelDeclaration {
+  1: i32 schema_version = 1,
+  2: string kind = "model",
+  3: string name = "",
+  4: string service_name = "",
+  5: list<ModelVersion> versions,
+  6: list<string> adapters,
+  7: i64 weight_bytes = 1000000000,
+  /** Servers that should hold the model; 0 for all servers of the service. */
+  8: i32 replicas = 0,
+}
+
+struct TenantDeclaration {
+  1: i32 schema_version = 1,
+  2: string kind = "tenant",
+  3: string name = "",
+  /** SHA-256 hex digests of the tenant's keys. */
+  4: list<string> key_digests,
+  /** Weight in fair sharing. */
+  5: double share = 1.0,
+  /** 0 for no limit. */
+  6: i32 max_concurrency = 0,
+  7: double requests_per_s = 0.0,
+}
+
+struct BackendServerDeclaration {
+  1: i32 schema_version = 1,
+  2: string kind = "backend_server",
+  3: string name = "",
+  4: string service_name = "",
+  5: string failure_domain = "",
+  6: string url = "",
+  7: i32 slots = 8,
+  /** False for servers that ignore fencing numbers in orders. */
+  8: bool checks_fencing = true,
+  9: i64 memory_bytes = 80000000000,
+}
+
+// --- Peer messages ---------------------------------------------------------
+
+struct HostInfo {
+  1: string host_id = "",
+  2: string incarnation = "",
+  3: string failure_domain = "",
+  4: string url = "",
+  5: string peer_url = "",
+  /** live or leaving */
+  6: string state = "live",
+  7: i64 heartbeat = 0,
+  /** Highest schema version of records that the host reads. */
+  8: i32 reads_version = 1,
+  9: i64 config_version = -1,
+  10: bool ready = false,
+}
+
+struct ServerLoad {
+  1: string server_id = "",
+  2: i32 online_in_flight = 0,
+  3: i32 batch_in_flight = 0,
+  4: i64 heartbeat = 0,
+  5: bool leaving = false,
+  6: bool crashed = false,
+}
+
+struct GossipMessage {
+  1: HostInfo sender,
+  2: list<HostInfo> hosts,
+  /** Load that the sender itself puts on servers. */
+  3: list<ServerLoad> loads,
+  4: i64 config_version = -1,
+  /** Seconds since the sender last read the end of the config stream. */
+  5: double config_age_s = 0.0,
+  6: list<string> leaving_servers,
+}
+
+struct SubmitRequest {
+  1: i32 shard = 0,
+  2: list<LogRecord> records,
+  3: double timeout_s = 0.0,
+  4: bool urgent = false,
+}
+
+struct VerdictMessage {
+  1: string record_id = "",
+  2: i64 offset = -1,
+  3: i32 index = 0,
+  4: string status = "",
+  5: string reason = "",
+  /** Id of the entity that the record yields, for duplicates the first one. */
+  6: string entity_id = "",
+}
+
+struct SubmitReply {
+  1: list<VerdictMessage> verdicts,
+  2: string error_code = "",
+}
+
+struct WorkRequest {
+  1: string host_id = "",
+  2: string incarnation = "",
+  3: string service_name = "",
+  4: i32 max_items = 0,
+  5: i32 shard = 0,
+}
+
+struct WorkGrant {
+  1: string job_id = "",
+  2: i32 chunk = 0,
+  3: i64 claim_offset = -1,
+  4: i64 lease_ms = 0,
+  5: ChunkRef ref,
+  6: list<i64> remaining,
+  7: bool idempotent = true,
+  8: string endpoint = "",
+  9: string tenant = "",
+  10: string model = "",
+  11: i64 due_ms = 0,
+  /** Items with an intent of an earlier holder and no outcome. */
+  12: list<i64> doubtful,
+}
+
+struct WorkReply {
+  1: list<WorkGrant> grants,
+  2: list<string> cancelled_jobs,
+  3: string error_code = "",
+}
+
+/** Asks the owner of a server's batch slots to free some of them. */
+struct GiveWayRequest {
+  1: string server_id = "",
+  2: i32 slots = 0,
+  3: string host_id = "",
+}
+
+struct GiveWayReply {
+  1: i32 freed = 0,
+}
+
+struct ShardStateRequest {
+  1: i32 shard = 0,
+}
+
+struct ShardStateReply {
+  1: binary snapshot = "",
+  2: string error_code = "",
+}
+
+struct ConfigFetchRequest {
+  1: i64 have_version = -1,
+}
+
+struct ConfigFetchReply {
+  1: ConfigSnapshot snapshot,
+  2: bool unchanged = false,
+  3: double age_s = 0.0,
+}
+
+struct CallStatusRequest {
+  1: string call_id = "",
+}
+
+struct CallStatusReply {
+  /** running, unknown */
+  1: string state = "unknown",
+}
+
+struct HandOverRequest {
+  1: string host_id = "",
+  2: list<Outcomes> outcomes,
+}
+
+struct HandOverReply {
+  1: i32 accepted = 0,
+}
+
+struct PoisonReport {
+  1: string host_id = "",
+  2: list<PoisonVerdict> verdicts,
+}
+
+struct Empty {
+}
+
+// --- Settings --------------------------------------------------------------
+
+struct TlsSettings {
+  /** Path of a PEM file, or the PEM text itself. */
+  1: string certificate = "",
+  2: string private_key = "",
+  /** CA certificates that peers must be signed by. */
+  3: string ca = "",
+}
+
+struct LimitSettings {
+  1: i64 max_body_bytes = 8388608,
+  2: i64 max_file_bytes = 268435456,
+  3: i32 max_header_bytes = 16384,
+  4: i32 max_connections = 4096,
+  /** Time for a caller to send the whole request body. */
+  5: double body_timeout_s = 30.0,
+  6: double idle_timeout_s = 75.0,
+  7: double default_deadline_s = 120.0,
+  8: double max_deadline_s = 600.0,
+  9: i32 max_job_items = 100000,
+}
+
+struct BatchSettings {
+  1: i32 chunk_items = 32,
+  2: i64 chunk_bytes = 262144,
+  3: i64 lease_ms = 15000,
+  /** Added to a lease before another host takes it over. */
+  4: i64 lease_margin_ms = 500,
+  /** Outcomes kept in memory while the log is away. */
+  5: i32 max_unrecorded_outcomes = 512,
+  6: i32 max_item_attempts = 3,
+  7: double result_retention_s = 2592000.0,
+  8: double idle_poll_s = 0.5,
+}
+
+struct LogSettings {
+  1: i32 shards = 4,
+  /** Time for which the writer gathers records before an append. */
+  2: double linger_s = 0.2,
+  3: double urgent_linger_s = 0.003,
+  4: double request_timeout_s = 2.0,
+  5: double poll_s = 0.5,
+  6: double config_poll_s = 0.25,
+  /** Records after which a new snapshot is written. */
+  7: i32 snapshot_records = 500,
+  /** Records that the log keeps for sure; older bodies are carried forward. */
+  8: i64 retention_records = 100000,
+  9: i64 max_append_bytes = 1000000,
+}
+
+struct MembershipSettings {
+  1: double gossip_s = 0.25,
+  2: i32 gossip_fanout = 3,
+  /** Silence after which a peer is taken as dead. */
+  3: double dead_after_s = 2.0,
+  4: double host_list_poll_s = 1.0,
+  5: double load_poll_s = 0.25,
+}
+
+struct StopSettings {
+  1: double grace_s = 60.0,
+  /** Time between not ready and the close of listeners. */
+  2: double drain_announce_s = 0.5,
+}
+
+/** Settings of one entry host. */
+struct HostSettings {
+  1: i32 schema_version = 1,
+  2: string host_id = "",
+  3: string failure_domain = "",
+  4: string listen_address = "127.0.0.1",
+  5: i32 port = 0,
+  6: i32 peer_port = 0,
+  /** URL under which callers reach this host. */
+  7: string url = "",
+  8: string peer_url = "",
+  9: string platform_url = "",
+  /** Shared secret of the hosts; at least 16 characters. */
+  10: string peer_secret = "",
+  /** Digests (SHA-256, hex) of operator keys. */
+  11: list<string> operator_key_digests,
+  12: TlsSettings tls,
+  13: TlsSettings peer_tls,
+  14: LimitSettings limits,
+  15: BatchSettings batch,
+  16: LogSettings log,
+  17: MembershipSettings membership,
+  18: StopSettings stop,
+  /** Peers known at start: peer URLs by host id. */
+  19: map<string, string> seed_peers,
+  20: string log_level = "info",
+  /** text or json */
+  21: string log_format = "text",
+}
+
+/** Settings of the platform stand-in. */
+struct PlatformStandinSettings {
+  1: string listen_address = "127.0.0.1",
+  2: i32 port = 0,
+  3: i32 appends_per_s = 400,
+  4: i64 retention_records = 100000,
+  5: double host_list_lag_s = 1.0,
+  6: i64 weight_bytes_per_s = 10000000000,
+}
+
+/** Settings of one engine stand-in and its model of time. */
+struct EngineStandinSettings {
+  1: string listen_address = "127.0.0.1",
+  2: i32 port = 0,
+  3: string server_id = "",
+  4: string failure_domain = "",
+  5: string service_name = "",
+  6: list<string> models,
+  /** engine or plain */
+  7: string kind = "engine",
+  8: i32 slots = 8,
+  9: double prefill_tokens_per_s = 8000.0,
+  10: double decode_step_ms = 10.0,
+  /** Added to a decode step for each further running stream. */
+  11: double decode_step_per_stream_ms = 0.5,
+  12: i64 kv_tokens = 65536,
+  13: i64 prefix_cache_tokens = 32768,
+  14: double load_report_lag_s = 0.5,
+  15: bool checks_fencing = true,
+  16: string platform_url = "",
+  17: i64 seed = 1,
+  18: double weight_load_s = 0.5,
+}
