Add readers, writers and upkeep of shard streams

Cause: the ledger needs its records appended in groups, read back, snapshotted and carried forward within the limited retention.

--- /dev/null
+++ b/galenascale/ledger/jobs.py
@@ -0,0 +1,184 @@
+"""Rules for files, jobs, chunk claims and item outcomes."""
+
+from galenascale.generated.messages import OutcomeStatus, Position
+from galenascale.ledger.results import conflict, duplicate, invalid, valid
+from galenascale.ledger.state import Claim, FileEntry, JobEntry
+
+# Outcomes that a current claim's holder may record for an item without intent.
+STATUSES_WITHOUT_DISPATCH = frozenset(
+    {OutcomeStatus.FAILED, OutcomeStatus.NOT_RUN, OutcomeStatus.EXPIRED}
+)
+KNOWN_STATUSES = frozenset(OutcomeStatus)
+
+
+def file_created(state, place, raw, created):
+    """Add a file; the first record of an id stands."""
+    if created.expires_ms and created.expires_ms <= state.time_ms:
+        return conflict("file is past its expiry")
+    if created.file_id in state.files_by_id:
+        return duplicate(entity_id=created.file_id)
+    positions = [chunk.position for chunk in created.chunks]
+    state.files_by_id[created.file_id] = FileEntry(
+        raw, place.offset, created, positions
+    )
+    return valid(created.file_id)
+
+
+def file_deleted(state, place, raw, deleted):
+    """Remove a file of the tenant; jobs keep their own input positions."""
+    entry = state.files_by_id.get(deleted.file_id)
+    if entry is None or entry.created.tenant != deleted.tenant:
+        return conflict("file does not exist")
+    del state.files_by_id[deleted.file_id]
+    return valid(deleted.file_id)
+
+
+def job_created(state, place, raw, created):
+    """Add a job; a repeated Idempotency-Key yields the first job."""
+    if created.expires_ms and created.expires_ms <= state.time_ms:
+        return conflict("job is past its expiry")
+    key = (created.tenant, created.key_digest)
+    if created.key_digest and key in state.job_ids_by_key:
+        return _repeated_key(state, created, state.job_ids_by_key[key])
+    if created.job_id in state.jobs_by_id:
+        return duplicate(entity_id=created.job_id)
+    if not _chunks_cover_items(created):
+        return invalid("chunks do not cover the items")
+    state.jobs_by_id[created.job_id] = JobEntry.from_created(raw, place.offset, created)
+    if created.key_digest:
+        state.job_ids_by_key[key] = created.job_id
+    return valid(created.job_id)
+
+
+def _repeated_key(state, created, first_id):
+    first = state.jobs_by_id[first_id].created
+    if first.body_digest == created.body_digest:
+        return duplicate(entity_id=first_id)
+    return conflict("idempotency key was used with another body", first_id)
+
+
+def _chunks_cover_items(created):
+    following = 0
+    for chunk in created.chunks:
+        if chunk.first_item != following or chunk.item_count <= 0:
+            return False
+        following += chunk.item_count
+    return following == created.item_count
+
+
+def job_cancelled(state, place, raw, cancelled):
+    """Cancel a job of the tenant that has not ended."""
+    job = state.jobs_by_id.get(cancelled.job_id)
+    if job is None or job.created.tenant != cancelled.tenant:
+        return conflict("job does not exist")
+    if job.cancelled:
+        return duplicate(entity_id=cancelled.job_id)
+    if job.ended:
+        return conflict("job has ended", cancelled.job_id)
+    job.cancelled = True
+    job.ended_ms = cancelled.at_ms
+    job.claims_by_chunk.clear()
+    return valid(cancelled.job_id)
+
+
+def chunk_claim(state, place, raw, claim):
+    """Lease a chunk; a current claim is replaced only by its offset's name."""
+    job = state.jobs_by_id.get(claim.job_id)
+    if job is None or job.ended:
+        return conflict("job is not open")
+    if not 0 <= claim.chunk < len(job.open_by_chunk):
+        return invalid("chunk does not exist")
+    if not job.open_by_chunk[claim.chunk]:
+        return conflict("chunk has no open item")
+    current = job.claims_by_chunk.get(claim.chunk)
+    if claim.supersedes != (current.offset if current else -1):
+        return conflict("another claim is current")
+    job.claims_by_chunk[claim.chunk] = Claim(
+        raw, place.offset, claim.holder, claim.incarnation, claim.lease_ms
+    )
+    return valid(claim.job_id)
+
+
+def chunk_release(state, place, raw, release):
+    """Give a chunk back before its lease lapses."""
+    job = state.jobs_by_id.get(release.job_id)
+    if not _is_current(job, release.chunk, release.claim_offset):
+        return conflict("claim is not current")
+    del job.claims_by_chunk[release.chunk]
+    return valid(release.job_id)
+
+
+def _is_current(job, chunk, claim_offset):
+    claim = job.claims_by_chunk.get(chunk) if job else None
+    return claim is not None and claim.offset == claim_offset
+
+
+def item_intent(state, place, raw, intent):
+    """Note the one dispatch of non-idempotent items, all or none."""
+    job = state.jobs_by_id.get(intent.job_id)
+    if job is None or job.ended:
+        return conflict("job is not open")
+    if not _is_current(job, intent.chunk, intent.claim_offset):
+        return conflict("claim is not current")
+    items = job.items_of(intent.chunk)
+    for item in intent.items:
+        if item not in items:
+            return invalid("item is not in the chunk")
+        if job.statuses[item] or item in job.intents_by_item:
+            return conflict("item was dispatched before")
+    for item in intent.items:
+        job.intents_by_item[item] = intent.claim_offset
+    return valid(intent.job_id)
+
+
+def outcomes(state, place, raw, record):
+    """Record the first outcome of each item; later ones are dropped."""
+    job = state.jobs_by_id.get(record.job_id)
+    if job is None:
+        return conflict("job does not exist")
+    if job.ended:
+        return conflict("job is not open")
+    if not 0 <= record.chunk < len(job.open_by_chunk):
+        return invalid("chunk does not exist")
+    items = job.items_of(record.chunk)
+    taken = [
+        outcome
+        for outcome in record.outcomes
+        if outcome.item in items and _counts(job, record, outcome)
+    ]
+    if not taken:
+        return conflict("no item takes this outcome")
+    _record(job, place, record, taken)
+    return valid(record.job_id)
+
+
+def _counts(job, record, outcome):
+    if job.statuses[outcome.item] or outcome.status not in KNOWN_STATUSES:
+        return False
+    if job.created.idempotent:
+        return True
+    intent = job.intents_by_item.get(outcome.item)
+    if intent is not None and intent == record.claim_offset:
+        return True
+    if not _is_current(job, record.chunk, record.claim_offset):
+        return False
+    if intent is not None:
+        return outcome.status == OutcomeStatus.MAY_HAVE_RUN
+    return outcome.status in STATUSES_WITHOUT_DISPATCH
+
+
+def _record(job, place, record, taken):
+    winner = len(job.outcome_positions)
+    job.outcome_positions.append(Position(place.stream, place.offset, place.index))
+    for outcome in taken:
+        if job.statuses[outcome.item]:
+            continue
+        job.statuses[outcome.item] = outcome.status
+        job.winners[outcome.item] = winner
+        job.intents_by_item.pop(outcome.item, None)
+        job.open_items -= 1
+        job.open_by_chunk[record.chunk] -= 1
+    if not job.open_by_chunk[record.chunk]:
+        job.claims_by_chunk.pop(record.chunk, None)
+    if not job.open_items:
+        job.ended_ms = record.at_ms
--- /dev/null
+++ b/galenascale/ledger/state.py
@@ -0,0 +1,160 @@
+"""State of one shard stream.
+
+Bodies of inputs and outcomes stay in the log; the state keeps their positions
+and a few bytes an item.
+"""
+
+import array
+import bisect
+import enum
+
+import attrs
+
+from galenascale.generated.messages import OutcomeStatus, Position
+
+NO_OUTCOME = 0
+NO_WINNER = -1
+
+
+class VerdictStatus(enum.StrEnum):
+    """What a record did at its place in the log."""
+
+    VALID = "valid"
+    DUPLICATE = "duplicate"
+    CONFLICT = "conflict"
+    UNKNOWN_KIND = "unknown_kind"
+    INVALID = "invalid"
+
+
+@attrs.frozen
+class Verdict:
+    """Verdict on one record; `entity_id` is what the record yields."""
+
+    record_id: str
+    offset: int
+    index: int
+    status: VerdictStatus
+    reason: str = ""
+    entity_id: str = ""
+
+    @property
+    def valid(self):
+        """True if the record took effect, at this place or an earlier one."""
+        return self.status == VerdictStatus.VALID
+
+
+@attrs.frozen
+class Claim:
+    """A lease with its raw record body; `offset` is the fencing number."""
+
+    raw: bytes
+    offset: int
+    holder: str
+    incarnation: str
+    lease_ms: int
+
+
+@attrs.define
+class FileEntry:
+    """An uploaded file and where its chunks are."""
+
+    raw: bytes
+    offset: int
+    created: object
+    chunk_positions: list[Position]
+
+
+@attrs.define
+class CallEntry:
+    """A non-idempotent call: its valid intent and its outcome."""
+
+    raw: bytes
+    offset: int
+    intent: object
+    status: int = NO_OUTCOME
+    outcome_position: Position | None = None
+
+
+@attrs.define
+class JobEntry:
+    """A batch job with one status byte and one winner index for each item."""
+
+    raw: bytes
+    offset: int
+    created: object
+    chunk_positions: list[Position]
+    statuses: bytearray
+    winners: array.array
+    outcome_positions: list[Position] = attrs.field(factory=list)
+    claims_by_chunk: dict[int, Claim] = attrs.field(factory=dict)
+    # Offset of the claim under which a non-idempotent item was dispatched.
+    intents_by_item: dict[int, int] = attrs.field(factory=dict)
+    open_items: int = 0
+    open_by_chunk: list[int] = attrs.field(factory=list)
+    cancelled: bool = False
+    due_passed: bool = False
+    ended_ms: int = 0
+    _firsts: list[int] = attrs.field(factory=list)
+
+    @classmethod
+    def from_created(cls, raw, offset, created):
+        """Return the entry of a JobCreated without outcomes."""
+        count = created.item_count
+        return cls(
+            raw=raw,
+            offset=offset,
+            created=created,
+            chunk_positions=[chunk.position for chunk in created.chunks],
+            statuses=bytearray(count),
+            winners=array.array("i", [NO_WINNER]) * count,
+            open_items=count,
+            open_by_chunk=[chunk.item_count for chunk in created.chunks],
+            firsts=[chunk.first_item for chunk in created.chunks],
+        )
+
+    @property
+    def ended(self):
+        """True when no later outcome can be recorded."""
+        return self.cancelled or self.due_passed or self.open_items == 0
+
+    def chunk_of(self, item):
+        """Return the chunk that holds an item."""
+        return bisect.bisect_right(self._firsts, item) - 1
+
+    def items_of(self, chunk):
+        """Return the range of items of a chunk."""
+        first = self._firsts[chunk]
+        return range(first, first + self.created.chunks[chunk].item_count)
+
+    def open_items_of(self, chunk):
+        """Return the items of a chunk that have no outcome."""
+        return [item for item in self.items_of(chunk) if not self.statuses[item]]
+
+    def final_status(self, item):
+        """Return the OutcomeStatus of an item, or None while it is open."""
+        if self.statuses[item]:
+            return OutcomeStatus(self.statuses[item])
+        if not self.ended:
+            return None
+        if item in self.intents_by_item:
+            return OutcomeStatus.MAY_HAVE_RUN
+        return OutcomeStatus.EXPIRED if self.due_passed else OutcomeStatus.NOT_RUN
+
+
+@attrs.define
+class ShardState:
+    """Everything that the records of a shard stream up to an offset say."""
+
+    through_offset: int = -1
+    # Latest valid time mark in milliseconds since the epoch.
+    time_ms: int = 0
+    files_by_id: dict[str, FileEntry] = attrs.field(factory=dict)
+    jobs_by_id: dict[str, JobEntry] = attrs.field(factory=dict)
+    job_ids_by_key: dict[tuple[str, str], str] = attrs.field(factory=dict)
+    calls_by_id: dict[str, CallEntry] = attrs.field(factory=dict)
+    leases_by_server: dict[str, Claim] = attrs.field(factory=dict)
+    # (raw body, PoisonVerdict) by fingerprint.
+    poison_by_fingerprint: dict[str, tuple] = attrs.field(factory=dict)
+    unknown_records: list = attrs.field(factory=list)
+    # Latest verdicts in log order; second copies of a record are found here.
+    recent_verdicts: dict[str, Verdict] = attrs.field(factory=dict)
--- /dev/null
+++ b/galenascale/shards/keeper.py
@@ -0,0 +1,160 @@
+"""Upkeep of the shards that a host owns.
+
+Writes snapshots, copies bodies forward before the log trims them, and writes
+time marks when a due time or an expiry has passed. A second owner at the same
+time costs appends only.
+"""
+
+import attrs
+
+from galenascale import codec, ledger
+from galenascale.errors import GalenascaleError
+from galenascale.generated.messages import (
+    Carried,
+    LogBatch,
+    LogRecord,
+    Position,
+    RecordKind,
+    TimeMark,
+)
+from galenascale.ledger.expiry import MAX_MARK_STEP_MS
+from galenascale.logs import get_logger
+from galenascale.shards.bodies import read_body
+from galenascale.shards.ids import data_stream, work_stream
+from galenascale.shards.records import make_record
+from galenascale.shards.snapshots import split_snapshot
+
+log = get_logger("keeper")
+
+# Share of the retention after which a body is copied forward.
+CARRY_AFTER = 0.5
+MAX_CARRIED_IN_ROUND = 64
+
+
+@attrs.frozen
+class _Body:
+    """A body in use: what it is, whose it is and where it is."""
+
+    kind: int
+    entity_id: str
+    position: Position
+
+
+class ShardKeeper:
+    """Does the upkeep round of one host."""
+
+    def __init__(self, shards, log_client, clock, settings):
+        self._shards = shards
+        self._log_client = log_client
+        self._clock = clock
+        self._settings = settings
+
+    async def run(self, interval_s=1.0):
+        """Do a round over the owned shards until cancelled."""
+        while True:
+            await self._clock.sleep(interval_s)
+            for shard in self._shards.owned():
+                try:
+                    await self.keep(shard)
+                except GalenascaleError as error:
+                    log.warning("Upkeep of shard %d failed: %s.", shard, error)
+
+    async def keep(self, shard):
+        """Do what is due for one shard."""
+        follower = self._shards.follower(shard)
+        state = await follower.refresh()
+        follower.forget_claims()
+        await self._mark_time(shard, state)
+        await self._carry(shard, state)
+        if state.through_offset - follower.snapshot_through >= (
+            self._settings.snapshot_records
+        ):
+            await self._write_snapshot(follower)
+
+    async def _write_snapshot(self, follower):
+        state = follower.state
+        content = codec.encode(ledger.to_snapshot(state))
+        records = split_snapshot(content, state.through_offset)
+        for record in records:
+            body = codec.encode(LogBatch(records=[record]))
+            await self._log_client.append(follower.stream, body)
+        log.info(
+            "Wrote a snapshot of %s through %d in %d parts.",
+            follower.stream,
+            state.through_offset,
+            len(records),
+        )
+
+    async def _mark_time(self, shard, state):
+        now_ms = self._clock.wall_ms()
+        due_ms = next_effect_ms(state)
+        if due_ms is None or due_ms > now_ms:
+            return
+        at_ms = now_ms
+        if state.time_ms:
+            at_ms = min(now_ms, state.time_ms + MAX_MARK_STEP_MS)
+        if at_ms > state.time_ms:
+            await self._shards.submit(shard, [make_record(TimeMark(at_ms))])
+
+    async def _carry(self, shard, state):
+        margin = int(self._settings.retention_records * CARRY_AFTER)
+        horizons = {work_stream(shard): state.through_offset + 1 - margin}
+        for stream in {body.position.stream for body in bodies_in_use(state)}:
+            if stream not in horizons:
+                bounds = await self._log_client.bounds(stream)
+                horizons[stream] = bounds.next_offset - margin
+        old = [
+            body
+            for body in bodies_in_use(state)
+            if body.position.offset < horizons[body.position.stream]
+        ]
+        records = [await self._copy(shard, body) for body in old[:MAX_CARRIED_IN_ROUND]]
+        if records:
+            await self._shards.submit(shard, records)
+            log.info("Carried %d bodies of shard %d forward.", len(records), shard)
+
+    async def _copy(self, shard, body):
+        version, content = await read_body(self._log_client, body.position)
+        carried = Carried(body.position, body.kind, version, entity_id=body.entity_id)
+        if body.kind == RecordKind.DATA_CHUNK:
+            record = LogRecord("", RecordKind.DATA_CHUNK, version, content)
+            stream = data_stream(shard)
+            batch = codec.encode(LogBatch(records=[record]))
+            offset = await self._log_client.append(stream, batch)
+            carried.current = Position(stream, offset, 0)
+        else:
+            carried.body = content
+        return make_record(carried)
+
+
+def bodies_in_use(state):
+    """Yield each body that a reader of the shard may still need."""
+    for job_id, job in state.jobs_by_id.items():
+        for chunk, position in enumerate(job.chunk_positions):
+            if job.open_by_chunk[chunk] and not job.ended:
+                yield _Body(RecordKind.DATA_CHUNK, job_id, position)
+        for position in job.outcome_positions:
+            yield _Body(RecordKind.OUTCOMES, job_id, position)
+    for file_id, entry in state.files_by_id.items():
+        for position in entry.chunk_positions:
+            yield _Body(RecordKind.DATA_CHUNK, file_id, position)
+    for call_id, entry in state.calls_by_id.items():
+        if entry.outcome_position is not None:
+            yield _Body(RecordKind.CALL_OUTCOME, call_id, entry.outcome_position)
+
+
+def next_effect_ms(state):
+    """Return the wall time of the next due time or expiry, None for none."""
+    times = [
+        job.created.due_ms
+        for job in state.jobs_by_id.values()
+        if job.created.due_ms and not job.ended
+    ]
+    entities = [
+        *(job.created for job in state.jobs_by_id.values()),
+        *(entry.created for entry in state.files_by_id.values()),
+        *(entry.intent for entry in state.calls_by_id.values()),
+        *(verdict for _, verdict in state.poison_by_fingerprint.values()),
+    ]
+    times.extend(entity.expires_ms for entity in entities if entity.expires_ms)
+    return min(times, default=None)
--- a/schema/galenascale.thrift
+++ b/schema/galenascale.thrift
@@ -13,7 +13,7 @@
   FILE_DELETED = 2,
   JOB_CREATED = 3,
   JOB_CANCELLED = 4,
-  JOB_EXPIRED = 5,
+  TIME_MARK = 5,
   CHUNK_CLAIM = 6,
   CHUNK_RELEASE = 7,
   OUTCOMES = 8,
@@ -122,11 +122,12 @@
   3: i64 at_ms = 0,
 }
 
-struct JobExpired {
-  1: string job_id = "",
-  /** True when the results' expiry passed; false when the due time passed. */
-  2: bool results_expired = false,
-  3: i64 at_ms = 0,
+/**
+ * Wall time as seen by a shard owner. The fold reads no clock: due times and
+ * expiry times take effect when a mark passes them.
+ */
+struct TimeMark {
+  1: i64 at_ms = 0,
 }
 
 struct ChunkClaim {
@@ -160,6 +161,7 @@
   2: i32 chunk = 0,
   3: i64 claim_offset = -1,
   4: list<ItemOutcome> outcomes,
+  5: i64 at_ms = 0,
 }
 
 struct ItemIntent {
@@ -229,22 +231,29 @@
   5: binary content = "",
 }
 
-/** A copy of a body at a new position; readers use the newest position. */
+/**
+ * A copy of a body at a new position; readers use the newest position. Bodies of
+ * outcomes are in this record; input chunks are appended to their data stream
+ * first and only named here.
+ */
 struct Carried {
   1: Position original,
   2: i32 kind = 0,
   3: i32 schema_version = 1,
   4: binary body = "",
+  /** Where an input chunk is now; unused when `body` holds the copy. */
+  5: Position current,
+  /** Job, file or call that the body belongs to. */
+  6: string entity_id = "",
 }
 
 // --- Ledger snapshots ------------------------------------------------------
 
 struct ClaimState {
   1: i32 chunk = 0,
-  2: string holder = "",
-  3: string incarnation = "",
-  4: i64 lease_ms = 0,
-  5: i64 offset = -1,
+  /** Raw body of CHUNK_CLAIM. */
+  2: binary claim = "",
+  3: i64 offset = -1,
 }
 
 struct IntentState {
@@ -252,52 +261,43 @@
   2: i64 claim_offset = -1,
 }
 
-struct OutcomePosition {
-  1: Position position,
-  2: i32 chunk = 0,
-  /** Items whose first outcome is in that record. */
-  3: list<i64> items,
-}
-
 struct JobState {
   /** Raw body of JOB_CREATED, so that unknown fields survive. */
   1: binary created = "",
   2: i64 offset = -1,
   3: bool cancelled = false,
   4: bool due_passed = false,
-  5: i64 cancelled_ms = 0,
+  5: i64 ended_ms = 0,
   6: list<ClaimState> claims,
   7: list<IntentState> intents,
-  8: list<OutcomePosition> outcomes,
+  /** Positions of the OUTCOMES records that hold a first outcome. */
+  8: list<Position> outcome_positions,
   /** One status byte an item, 0 while it has no outcome. */
   9: binary statuses = "",
-  10: i64 finished_ms = 0,
+  /** For each item the index in outcome_positions, 32-bit little endian. */
+  10: binary winners = "",
+  /** Current positions of the input chunks. */
+  11: list<Position> chunk_positions,
 }
 
 struct CallState {
   1: binary intent = "",
   2: i64 offset = -1,
-  3: bool has_outcome = false,
-  4: binary outcome = "",
-  5: Position outcome_position,
+  3: i32 status = 0,
+  4: Position outcome_position,
 }
 
 struct FileState {
   1: binary created = "",
   2: i64 offset = -1,
+  /** Current positions of the chunks. */
+  3: list<Position> chunk_positions,
 }
 
 struct ServerLeaseState {
-  1: string server_id = "",
-  2: string holder = "",
-  3: string incarnation = "",
-  4: i64 lease_ms = 0,
-  5: i64 offset = -1,
-}
-
-struct MovedBody {
-  1: Position original,
-  2: Position current,
+  /** Raw body of SERVER_CLAIM. */
+  1: binary claim = "",
+  2: i64 offset = -1,
 }
 
 struct KeptRecord {
@@ -306,18 +306,29 @@
   3: LogRecord record,
 }
 
+struct VerdictMessage {
+  1: string record_id = "",
+  2: i64 offset = -1,
+  3: i32 index = 0,
+  4: string status = "",
+  5: string reason = "",
+  /** Id of the entity that the record yields, for duplicates the first one. */
+  6: string entity_id = "",
+}
+
 struct ShardSnapshot {
   1: i64 through_offset = -1,
   2: list<FileState> files,
   3: list<JobState> jobs,
   4: list<CallState> calls,
   5: list<ServerLeaseState> server_leases,
-  6: list<PoisonVerdict> poison_verdicts,
-  7: list<MovedBody> moved,
+  /** Raw bodies of POISON_VERDICT. */
+  6: list<binary> poison_verdicts,
   /** Records of kinds that the writer does not know, verbatim. */
-  8: list<KeptRecord> unknown_records,
-  9: list<string> recent_record_ids,
-  10: list<string> cancelled_jobs,
+  7: list<KeptRecord> unknown_records,
+  /** Latest records first to last, for the recognition of second copies. */
+  8: list<VerdictMessage> recent_verdicts,
+  9: i64 time_ms = 0,
 }
 
 // --- Configuration ---------------------------------------------------------
@@ -465,16 +476,6 @@
   4: bool urgent = false,
 }
 
-struct VerdictMessage {
-  1: string record_id = "",
-  2: i64 offset = -1,
-  3: i32 index = 0,
-  4: string status = "",
-  5: string reason = "",
-  /** Id of the entity that the record yields, for duplicates the first one. */
-  6: string entity_id = "",
-}
-
 struct SubmitReply {
   1: list<VerdictMessage> verdicts,
   2: string error_code = "",
