--- /dev/null
+++ b/galenascale/batch/grants.py
@@ -0,0 +1,150 @@
+"""The shard owner's side of claims: which chunks a host may work on next.
+
+The owner proposes claims and gathers them into few appends. Log order decides,
+so a second owner at the same time can never grant a chunk twice.
+"""
+
+from galenascale.errors import GalenascaleError
+from galenascale.generated.messages import (
+    ChunkClaim,
+    ChunkRef,
+    WorkGrant,
+    WorkReply,
+    WorkRequest,
+)
+from galenascale.logs import get_logger
+from galenascale.shards import make_record
+
+log = get_logger("grants")
+
+SUBMIT_TIMEOUT_S = 3.0
+# A job within this share of its time to the due time goes before others.
+LATE_SHARE = 0.25
+
+
+class GrantService:
+    """Grants chunks of the shards to the hosts that ask for work."""
+
+    def __init__(self, shards, clock, settings):
+        self._shards = shards
+        self._clock = clock
+        self._settings = settings
+        # Chunks with a proposed claim that is not read back yet.
+        self._proposed = set()
+        # Items granted by tenant, for equal shares between tenants.
+        self._granted_by_tenant = {}
+
+    async def grant(self, request: WorkRequest):
+        """Return a WorkReply with the claims that are in the log."""
+        try:
+            follower = self._shards.follower(request.shard)
+            state = await follower.refresh(max_age_s=self._settings.idle_poll_s)
+            chosen = self._choose(state, follower, request)
+            if not chosen:
+                return WorkReply()
+            return WorkReply(await self._claim(request, chosen))
+        except GalenascaleError as error:
+            log.warning("Cannot grant work of shard %d: %s.", request.shard, error)
+            return WorkReply(error_code=error.code)
+
+    def _choose(self, state, follower, request):
+        """Return (job, chunk, superseded offset) of about `max_items`."""
+        chosen, items = [], 0
+        for job in self._jobs_in_order(state, request.service_name):
+            for chunk, superseded in self._free_chunks(job, follower):
+                chosen.append((job, chunk, superseded))
+                items += job.open_by_chunk[chunk]
+                self._count(job, chunk)
+                if items >= request.max_items:
+                    return chosen
+        return chosen
+
+    def _jobs_in_order(self, state, service):
+        now_ms = self._clock.wall_ms()
+        jobs = [
+            job
+            for job in state.jobs_by_id.values()
+            if job.created.service_name == service and not job.ended
+        ]
+        return sorted(
+            jobs,
+            key=lambda job: (
+                not is_late(job.created, now_ms),
+                self._granted_by_tenant.get(job.created.tenant, 0),
+                job.created.due_ms,
+                job.offset,
+            ),
+        )
+
+    def _free_chunks(self, job, follower):
+        margin_ms = self._settings.lease_margin_ms
+        for chunk, open_items in enumerate(job.open_by_chunk):
+            if not open_items or (job.created.job_id, chunk) in self._proposed:
+                continue
+            claim = job.claims_by_chunk.get(chunk)
+            if claim is None:
+                yield chunk, -1
+            elif follower.lease_lapsed(claim, margin_ms):
+                yield chunk, claim.offset
+
+    def _count(self, job, chunk):
+        tenant = job.created.tenant
+        granted = self._granted_by_tenant.get(tenant, 0)
+        self._granted_by_tenant[tenant] = granted + job.open_by_chunk[chunk]
+
+    async def _claim(self, request, chosen):
+        keys = {(job.created.job_id, chunk) for job, chunk, _ in chosen}
+        self._proposed |= keys
+        try:
+            records = [
+                make_record(
+                    ChunkClaim(
+                        job.created.job_id,
+                        chunk,
+                        request.host_id,
+                        request.incarnation,
+                        self._settings.lease_ms,
+                        superseded,
+                    )
+                )
+                for job, chunk, superseded in chosen
+            ]
+            verdicts = await self._shards.submit(
+                request.shard, records, SUBMIT_TIMEOUT_S
+            )
+        finally:
+            self._proposed -= keys
+        return [
+            self._make_grant(job, chunk, verdict.offset)
+            for (job, chunk, _), verdict in zip(chosen, verdicts, strict=True)
+            if verdict.valid
+        ]
+
+    def _make_grant(self, job, chunk, offset):
+        created, ref = job.created, job.created.chunks[chunk]
+        remaining = job.open_items_of(chunk)
+        return WorkGrant(
+            job_id=created.job_id,
+            chunk=chunk,
+            claim_offset=offset,
+            lease_ms=self._settings.lease_ms,
+            ref=ChunkRef(
+                job.chunk_positions[chunk],
+                ref.first_item,
+                ref.item_count,
+                ref.size_bytes,
+            ),
+            remaining=remaining,
+            idempotent=created.idempotent,
+            endpoint=created.endpoint,
+            tenant=created.tenant,
+            model=created.model,
+            due_ms=created.due_ms,
+            doubtful=[item for item in remaining if item in job.intents_by_item],
+        )
+
+
+def is_late(created, now_ms):
+    """Return True if little of the time to a job's due time is left."""
+    whole = created.due_ms - created.created_ms
+    return created.due_ms - now_ms < whole * LATE_SHARE
--- /dev/null
+++ b/galenascale/batch/held.py
@@ -0,0 +1,128 @@
+"""Chunks that this host holds under a lease, and their items."""
+
+import collections
+
+import attrs
+import orjson
+
+from galenascale.batch_lines import parse_line
+
+
+@attrs.define(eq=False)
+class Item:
+    """One item with what its earlier runs left."""
+
+    chunk: "HeldChunk"
+    # Index in its job.
+    number: int
+    custom_id: str
+    url: str
+    body: dict
+    # Runs that reached a backend server and failed.
+    attempts: int = 0
+    # Tokens of an interrupted answer and their text.
+    tokens: int = 0
+    text: str = ""
+    crashed_servers: set = attrs.field(factory=set)
+
+    @property
+    def key(self):
+        """Identify the item over all jobs."""
+        return (self.chunk.grant.job_id, self.number)
+
+
+@attrs.define(eq=False)
+class HeldChunk:
+    """A granted chunk; its lease is counted on this host's clock."""
+
+    shard: int
+    grant: object
+    # Monotonic time from which the lease counts: before the claim was asked.
+    leased_at: float
+    # Offset of the current claim; a renewal replaces it.
+    claim_offset: int = -1
+    open_items: set = attrs.field(factory=set)
+    # False once another host's claim was seen in place of this one's.
+    current: bool = True
+    # Claim under which intents of non-idempotent items were recorded.
+    intent_offsets: dict = attrs.field(factory=dict)
+
+    @classmethod
+    def from_grant(cls, shard, grant, leased_at):
+        """Return the chunk that a WorkGrant describes."""
+        return cls(shard, grant, leased_at, grant.claim_offset, set(grant.remaining))
+
+    def lease_left_s(self, now):
+        """Return the seconds until the lease ends."""
+        return self.leased_at + self.grant.lease_ms / 1000 - now
+
+    def items(self, content):
+        """Return the chunk's open items out of its lines of JSON."""
+        lines = content.split(b"\n")
+        first = self.grant.ref.first_item
+        result = []
+        for number in self.grant.remaining:
+            line = parse_line(lines[number - first], number + 1)
+            result.append(Item(self, number, line.custom_id, line.url, line.body))
+        return result
+
+
+class ReadyItems:
+    """Items that wait for a free slot, by service, the most urgent first."""
+
+    def __init__(self):
+        self._items_by_service = collections.defaultdict(collections.deque)
+
+    def __len__(self):
+        return sum(len(items) for items in self._items_by_service.values())
+
+    def count(self, service):
+        """Return the number of items of a service."""
+        return len(self._items_by_service[service])
+
+    def add(self, service, items):
+        """Add items behind those that wait."""
+        self._items_by_service[service].extend(items)
+
+    def put_back(self, service, item):
+        """Add an interrupted item before the others, since it has tokens."""
+        self._items_by_service[service].appendleft(item)
+
+    def take(self, service):
+        """Return the next item, None for none."""
+        items = self._items_by_service[service]
+        return items.popleft() if items else None
+
+    def drop(self, predicate):
+        """Remove the items for which the predicate is true."""
+        for service, items in self._items_by_service.items():
+            self._items_by_service[service] = collections.deque(
+                item for item in items if not predicate(item)
+            )
+
+
+def answer_body(item, chunks):
+    """Return the JSON body of a completion out of its last chunk and text."""
+    last = orjson.loads(chunks[-1].data) if chunks else {}
+    chat = item.url.endswith("/chat/completions")
+    choice = {
+        "index": 0,
+        "finish_reason": chunks[-1].finish_reason if chunks else "stop",
+        "logprobs": None,
+    }
+    if chat:
+        choice["message"] = {"role": "assistant", "content": item.text}
+    else:
+        choice["text"] = item.text
+    return {
+        "id": last.get("id", ""),
+        "object": "chat.completion" if chat else "text_completion",
+        "created": last.get("created", 0),
+        "model": item.body.get("model", ""),
+        "choices": [choice],
+        "usage": {
+            "prompt_tokens": 0,
+            "completion_tokens": item.tokens,
+            "total_tokens": item.tokens,
+        },
+    }
--- a/galenascale/clock.py
+++ b/galenascale/clock.py
@@ -19,6 +19,23 @@
         """Sleep for a time in seconds."""
         await asyncio.sleep(seconds)
 
+    async def wait_any(self, awaitables, seconds):
+        """
+        Return when one of the awaitables is done or the time has passed.
+
+        Tasks go on running; coroutines are cancelled when they are not done.
+        """
+        given = {item for item in awaitables if isinstance(item, asyncio.Future)}
+        futures = [asyncio.ensure_future(item) for item in awaitables]
+        timer = asyncio.ensure_future(self.sleep(seconds))
+        try:
+            await asyncio.wait({timer, *futures}, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            timer.cancel()
+            for future in futures:
+                if future not in given:
+                    future.cancel()
+
 
 class FakeClock(Clock):
     """A clock that only moves when a test advances it."""
--- /dev/null
+++ b/galenascale/jobs.py
@@ -0,0 +1,311 @@
+"""Batch jobs as callers see them: create, look up, cancel, read results."""
+
+import re
+
+import attrs
+import orjson
+
+from galenascale import codec
+from galenascale.batch_lines import MODEL_ENDPOINTS, SERVICE_PREFIX, parse_line
+from galenascale.errors import LogUnavailable, Refused, UserError
+from galenascale.files import read_chunk
+from galenascale.generated.messages import (
+    JobCancelled,
+    JobCreated,
+    Outcomes,
+    OutcomeStatus,
+)
+from galenascale.hashing import content_digest, shard_of
+from galenascale.ledger import VerdictStatus
+from galenascale.shards import make_id, make_record, shard_from_id
+from galenascale.shards.bodies import read_body
+
+WINDOW = re.compile(r"(\d{1,4})([smhd])")
+WINDOW_UNIT_MS = {"s": 1000, "m": 60_000, "h": 3_600_000, "d": 86_400_000}
+MAX_METADATA_PAIRS = 16
+
+# Error code and message of items that end without an outcome of their own.
+CODES_BY_STATUS = {
+    OutcomeStatus.EXPIRED: (
+        "batch_expired",
+        "The item was not run before its due time.",
+    ),
+    OutcomeStatus.NOT_RUN: ("batch_cancelled", "The item was not run."),
+    OutcomeStatus.MAY_HAVE_RUN: (
+        "may_have_run",
+        "The item was sent to a backend server and its answer was lost.",
+    ),
+}
+
+
+@attrs.frozen
+class JobRequest:
+    """A caller's request for a job, checked in form."""
+
+    input_file_id: str
+    endpoint: str
+    completion_window: str
+    metadata: dict
+    idempotency_key: str = ""
+    idempotent: bool = True
+
+    @classmethod
+    def from_body(cls, body, idempotency_key="", idempotent=True):
+        """Return the checked request; raise UserError naming the field."""
+        for name in ("input_file_id", "endpoint", "completion_window"):
+            if not isinstance(body.get(name), str) or not body[name]:
+                raise UserError(f"{name} must be a non-empty string", param=name)
+        metadata = body.get("metadata") or {}
+        if (
+            not isinstance(metadata, dict)
+            or len(metadata) > MAX_METADATA_PAIRS
+            or not all(isinstance(value, str) for value in metadata.values())
+        ):
+            raise UserError(
+                f"metadata must be at most {MAX_METADATA_PAIRS} strings by name",
+                param="metadata",
+            )
+        window_ms(body["completion_window"])
+        return cls(
+            body["input_file_id"],
+            body["endpoint"],
+            body["completion_window"],
+            metadata,
+            idempotency_key,
+            idempotent,
+        )
+
+
+def window_ms(window):
+    """Return a completion window such as `24h` in milliseconds."""
+    match = WINDOW.fullmatch(window)
+    if match is None or int(match[1]) == 0:
+        raise UserError(
+            "completion_window must be a time such as 24h", param="completion_window"
+        )
+    return int(match[1]) * WINDOW_UNIT_MS[match[2]]
+
+
+class JobService:
+    """Jobs of all tenants; every answer comes from the log."""
+
+    def __init__(self, shards, log_client, files, config, clock, settings):
+        self._shards = shards
+        self._log_client = log_client
+        self._files = files
+        self._config = config
+        self._clock = clock
+        self._settings = settings
+
+    async def create(self, tenant, request):
+        """
+        Accept a job and return its JobEntry once it is seen in the log.
+
+        The same Idempotency-Key yields the same job. Raise UserError (409) for
+        another body under the key and Refused if the log takes no appends.
+        """
+        file_entry = await self._files.get(tenant, request.input_file_id)
+        created = self._describe(tenant, request, file_entry.created)
+        created.chunks = [
+            attrs.evolve(ref, position=position)
+            for ref, position in zip(
+                file_entry.created.chunks, file_entry.chunk_positions, strict=True
+            )
+        ]
+        shard = shard_from_id(created.job_id, self._shards.count)
+        try:
+            verdicts = await self._shards.submit(
+                shard, [make_record(created)], urgent=True
+            )
+        except LogUnavailable as error:
+            raise Refused(
+                "job cannot be accepted now", code="log_unavailable", step="jobs"
+            ) from error
+        return await self._accepted(tenant, verdicts[0])
+
+    async def _accepted(self, tenant, verdict):
+        if verdict.status == VerdictStatus.CONFLICT:
+            raise UserError(
+                verdict.reason, code="idempotency_conflict", http_status=409
+            )
+        if verdict.status not in (VerdictStatus.VALID, VerdictStatus.DUPLICATE):
+            raise UserError(f"job was not accepted: {verdict.reason}")
+        return await self.get(tenant, verdict.entity_id)
+
+    def _describe(self, tenant, request, file):
+        model, service = self._target(request, file)
+        key_digest = ""
+        if request.idempotency_key:
+            key_digest = content_digest(tenant, request.idempotency_key)
+        now_ms = self._clock.wall_ms()
+        due_ms = now_ms + window_ms(request.completion_window)
+        retention_ms = int(self._settings.batch.result_retention_s * 1000)
+        return JobCreated(
+            job_id=self._new_id(key_digest),
+            tenant=tenant,
+            key_digest=key_digest,
+            body_digest=_body_digest(request, file),
+            endpoint=request.endpoint,
+            service_name=service,
+            model=model,
+            input_file_id=request.input_file_id,
+            item_count=file.item_count,
+            idempotent=request.idempotent and self._may_repeat(request, service),
+            created_ms=now_ms,
+            due_ms=due_ms,
+            expires_ms=due_ms + retention_ms,
+            metadata_json=orjson.dumps(request.metadata).decode(),
+            completion_window=request.completion_window,
+        )
+
+    def _new_id(self, key_digest):
+        # All resubmissions with one key meet in one shard, where log order
+        # decides which is the first.
+        suffix = make_id("batch", 0).rsplit("_", 1)[1]
+        shard = shard_of(key_digest or suffix, self._shards.count)
+        return make_id("batch", shard, suffix)
+
+    def _target(self, request, file):
+        if file.purpose != "batch":
+            raise UserError(
+                "file has another purpose than batch", param="input_file_id"
+            )
+        if file.endpoints != [request.endpoint]:
+            raise UserError(
+                "lines of the file name another endpoint than the job",
+                param="endpoint",
+            )
+        config = self._config.current
+        if request.endpoint.startswith(SERVICE_PREFIX):
+            service = request.endpoint.split("/")[2]
+            if service not in config.services_by_name:
+                raise UserError(f"service {service!r} does not exist", param="endpoint")
+            return "", service
+        if len(file.models) != 1:
+            raise UserError(
+                "lines of the file name more than one model", param="input_file_id"
+            )
+        model = config.models_by_name.get(file.models[0])
+        if model is None:
+            raise UserError(
+                f"model {file.models[0]!r} does not exist",
+                code="model_not_found",
+                param="input_file_id",
+            )
+        return model.name, model.service_name
+
+    def _may_repeat(self, request, service):
+        if request.endpoint in MODEL_ENDPOINTS:
+            return True
+        declared = self._config.current.services_by_name[service]
+        path = "/" + "/".join(request.endpoint.split("/")[3:])
+        return not path.startswith(tuple(declared.non_idempotent_paths))
+
+    async def get(self, tenant, job_id):
+        """Return the JobEntry; raise UserError 404 if the tenant has none."""
+        shard = shard_from_id(job_id, self._shards.count)
+        state = await self._shards.view(shard)
+        job = state.jobs_by_id.get(job_id)
+        if job is None or job.created.tenant != tenant:
+            raise UserError(
+                f"batch {job_id!r} does not exist", code="not_found", http_status=404
+            )
+        return job
+
+    async def list(self, tenant):
+        """Return the tenant's JobEntry objects, the newest first."""
+        jobs = []
+        for shard in range(self._shards.count):
+            state = await self._shards.view(shard)
+            jobs.extend(
+                job for job in state.jobs_by_id.values() if job.created.tenant == tenant
+            )
+        return sorted(jobs, key=lambda job: job.created.created_ms, reverse=True)
+
+    async def cancel(self, tenant, job_id):
+        """Cancel a job unless it ended, and return its entry."""
+        await self.get(tenant, job_id)
+        shard = shard_from_id(job_id, self._shards.count)
+        record = make_record(JobCancelled(job_id, tenant, self._clock.wall_ms()))
+        try:
+            await self._shards.submit(shard, [record], urgent=True)
+        except LogUnavailable as error:
+            raise Refused(
+                "job cannot be cancelled now", code="log_unavailable", step="jobs"
+            ) from error
+        return await self.get(tenant, job_id)
+
+    async def results(self, tenant, job_id, failed):
+        """
+        Return an async iterator of result lines, in no particular order.
+
+        With `failed` the lines of items without a successful answer, else the
+        lines of those with one. Each item has exactly one line in one of them.
+        """
+        job = await self.get(tenant, job_id)
+        return self._lines(job, failed)
+
+    async def _lines(self, job, failed):
+        for winner, position in enumerate(job.outcome_positions):
+            _, body = await read_body(self._log_client, position)
+            for outcome in codec.decode(Outcomes, body).outcomes:
+                succeeded = outcome.status == OutcomeStatus.SUCCEEDED
+                if job.winners[outcome.item] == winner and succeeded != failed:
+                    yield outcome.body
+        if failed and job.ended:
+            async for line in self._lines_without_outcome(job):
+                yield line
+
+    async def _lines_without_outcome(self, job):
+        for chunk, position in enumerate(job.chunk_positions):
+            items = job.open_items_of(chunk)
+            if not items:
+                continue
+            lines = (await read_chunk(self._log_client, position)).split(b"\n")
+            first = job.items_of(chunk).start
+            for item in items:
+                line = parse_line(lines[item - first], item + 1)
+                code, message = CODES_BY_STATUS[job.final_status(item)]
+                yield error_line(
+                    job.created.job_id, item, line.custom_id, code, message
+                )
+
+
+def _body_digest(request, file):
+    # The file's digest, not its id: a caller that sends a job again uploads
+    # its file again and gets another file id.
+    return content_digest(
+        file.digest,
+        request.endpoint,
+        request.completion_window,
+        orjson.dumps(request.metadata, option=orjson.OPT_SORT_KEYS),
+        str(request.idempotent),
+    )
+
+
+def result_line(job_id, item, custom_id, http_status, body):
+    """Return one line of an output file."""
+    return orjson.dumps(
+        {
+            "id": f"{job_id}-{item}",
+            "custom_id": custom_id,
+            "response": {
+                "status_code": http_status,
+                "request_id": f"{job_id}-{item}",
+                "body": body,
+            },
+            "error": None,
+        }
+    )
+
+
+def error_line(job_id, item, custom_id, code, message, response=None):
+    """Return one line of an error file."""
+    return orjson.dumps(
+        {
+            "id": f"{job_id}-{item}",
+            "custom_id": custom_id,
+            "response": response,
+            "error": {"code": code, "message": message},
+        }
+    )
--- a/galenascale/shards/keeper.py
+++ b/galenascale/shards/keeper.py
@@ -131,7 +131,8 @@
     """Yield each body that a reader of the shard may still need."""
     for job_id, job in state.jobs_by_id.items():
         for chunk, position in enumerate(job.chunk_positions):
-            if job.open_by_chunk[chunk] and not job.ended:
+            # Error lines of items without outcome name their custom_id.
+            if job.open_by_chunk[chunk]:
                 yield _Body(RecordKind.DATA_CHUNK, job_id, position)
         for position in job.outcome_positions:
             yield _Body(RecordKind.OUTCOMES, job_id, position)
--- a/galenascale/shards/writer.py
+++ b/galenascale/shards/writer.py
@@ -80,13 +80,7 @@
     async def _linger(self):
         settings = self._settings
         if not self._urgent.is_set():
-            sleep = asyncio.ensure_future(self._clock.sleep(settings.linger_s))
-            urgent = asyncio.ensure_future(self._urgent.wait())
-            try:
-                await asyncio.wait({sleep, urgent}, return_when=asyncio.FIRST_COMPLETED)
-            finally:
-                sleep.cancel()
-                urgent.cancel()
+            await self._clock.wait_any([self._urgent.wait()], settings.linger_s)
         if self._urgent.is_set():
             await self._clock.sleep(settings.urgent_linger_s)
         self._urgent.clear()
--- a/schema/galenascale.thrift
+++ b/schema/galenascale.thrift
@@ -88,6 +88,10 @@
   7: list<ChunkRef> chunks,
   8: i64 created_ms = 0,
   9: i64 expires_ms = 0,
+  /** What the lines of a batch file name. */
+  10: list<string> models,
+  11: list<string> endpoints,
+  12: i64 item_count = 0,
 }
 
 struct FileDeleted {
@@ -180,6 +184,8 @@
   6: string incarnation = "",
   7: i64 created_ms = 0,
   8: i64 expires_ms = 0,
+  /** Names this intent among all of the call. */
+  9: string intent_id = "",
 }
 
 struct CallOutcome {
@@ -542,11 +548,16 @@
 }
 
 struct CallStatusRequest {
-  1: string call_id = "",
+  1: string intent_id = "",
+}
+
+/** Tells a holder of claims that a job was cancelled. */
+struct JobCancelledNotice {
+  1: string job_id = "",
 }
 
 struct CallStatusReply {
-  /** running, unknown */
+  /** running, abandoned (never dispatched) or unknown */
   1: string state = "unknown",
 }
 
--- a/test/fakes.py
+++ b/test/fakes.py
@@ -1,7 +1,10 @@
 """Small fakes at the interfaces, driven by tests."""
 
-from galenascale.errors import AppendUnknown, LogUnavailable
+import asyncio
+
+from galenascale.errors import AppendUnknown, LogUnavailable, PeerError
 from galenascale.log_client import Bounds, ReadResult
+from galenascale.shards import Shards
 from galenascale.standins.log_store import LogStore
 
 
@@ -51,3 +54,43 @@
         if self.read_down:
             raise LogUnavailable("down")
         return Bounds(*self.store.bounds(stream))
+
+
+class FakeHost:
+    """What the services of a host need, over a shared log and clock."""
+
+    def __init__(self, host_id, log, clock, settings, ownership=None, peers=None):
+        self.host_id = host_id
+        self.incarnation = f"{host_id}-1"
+        self.log_client = log
+        self.clock = clock
+        self.settings = settings
+        self.peers = peers
+        self.shards = Shards(log, clock, settings.log, host_id, ownership, peers)
+
+
+class FakePeers:
+    """Calls between hosts in one process; `cut` holds unreachable host ids."""
+
+    def __init__(self):
+        self.handlers = {}
+        self.cut = set()
+
+    async def call(self, host_id, method, message, reply_type, timeout_s):
+        """Call a handler by host id and method name."""
+        if host_id in self.cut or (host_id, method) not in self.handlers:
+            raise PeerError("cut off", peer=host_id)
+        reply = await self.handlers[host_id, method](message)
+        assert isinstance(reply, reply_type)
+        return reply
+
+
+async def run_with_clock(clock, coroutine, step_s=0.1, steps=2000):
+    """Return the coroutine's result while fake time passes."""
+    task = asyncio.create_task(coroutine)
+    for _ in range(steps):
+        if task.done():
+            break
+        await clock.advance(step_s)
+    assert task.done(), "did not end in the given time"
+    return await task
