Complete the stand-ins and add the embedded deployment

The stand-ins covered only the thin path of a request. They now implement docs/backend-api.md: the engine runs on a pure model of continuous batching with one decode loop, the platform has a host list and a weight store, and plain services count their runs. EmbeddedDeployment and `galenascale dev` run a deployment directory in one process.

--- a/galenascale/commands/__init__.py
+++ b/galenascale/commands/__init__.py
@@ -7,7 +7,7 @@
 
 def make_cli():
     """Return the command-line application."""
-    from galenascale.commands import serve, standin
+    from galenascale.commands import dev, serve, standin
 
     app = cyclopts.App(
         name="galenascale",
@@ -15,5 +15,6 @@
         help="Serve online and batch inference on one fleet.",
     )
     app.command(serve.serve, name="serve")
+    app.command(dev.dev, name="dev")
     app.command(standin.app, name="standin")
     return app
--- /dev/null
+++ b/galenascale/commands/dev.py
@@ -0,0 +1,50 @@
+"""`galenascale dev`: run a whole deployment in one process."""
+
+import asyncio
+import sys
+
+import attrs
+import orjson
+
+from galenascale.commands.signals import wait_for_stop
+from galenascale.embedded import EmbeddedDeployment
+from galenascale.logs import setup_logging
+
+DEFAULT_DEPLOYMENT = "examples/mutara"
+# The declarations of the examples name the URLs that follow from this port.
+DEFAULT_PORT = 8400
+
+
+def dev(
+    *,
+    deployment: str = DEFAULT_DEPLOYMENT,
+    port: int = DEFAULT_PORT,
+    log_level: str = "warning",
+):
+    """
+    Run a deployment with stand-ins in one process until SIGTERM or SIGINT.
+
+    One JSON line on stdout tells when it is ready and where it listens.
+
+    Parameters
+    ----------
+    deployment
+        Deployment directory; also searched next to the package.
+    port
+        Port of the first entry host; the others, the platform and the backend
+        servers follow. 0 for free ports.
+    log_level
+        Lowest level of the log lines on stderr.
+    """
+    setup_logging(log_level)
+    asyncio.run(_run(EmbeddedDeployment.from_directory(deployment, port)))
+
+
+async def _run(embedded):
+    # Signals count from now on, so a stop during the start is orderly too.
+    stopped = asyncio.create_task(wait_for_stop())
+    async with embedded:
+        line = orjson.dumps(attrs.asdict(embedded.summary()))
+        sys.stdout.write(line.decode() + "\n")
+        sys.stdout.flush()
+        await stopped
--- a/galenascale/commands/standin.py
+++ b/galenascale/commands/standin.py
@@ -3,7 +3,6 @@
 import asyncio
 
 import cyclopts
-from aiohttp import web
 
 from galenascale.commands.signals import wait_for_stop
 from galenascale.generated.messages import (
@@ -13,6 +12,7 @@
 from galenascale.logs import get_logger, setup_logging
 from galenascale.settings import load_settings
 from galenascale.standins.engine import EngineStandin
+from galenascale.standins.plain_service import PlainServiceStandin
 from galenascale.standins.platform import PlatformStandin
 
 log = get_logger("standin")
@@ -30,9 +30,7 @@
     settings
         JSON file with the settings of the stand-in.
     """
-    loaded = load_settings(settings, PlatformStandinSettings)
-    setup_logging()
-    asyncio.run(_run(PlatformStandin.from_config(loaded), loaded))
+    _run(PlatformStandin, load_settings(settings, PlatformStandinSettings))
 
 
 @app.command
@@ -45,18 +43,32 @@
     settings
         JSON file with the settings of the stand-in.
     """
-    loaded = load_settings(settings, EngineStandinSettings)
+    _run(EngineStandin, load_settings(settings, EngineStandinSettings))
+
+
+@app.command
+def plain(*, settings: str):
+    """
+    Run one plain service stand-in.
+
+    Parameters
+    ----------
+    settings
+        JSON file with the settings of the stand-in.
+    """
+    _run(PlainServiceStandin, load_settings(settings, EngineStandinSettings))
+
+
+def _run(kind, settings):
     setup_logging()
-    asyncio.run(_run(EngineStandin.from_config(loaded), loaded))
+    asyncio.run(_serve(kind, settings))
 
 
-async def _run(standin, settings):
-    runner = web.AppRunner(standin.make_app())
-    await runner.setup()
+async def _serve(kind, settings):
+    standin = kind.from_config(settings)
+    await standin.start()
     try:
-        site = web.TCPSite(runner, settings.listen_address, settings.port)
-        await site.start()
-        log.info("Listening on port %d.", runner.addresses[0][1])
+        log.info("Listening on port %d.", standin.port)
         await wait_for_stop()
     finally:
-        await runner.cleanup()
+        await standin.stop()
--- a/galenascale/standins/engine.py
+++ b/galenascale/standins/engine.py
@@ -1,62 +1,276 @@
-"""Stand-in of a model engine over HTTP."""
+"""Stand-in of a model engine over HTTP: docs/backend-api.md, docs/dev.md."""
 
 import asyncio
-import uuid
+import collections
 
-import orjson
+import aiohttp
 from aiohttp import web
 
+from galenascale.errors import UserError
+from galenascale.standins.backend import BackendStandin
+from galenascale.standins.engine_kv import KvExchange
+from galenascale.standins.engine_model import EngineModel
+from galenascale.standins.engine_orders import (
+    Fencing,
+    LoadedModels,
+    Order,
+    StaleFencing,
+)
+from galenascale.standins.engine_requests import (
+    CHAT,
+    COMPLETIONS,
+    EngineRequest,
+    PlainAnswer,
+    Sink,
+    StreamedAnswer,
+    plain_answer,
+)
+from galenascale.standins.engine_text import answer_text
+from galenascale.standins.reports import CacheEventLog
+from galenascale.standins.server import (
+    error_response,
+    json_response,
+    read_json,
+)
 
-class EngineStandin:
-    """Streams made-up tokens with a fixed time per decode step."""
+# A process that was stopped for longer does not make up for the lost steps.
+MAX_CATCH_UP_S = 0.25
+FETCH_TIMEOUT = aiohttp.ClientTimeout(total=10)
+LEAVING_HEADERS = {"X-Leaving": "true"}
+# Not a standard status; common for a request that its client closed.
+STATUS_CANCELLED = 499
 
-    def __init__(self, settings):
-        self.settings = settings
-        self.running = 0
 
-    @classmethod
-    def from_config(cls, settings):
-        """Return a stand-in with EngineStandinSettings."""
-        return cls(settings)
+class EngineStandin(BackendStandin):
+    """An EngineModel behind HTTP, with one decode loop for all streams."""
 
-    def make_app(self):
-        """Return the aiohttp application."""
-        app = web.Application()
-        app.add_routes(
-            [
-                web.post("/v1/chat/completions", self._chat),
-                web.get("/load", self._load),
-            ]
+    cancels_handlers = True
+
+    def __init__(self, settings, clock=None):
+        super().__init__(settings, clock)
+        self.fencing = Fencing(settings.checks_fencing)
+        self.resume_mismatches = 0
+        self._wake = asyncio.Event()
+        self.session = None
+        self.reset()
+
+    def reset(self):
+        """Lose all streams, caches and what orders loaded."""
+        super().reset()
+        settings = self.settings
+        self.model = EngineModel(settings)
+        self.model.slow = self.faults.slow
+        self.loaded = LoadedModels(settings.models)
+        self.role = "mixed"
+        self.draining = False
+        self.cache_events = CacheEventLog(
+            settings.cache_event_lag_s, settings.cache_event_gap, settings.seed
         )
-        return app
+        self.exports_by_id = collections.OrderedDict()
 
-    async def _load(self, _):
-        return web.json_response({"running": self.running})
+    def routes(self):
+        """Return the routes of docs/backend-api.md."""
+        return [
+            web.post(CHAT, self._complete),
+            web.post(COMPLETIONS, self._complete),
+            web.get("/v1/models", self._models),
+            web.post("/v1/cancel", self._cancel),
+            web.get("/load", self.get_load),
+            web.get("/state", self._state),
+            web.post("/orders", self._order),
+            *KvExchange(self).routes(),
+            web.get("/cache-events", self._cache_events),
+        ]
 
-    async def _chat(self, request):
-        body = orjson.loads(await request.read())
-        response = web.StreamResponse(headers={"Content-Type": "text/event-stream"})
-        await response.prepare(request)
-        request_id = f"chatcmpl-{uuid.uuid4().hex}"
-        self.running += 1
+    async def start(self):
+        """Listen and start the decode loop."""
+        self.session = aiohttp.ClientSession(timeout=FETCH_TIMEOUT)
+        await super().start()
+        self.run_in_background(self._decode())
+
+    async def stop(self):
+        """Stop the loops and close all connections."""
+        await super().stop()
+        if self.session is not None:
+            await self.session.close()
+
+    @property
+    def leaving(self):
+        """Whether new requests are refused."""
+        return self.faults.leave or self.draining
+
+    def apply_faults(self):
+        """Take over the factor on times and wake the decode loop."""
+        self.model.slow = self.faults.slow
+        self._wake.set()
+
+    # --- Decode loop
+
+    async def _decode(self):
+        while True:
+            at = self.model.next_at
+            if at is None or self.faults.hang:
+                self._wake.clear()
+                await self._wake.wait()
+                continue
+            delay = at - self.clock.monotonic()
+            await self.clock.sleep(max(0.0, delay))
+            if not self.faults.hang:
+                self._step(self.clock.monotonic())
+
+    def _step(self, now):
+        """Complete the steps that are due and deliver their tokens."""
+        model = self.model
+        model.skip_to(now - MAX_CATCH_UP_S)
+        for token in model.advance(now):
+            stream, sink = token.stream, token.stream.sink
+            if sink.crashes:
+                self.crash()
+                return
+            if sink.drops_at == token.index:
+                sink.transport.abort()
+            sink.answer.add(stream, token.index, "length" if token.final else None)
+        for event in model.prefix_cache.take_events():
+            self.cache_events.add(now, event)
+
+    # --- Completions
+
+    async def _complete(self, request):
+        body = await read_json(request)
+        wanted = EngineRequest.parse(
+            request.path, body, request.headers.get("X-Request-Id")
+        )
+        if refusal := self._refuse(wanted):
+            return refusal
+        stream = wanted.to_stream(self.loaded.version_for(wanted.model))
+        if wanted.resumed_text != answer_text(stream.digest, 0, wanted.first_token):
+            self.resume_mismatches += 1
+        answer = StreamedAnswer(wanted) if wanted.stream else PlainAnswer()
+        stream.sink = Sink.from_request(self.faults, wanted, answer, request.transport)
+        model = self.model
+        try:
+            model.submit(self.clock.monotonic(), stream)
+        except ValueError as error:
+            code = "duplicate_attempt" if model.holds(wanted.request_id) else "too_long"
+            return error_response(
+                409 if code == "duplicate_attempt" else 400, code, str(error)
+            )
+        self._wake.set()
         try:
-            for index in range(body.get("max_tokens") or 16):
-                await asyncio.sleep(self.settings.decode_step_ms / 1000)
-                chunk = {
-                    "id": request_id,
-                    "object": "chat.completion.chunk",
-                    "created": 0,
-                    "model": body["model"],
-                    "choices": [
-                        {
-                            "index": 0,
-                            "delta": {"content": f"t{index} "},
-                            "finish_reason": None,
-                        }
-                    ],
-                }
-                await response.write(b"data: " + orjson.dumps(chunk) + b"\n\n")
-            await response.write(b"data: [DONE]\n\n")
+            if wanted.stream:
+                return await self._relay(request, wanted, stream)
+            return await self._answer(wanted, stream)
         finally:
-            self.running -= 1
+            # Does nothing for a stream that has ended.
+            if not answer.finished.done():
+                model.cancel(wanted.request_id)
+
+    def _refuse(self, wanted):
+        if self.leaving:
+            return error_response(
+                503, "leaving", "the server is leaving", LEAVING_HEADERS
+            )
+        if self.loaded.version_for(wanted.model) is None:
+            return error_response(
+                404, "model_not_loaded", f"{wanted.model_text} is not loaded"
+            )
+        if len(self.model.queue) >= self.settings.max_queue:
+            return error_response(429, "queue_full", "the queue is full")
+        return None
+
+    async def _answer(self, wanted, stream):
+        reason = await stream.sink.answer.finished
+        status = STATUS_CANCELLED if reason == "cancelled" else 200
+        return json_response(plain_answer(wanted, stream, reason), status)
+
+    async def _relay(self, request, wanted, stream):
+        answer = stream.sink.answer
+        response = web.StreamResponse(headers={"Content-Type": "text/event-stream"})
+        await response.prepare(request)
+        reason = await answer.relay_to(response, request.transport)
+        if reason == "cancelled":
+            await response.write(answer.event(stream.generated, "", reason))
+        if wanted.include_usage:
+            await response.write(answer.usage_event(stream))
+        await response.write(b"data: [DONE]\n\n")
         return response
+
+    async def _cancel(self, request):
+        body = await read_json(request)
+        stream = self.model.cancel(body.get("request_id"))
+        if stream is None:
+            return json_response({"cancelled": False, "tokens": 0})
+        stream.sink.answer.end("cancelled")
+        return json_response({"cancelled": True, "tokens": stream.generated})
+
+    # --- Reports
+
+    def report(self):
+        """Return the load report without lag."""
+        model = self.model
+        return {
+            "server_id": self.settings.server_id,
+            "at_ms": self.clock.wall_ms(),
+            "running": len(model.running),
+            "queued": len(model.queue),
+            "slots": self.settings.slots,
+            "kv_used_tokens": model.used_tokens,
+            "kv_tokens": self.settings.kv_tokens,
+            "role": self.role,
+            "leaving": self.leaving,
+            "models": self.loaded.report(),
+        }
+
+    async def _state(self, _):
+        more = {
+            "fencing": self.fencing.highest,
+            "generated_tokens": self.model.generated_tokens,
+            "prefilled_tokens": self.model.prefilled_tokens,
+            "resume_mismatches": self.resume_mismatches,
+            "incarnation": self.incarnation,
+        }
+        return json_response(self.report() | more)
+
+    async def _models(self, _):
+        data = [
+            {"id": f"{item['name']}@{item['version']}", "object": "model"}
+            for item in self.loaded.report()
+        ]
+        return json_response({"object": "list", "data": data})
+
+    async def _cache_events(self, request):
+        try:
+            after = int(request.query.get("after", -1))
+        except ValueError as error:
+            raise UserError("after must be an integer", param="after") from error
+        return json_response(self.cache_events.read(self.clock.monotonic(), after))
+
+    # --- Orders
+
+    async def _order(self, request):
+        order = Order.parse(await read_json(request))
+        try:
+            self.fencing.admit(order.fencing)
+        except StaleFencing as error:
+            return json_response({"code": error.code, "current": error.current}, 409)
+        if order.action == "set_role":
+            self.role = order.target
+        elif order.action == "drain":
+            self.draining = True
+        else:
+            if order.action.startswith("load"):
+                await self._fetch_weights(order)
+            self.loaded.apply(order)
+        return json_response({"applied": True})
+
+    async def _fetch_weights(self, order):
+        if self.settings.platform_url:
+            name = order.target.replace("/", "%2F")
+            url = f"{self.settings.platform_url}/v1/weights/{name}"
+            async with self.session.get(
+                f"{url}/{order.version or '-'}",
+                params={"bytes": str(order.bytes)},
+                headers={"X-Failure-Domain": self.settings.failure_domain},
+            ) as response:
+                response.raise_for_status()
+        await self.clock.sleep(self.settings.weight_load_s * self.faults.slow)
--- /dev/null
+++ b/galenascale/standins/engine_model.py
@@ -0,0 +1,299 @@
+"""Pure model of an engine that batches continuously.
+
+A step admits requests in order of arrival while there are slots and KV memory,
+prefills a bounded number of tokens, and gives each prefilled stream one token
+at its end. The caller passes the time in, so a benchmark can simulate it:
+
+    while model.next_at is not None:
+        now = model.next_at
+        for token in model.advance(now):
+            ...
+"""
+
+import collections
+import enum
+
+import attrs
+
+from galenascale.standins.engine_text import text_digest
+from galenascale.standins.prefix_cache import PrefixCache, block_hashes, count_tokens
+
+# Prefill per step; more of it delays the next token of all other streams.
+MAX_STEP_PREFILL_TOKENS = 512
+# Attempts whose KV cache can be exported after their end.
+MAX_RECENT_ATTEMPTS = 256
+
+
+class Phase(enum.IntEnum):
+    """Where a stream is in its life."""
+
+    QUEUED = 1
+    RUNNING = 2
+    FINISHED = 3
+    CANCELLED = 4
+
+
+@attrs.define(eq=False)
+class Stream:
+    """One attempt of a request; `generated` counts resumed tokens too."""
+
+    request_id: str
+    digest: int
+    prompt_tokens: int
+    max_tokens: int
+    blocks: tuple = ()
+    first_token: int = 0
+    generated: int = 0
+    prefill_left: int = 0
+    cached_tokens: int = 0
+    phase: Phase = Phase.QUEUED
+    # What the owner of the model attaches, such as the connection.
+    sink: object = None
+
+    @classmethod
+    def from_prompt(
+        cls, request_id, prompt, max_tokens, names=("", "", ""), first_token=0
+    ):
+        """
+        Return a queued stream.
+
+        `names` are model, version and adapter. `first_token` is the number of
+        tokens that the answer to be resumed has already.
+        """
+        return cls(
+            request_id=request_id,
+            digest=text_digest(*names, prompt),
+            prompt_tokens=count_tokens(prompt),
+            max_tokens=max_tokens,
+            blocks=block_hashes(text_digest(*names, ""), prompt),
+            first_token=first_token,
+            generated=first_token,
+        )
+
+    @property
+    def reserved_tokens(self):
+        """KV memory that the stream needs until its end."""
+        return self.prompt_tokens + self.max_tokens
+
+
+@attrs.frozen
+class Token:
+    """One generated token; the last one of an answer is `final`."""
+
+    stream: Stream
+    index: int
+    final: bool
+
+
+@attrs.frozen
+class HeldCache:
+    """KV cache that is kept after its attempt ended or was imported."""
+
+    digest: int
+    prompt_tokens: int
+    generated: int
+
+    @property
+    def tokens(self):
+        """Size in tokens."""
+        return self.prompt_tokens + self.generated
+
+
+@attrs.define
+class Step:
+    """Work of the step in progress."""
+
+    end: float
+    # (stream, prefilled tokens)
+    prefills: list
+    decoding: list
+
+
+class EngineModel:
+    """State of one engine; `settings` is an EngineStandinSettings."""
+
+    def __init__(self, settings):
+        self.settings = settings
+        # Factor on the time of each step.
+        self.slow = 1.0
+        self.running = []
+        self.queue = collections.deque()
+        self.prefix_cache = PrefixCache(settings.prefix_cache_tokens)
+        self.reserved_tokens = 0
+        self.generated_tokens = 0
+        self.prefilled_tokens = 0
+        self._held_by_digest = collections.OrderedDict()
+        self._held_tokens = 0
+        self._streams_by_id = {}
+        self._recent_by_id = collections.OrderedDict()
+        self._step = None
+
+    @property
+    def next_at(self):
+        """Time of the end of the step in progress; None for an idle engine."""
+        return None if self._step is None else self._step.end
+
+    @property
+    def used_tokens(self):
+        """KV memory in use, without the prefix cache."""
+        return self.reserved_tokens + self._held_tokens
+
+    def holds(self, request_id):
+        """Return whether an attempt is queued or running."""
+        return request_id in self._streams_by_id
+
+    def submit(self, now, stream):
+        """
+        Queue a stream.
+
+        Raise ValueError if it can never run or its id is in use.
+        """
+        if stream.request_id in self._streams_by_id:
+            raise ValueError(f"attempt {stream.request_id} is already running")
+        if stream.reserved_tokens > self.settings.kv_tokens:
+            raise ValueError("request exceeds the KV memory")
+        if stream.first_token >= stream.max_tokens:
+            raise ValueError("answer to be resumed is complete")
+        self._streams_by_id[stream.request_id] = stream
+        self.queue.append(stream)
+        if self._step is None:
+            self._begin_step(now)
+
+    def cancel(self, request_id):
+        """Stop an attempt and return its stream, or None if it is not here."""
+        stream = self._streams_by_id.get(request_id)
+        if stream is None:
+            return None
+        if stream.phase == Phase.QUEUED:
+            self.queue.remove(stream)
+            del self._streams_by_id[request_id]
+        else:
+            self._release(stream)
+        stream.phase = Phase.CANCELLED
+        return stream
+
+    def advance(self, now):
+        """Complete all steps that end until `now`; return their tokens."""
+        tokens = []
+        while self._step is not None and self._step.end <= now:
+            step, self._step = self._step, None
+            self._complete(step, tokens)
+            self._begin_step(step.end)
+        return tokens
+
+    def skip_to(self, now):
+        """Move the end of the step in progress to `now` if it is earlier."""
+        if self._step is not None:
+            self._step.end = max(self._step.end, now)
+
+    def export_cache(self, request_id):
+        """Return the KV cache of a running or recent attempt, or None."""
+        stream = self._streams_by_id.get(request_id)
+        if stream is not None and stream.phase == Phase.RUNNING:
+            return HeldCache(stream.digest, stream.prompt_tokens, stream.generated)
+        digest = self._recent_by_id.get(request_id)
+        return self._held_by_digest.get(digest)
+
+    def import_cache(self, cache):
+        """Keep an imported KV cache; return False if it does not fit."""
+        known = self._held_by_digest.get(cache.digest)
+        if known is not None and known.generated >= cache.generated:
+            return True
+        if self.reserved_tokens + cache.tokens > self.settings.kv_tokens:
+            return False
+        self._drop_held(cache.digest)
+        self._held_by_digest[cache.digest] = cache
+        self._held_tokens += cache.tokens
+        self._evict_held()
+        return True
+
+    def _admit(self):
+        limit = self.settings.kv_tokens
+        while self.queue and len(self.running) < self.settings.slots:
+            stream = self.queue[0]
+            if self.reserved_tokens + stream.reserved_tokens > limit:
+                return
+            self.queue.popleft()
+            stream.phase = Phase.RUNNING
+            total = stream.prompt_tokens + stream.first_token
+            cached = max(
+                self.prefix_cache.match(stream.blocks), self._held_prefix(stream)
+            )
+            # The last position is always computed, as it yields the token.
+            stream.cached_tokens = min(cached, total - 1)
+            stream.prefill_left = total - stream.cached_tokens
+            self._drop_held(stream.digest)
+            self.running.append(stream)
+            self.reserved_tokens += stream.reserved_tokens
+            self._evict_held()
+
+    def _held_prefix(self, stream):
+        held = self._held_by_digest.get(stream.digest)
+        if held is None:
+            return 0
+        return held.prompt_tokens + min(held.generated, stream.first_token)
+
+    def _begin_step(self, now):
+        self._admit()
+        if not self.running:
+            return
+        prefills, decoding, budget = [], [], MAX_STEP_PREFILL_TOKENS
+        for stream in self.running:
+            if stream.prefill_left == 0:
+                decoding.append(stream)
+            elif budget > 0:
+                count = min(budget, stream.prefill_left)
+                budget -= count
+                prefills.append((stream, count))
+        settings = self.settings
+        prefilled = MAX_STEP_PREFILL_TOKENS - budget
+        duration_s = prefilled / settings.prefill_tokens_per_s
+        if decoding:
+            further = settings.decode_step_per_stream_ms * (len(decoding) - 1)
+            duration_s += (settings.decode_step_ms + further) / 1000
+        self._step = Step(now + duration_s * self.slow, prefills, decoding)
+
+    def _complete(self, step, tokens):
+        for stream in step.decoding:
+            if stream.phase == Phase.RUNNING:
+                self._generate(stream, tokens)
+        for stream, count in step.prefills:
+            self.prefilled_tokens += count
+            if stream.phase != Phase.RUNNING:
+                continue
+            stream.prefill_left -= count
+            if stream.prefill_left == 0:
+                self.prefix_cache.store(stream.blocks)
+                self._generate(stream, tokens)
+
+    def _generate(self, stream, tokens):
+        index = stream.generated
+        stream.generated += 1
+        self.generated_tokens += 1
+        final = stream.generated == stream.max_tokens
+        tokens.append(Token(stream, index, final))
+        if final:
+            self._release(stream)
+            stream.phase = Phase.FINISHED
+
+    def _release(self, stream):
+        """Free the slot and keep the KV cache as long as memory allows."""
+        del self._streams_by_id[stream.request_id]
+        self.running.remove(stream)
+        self.reserved_tokens -= stream.reserved_tokens
+        if stream.prefill_left == 0:
+            self.import_cache(
+                HeldCache(stream.digest, stream.prompt_tokens, stream.generated)
+            )
+        self._recent_by_id[stream.request_id] = stream.digest
+        while len(self._recent_by_id) > MAX_RECENT_ATTEMPTS:
+            self._recent_by_id.popitem(last=False)
+
+    def _drop_held(self, digest):
+        held = self._held_by_digest.pop(digest, None)
+        if held is not None:
+            self._held_tokens -= held.tokens
+
+    def _evict_held(self):
+        while self.used_tokens > self.settings.kv_tokens:
+            self._drop_held(next(iter(self._held_by_digest)))
--- /dev/null
+++ b/galenascale/standins/engine_orders.py
@@ -0,0 +1,131 @@
+"""Loaded models, versions and adapters of an engine stand-in, and orders."""
+
+import attrs
+
+from galenascale.errors import GalenascaleError, UserError
+from galenascale.standins.engine_requests import ModelName
+
+ACTIONS = frozenset(
+    (
+        "load_model",
+        "unload_model",
+        "load_adapter",
+        "unload_adapter",
+        "set_role",
+        "drain",
+    )
+)
+ROLES = frozenset(("mixed", "prefill", "decode"))
+DEFAULT_WEIGHT_BYTES = 1_000_000_000
+
+
+class StaleFencing(GalenascaleError):
+    """An order whose fencing number is below one seen earlier."""
+
+    code = "stale_fencing"
+    http_status = 409
+
+    def __init__(self, current):
+        super().__init__(f"fencing number is below {current}", step="order")
+        self.current = current
+
+
+@attrs.frozen
+class Order:
+    """One order; adapters are named MODEL:ADAPTER in `target`."""
+
+    fencing: int
+    action: str
+    target: str = ""
+    version: str = ""
+    bytes: int = DEFAULT_WEIGHT_BYTES
+
+    @classmethod
+    def parse(cls, body):
+        """Return the order of a JSON body; raise UserError for others."""
+        order = cls(
+            body.get("fencing"),
+            body.get("action"),
+            body.get("target") or "",
+            body.get("version") or "",
+            body.get("bytes") or DEFAULT_WEIGHT_BYTES,
+        )
+        if type(order.fencing) is not int or type(order.bytes) is not int:
+            raise UserError("fencing and bytes must be integers")
+        if order.action not in ACTIONS:
+            raise UserError(f"action {order.action!r} does not exist")
+        if order.action == "set_role" and order.target not in ROLES:
+            raise UserError(f"role {order.target!r} does not exist")
+        if (
+            order.action.endswith("adapter")
+            and not ModelName.parse(order.target).adapter
+        ):
+            raise UserError("target must be MODEL:ADAPTER")
+        return order
+
+
+class LoadedModels:
+    """
+    Adapters by (model, version), in the order of loading.
+
+    An engine that was started without models serves every name.
+    """
+
+    def __init__(self, names):
+        self.serves_all = not names
+        self.adapters_by_model = {}
+        for name in map(ModelName.parse, names):
+            adapters = self.adapters_by_model.setdefault(
+                (name.name, name.version), set()
+            )
+            if name.adapter:
+                adapters.add(name.adapter)
+
+    def version_for(self, model):
+        """Return the version that serves a ModelName; None if it is absent."""
+        if self.serves_all:
+            return model.version
+        for (name, version), adapters in reversed(self.adapters_by_model.items()):
+            if (
+                name == model.name
+                and model.version in ("", version)
+                and (not model.adapter or model.adapter in adapters)
+            ):
+                return version
+        return None
+
+    def apply(self, order):
+        """Load or unload what an order names."""
+        name = ModelName.parse(order.target)
+        key = (name.name, order.version or name.version)
+        if order.action == "load_model":
+            self.adapters_by_model.setdefault(key, set())
+        elif order.action == "unload_model":
+            self.adapters_by_model.pop(key, None)
+        elif key not in self.adapters_by_model:
+            raise UserError(f"model {key[0]} version {key[1]} is not loaded")
+        elif order.action == "load_adapter":
+            self.adapters_by_model[key].add(name.adapter)
+        else:
+            self.adapters_by_model[key].discard(name.adapter)
+
+    def report(self):
+        """Return the models as the load report has them."""
+        return [
+            {"name": name, "version": version, "adapters": sorted(adapters)}
+            for (name, version), adapters in self.adapters_by_model.items()
+        ]
+
+
+class Fencing:
+    """Highest fencing number seen; `checks` is false for lenient servers."""
+
+    def __init__(self, checks):
+        self.checks = checks
+        self.highest = -1
+
+    def admit(self, number):
+        """Raise StaleFencing for a number below the highest one."""
+        if self.checks and number < self.highest:
+            raise StaleFencing(self.highest)
+        self.highest = max(self.highest, number)
--- /dev/null
+++ b/galenascale/standins/host_list.py
@@ -0,0 +1,52 @@
+"""The platform's host list, which lags behind the truth."""
+
+import collections
+
+import attrs
+
+STATES = ("live", "leaving")
+
+
+@attrs.frozen
+class ListedHost:
+    """One entry host as it announced itself."""
+
+    host_id: str
+    failure_domain: str = ""
+    url: str = ""
+    peer_url: str = ""
+    state: str = attrs.field(default="live", validator=attrs.validators.in_(STATES))
+
+
+class LaggedHostList:
+    """Announcements by host; each view is `lag_s` old."""
+
+    def __init__(self, lag_s, ttl_s):
+        self.lag_s = lag_s
+        self.ttl_s = ttl_s
+        # Deques of (time, ListedHost) in order of time.
+        self._history_by_id = collections.defaultdict(collections.deque)
+
+    def put(self, now, host):
+        """Take an announcement or its renewal."""
+        history = self._history_by_id[host.host_id]
+        history.append((now, host))
+        self._prune(history, now - self.lag_s)
+
+    def view(self, now):
+        """Return the hosts as they were known `lag_s` ago, ordered by id."""
+        as_of = now - self.lag_s
+        hosts = []
+        for host_id in sorted(self._history_by_id):
+            history = self._history_by_id[host_id]
+            self._prune(history, as_of)
+            at, host = history[0]
+            if as_of - history[-1][0] > self.ttl_s:
+                del self._history_by_id[host_id]
+            elif at <= as_of <= at + self.ttl_s:
+                hosts.append(host)
+        return hosts
+
+    def _prune(self, history, as_of):
+        while len(history) > 1 and history[1][0] <= as_of:
+            history.popleft()
--- /dev/null
+++ b/galenascale/standins/rates.py
@@ -0,0 +1,33 @@
+"""Rate limits of the platform stand-in, under a time that is passed in."""
+
+
+class TokenBucket:
+    """At most `rate` events a second, with a burst of one second's worth."""
+
+    def __init__(self, rate, now):
+        self._rate = float(rate)
+        self._tokens = float(rate)
+        self._refilled_at = now
+
+    def take(self, now):
+        """Take one token; return False if there is none."""
+        gained = (now - self._refilled_at) * self._rate
+        self._tokens = min(max(1.0, self._rate), self._tokens + gained)
+        self._refilled_at = now
+        if self._tokens < 1:
+            return False
+        self._tokens -= 1
+        return True
+
+
+class SharedBandwidth:
+    """Transfers that follow each other at one shared rate."""
+
+    def __init__(self, bytes_per_s):
+        self._bytes_per_s = bytes_per_s
+        self._free_at = 0.0
+
+    def reserve(self, now, size):
+        """Return the seconds until a transfer of `size` bytes is complete."""
+        self._free_at = max(self._free_at, now) + size / self._bytes_per_s
+        return self._free_at - now
--- /dev/null
+++ b/galenascale/standins/reports.py
@@ -0,0 +1,60 @@
+"""Reports that lag: load reports and cache events of the engine stand-in."""
+
+import collections
+
+import attrs
+import xxhash
+
+MAX_CACHE_EVENTS = 4096
+
+
+class LaggedReport:
+    """Samples of a state, of which the newest old enough one is shown."""
+
+    def __init__(self):
+        self._samples = collections.deque()
+
+    def add(self, now, value):
+        """Take a sample at a time in seconds."""
+        self._samples.append((now, value))
+
+    def read(self, as_of):
+        """Return the newest sample until `as_of`, else the oldest one."""
+        while len(self._samples) > 1 and self._samples[1][0] <= as_of:
+            self._samples.popleft()
+        return self._samples[0][1] if self._samples else None
+
+
+@attrs.define
+class CacheEventLog:
+    """Numbered cache events that become visible late and with gaps."""
+
+    lag_s: float
+    # One of this many events is lost; 0 for none.
+    gap: int
+    seed: int
+    next_seq: int = 0
+    _events: collections.deque = attrs.field(
+        factory=lambda: collections.deque(maxlen=MAX_CACHE_EVENTS)
+    )
+
+    def add(self, now, event):
+        """Number an event; some are lost."""
+        seq, self.next_seq = self.next_seq, self.next_seq + 1
+        place = xxhash.xxh3_64_intdigest(seq.to_bytes(8, "little"), seed=self.seed)
+        if not self.gap or place % self.gap:
+            self._events.append((now, seq, event))
+
+    def read(self, now, after):
+        """Return the visible events with a number above `after`, and next."""
+        events = [
+            {
+                "seq": seq,
+                "type": event.type,
+                "prefix": f"{event.prefix:016x}",
+                "tokens": event.tokens,
+            }
+            for at, seq, event in self._events
+            if seq > after and at + self.lag_s <= now
+        ]
+        return {"events": events, "next": events[-1]["seq"] if events else after}
--- a/schema/galenascale.thrift
+++ b/schema/galenascale.thrift
@@ -670,9 +670,11 @@
   4: i64 retention_records = 100000,
   5: double host_list_lag_s = 1.0,
   6: i64 weight_bytes_per_s = 10000000000,
+  /** Time without renewal after which an entry host leaves the list. */
+  7: double host_ttl_s = 5.0,
 }
 
-/** Settings of one engine stand-in and its model of time. */
+/** Settings of one engine or plain service stand-in and its model of time. */
 struct EngineStandinSettings {
   1: string listen_address = "127.0.0.1",
   2: i32 port = 0,
@@ -694,4 +696,40 @@
   16: string platform_url = "",
   17: i64 seed = 1,
   18: double weight_load_s = 0.5,
+  /** Queued requests beyond which an engine answers 429. */
+  19: i32 max_queue = 1024,
+  /** Time that a plain service takes for one call. */
+  20: double service_time_ms = 20.0,
+  21: double cache_event_lag_s = 0.5,
+  /** One of this many cache events is lost; 0 for none. */
+  22: i32 cache_event_gap = 16,
+}
+
+// --- Deployment directories ------------------------------------------------
+
+struct LatencySettings {
+  1: double between_domains_ms = 0.0,
+  2: double to_clients_ms = 0.0,
+}
+
+struct HostPlace {
+  1: string host_id = "",
+  2: string failure_domain = "",
+}
+
+/** deployment.json of a deployment directory. */
+struct DeploymentSettings {
+  1: i32 schema_version = 1,
+  2: string name = "",
+  3: i64 seed = 1,
+  /** One-way latencies of the real sites; the embedded form adds none. */
+  4: LatencySettings latency,
+  5: list<HostPlace> hosts,
+  6: PlatformStandinSettings platform,
+  7: list<EngineStandinSettings> backend_servers,
+  /** Settings that all hosts share; names, addresses and peers are set. */
+  8: HostSettings host,
+  /** Keys for stand-ins only. */
+  9: string caller_key = "",
+  10: string operator_key = "",
 }
