--- a/galenascale/settings.py
+++ b/galenascale/settings.py
@@ -5,6 +5,7 @@
 import attrs
 import cattrs
 import orjson
+from cattrs.cols import is_sequence, list_structure_factory
 from cattrs.errors import ClassValidationError, ForbiddenExtraKeysError
 from cattrs.gen import make_dict_structure_fn
 
@@ -30,10 +31,25 @@
     return structure
 
 
+def _make_list_hook(kind, converter):
+    """Return a structure hook that refuses strings in place of lists."""
+    structure_items = list_structure_factory(kind, converter)
+
+    def structure(value, kind):
+        if not isinstance(value, list):
+            raise TypeError(f"expected list, not {type(value).__name__}")
+        return structure_items(value, kind)
+
+    return structure
+
+
 def _make_converter():
     converter = cattrs.Converter(forbid_extra_keys=True)
     for kind in (bool, int, float, str):
         converter.register_structure_hook(kind, _strict(kind))
+    converter.register_structure_hook_factory(
+        is_sequence, lambda kind: _make_list_hook(kind, converter)
+    )
     converter.register_structure_hook_factory(
         attrs.has,
         lambda kind: make_dict_structure_fn(
--- a/galenascale/standins/engine.py
+++ b/galenascale/standins/engine.py
@@ -161,8 +161,8 @@
                 return await self._relay(request, wanted, stream)
             return await self._answer(wanted, stream)
         finally:
-            # Does nothing for a stream that has ended.
-            if not answer.finished.done():
+            # A closed connection cancels this handler.
+            if not stream.is_ended:
                 model.cancel(wanted.request_id)
 
     def _refuse(self, wanted):
@@ -258,6 +258,7 @@
         elif order.action == "drain":
             self.draining = True
         else:
+            self.loaded.check(order)
             if order.action.startswith("load"):
                 await self._fetch_weights(order)
             self.loaded.apply(order)
--- a/galenascale/standins/engine_model.py
+++ b/galenascale/standins/engine_model.py
@@ -70,6 +70,11 @@
             generated=first_token,
         )
 
+    @property
+    def is_ended(self):
+        """Whether the stream generates no more tokens."""
+        return self.phase in (Phase.FINISHED, Phase.CANCELLED)
+
     @property
     def reserved_tokens(self):
         """KV memory that the stream needs until its end."""
--- a/galenascale/standins/engine_orders.py
+++ b/galenascale/standins/engine_orders.py
@@ -94,20 +94,25 @@
                 return version
         return None
 
+    def check(self, order):
+        """Raise UserError for an adapter of a model that is not loaded."""
+        key = _key(order)
+        if order.action.endswith("adapter") and key not in self.adapters_by_model:
+            raise UserError(f"model {key[0]} version {key[1]} is not loaded")
+
     def apply(self, order):
         """Load or unload what an order names."""
-        name = ModelName.parse(order.target)
-        key = (name.name, order.version or name.version)
+        key, adapter = _key(order), ModelName.parse(order.target).adapter
+        # The model may have been unloaded while its adapter was fetched.
+        self.check(order)
         if order.action == "load_model":
             self.adapters_by_model.setdefault(key, set())
         elif order.action == "unload_model":
             self.adapters_by_model.pop(key, None)
-        elif key not in self.adapters_by_model:
-            raise UserError(f"model {key[0]} version {key[1]} is not loaded")
         elif order.action == "load_adapter":
-            self.adapters_by_model[key].add(name.adapter)
+            self.adapters_by_model[key].add(adapter)
         else:
-            self.adapters_by_model[key].discard(name.adapter)
+            self.adapters_by_model[key].discard(adapter)
 
     def report(self):
         """Return the models as the load report has them."""
@@ -117,6 +122,11 @@
         ]
 
 
+def _key(order):
+    name = ModelName.parse(order.target)
+    return name.name, order.version or name.version
+
+
 class Fencing:
     """Highest fencing number seen; `checks` is false for lenient servers."""
 
--- /dev/null
+++ b/test/commands/test_dev.py
@@ -0,0 +1,69 @@
+"""`galenascale dev` as a process."""
+
+import json
+import os
+import signal
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+ROOT = Path(__file__).resolve().parent.parent.parent
+TIMEOUT_S = 60
+
+
+def start(directory, *arguments):
+    """Start the command in a directory that is not the source tree."""
+    return subprocess.Popen(
+        [sys.executable, "-m", "galenascale", "dev", *arguments],
+        cwd=directory,
+        env=os.environ | {"PYTHONPATH": str(ROOT)},
+        stdout=subprocess.PIPE,
+        stderr=subprocess.PIPE,
+        text=True,
+    )
+
+
+@pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGINT])
+def test_prints_one_line_and_stops_on_a_signal(tmp_path, number):
+    """Guards the contract with scripts that start a deployment."""
+    process = start(tmp_path, "--port", "0", "--log-level", "info")
+    try:
+        summary = json.loads(process.stdout.readline())
+        process.send_signal(number)
+        rest, errors = process.communicate(timeout=TIMEOUT_S)
+    finally:
+        process.kill()
+        process.wait()
+    assert (process.returncode, rest) == (0, "")
+    assert "Traceback" not in errors
+    assert "host: Listening on port" in errors
+    assert summary.keys() == {
+        "entry_hosts",
+        "platform_url",
+        "backend_servers",
+        "caller_key",
+        "operator_key",
+    }
+    assert [host["id"] for host in summary["entry_hosts"]] == [
+        f"kigali-{domain}-{number}" for domain in "abc" for number in (1, 2, 3)
+    ]
+    assert {host["failure_domain"] for host in summary["entry_hosts"]} == {
+        "kigali-a",
+        "kigali-b",
+        "kigali-c",
+    }
+    assert [server["service"] for server in summary["backend_servers"]] == [
+        *["assist-llm"] * 5,
+        *["booking-app"] * 3,
+    ]
+
+
+def test_missing_deployment_is_one_line_on_stderr(tmp_path):
+    """Guards against a traceback for a mistyped directory."""
+    process = start(tmp_path, "--deployment", "none")
+    output, errors = process.communicate(timeout=TIMEOUT_S)
+    assert (process.returncode, output) == (2, "")
+    assert errors.startswith("galenascale: none/deployment.json")
+    assert errors.count("\n") == 1
--- /dev/null
+++ b/test/standins/serving.py
@@ -0,0 +1,75 @@
+"""Stand-ins on free loopback ports for the tests."""
+
+import asyncio
+import contextlib
+
+import aiohttp
+
+from galenascale.generated.messages import (
+    EngineStandinSettings,
+    PlatformStandinSettings,
+)
+from galenascale.standins.engine import EngineStandin
+from galenascale.standins.plain_service import PlainServiceStandin
+from galenascale.standins.platform import PlatformStandin
+
+SETTINGS_TYPES = {
+    EngineStandin: EngineStandinSettings,
+    PlainServiceStandin: EngineStandinSettings,
+    PlatformStandin: PlatformStandinSettings,
+}
+
+
+class Caller:
+    """A session with the stand-in that it calls."""
+
+    def __init__(self, standin, session):
+        self.standin = standin
+        self.session = session
+
+    async def call(self, method, path, body=None, **kwargs):
+        """Return the status and the JSON body of an answer."""
+        async with self.session.request(
+            method, self.standin.url + path, json=body, **kwargs
+        ) as response:
+            is_json = response.content_type == "application/json"
+            return response.status, await response.json() if is_json else None
+
+    async def faults(self, **values):
+        """Set the faults."""
+        status, answer = await self.call("PUT", "/faults", values)
+        assert status == 200, answer
+
+    async def state(self):
+        """Return the state of a backend server."""
+        return (await self.call("GET", "/state"))[1]
+
+
+@contextlib.asynccontextmanager
+async def serving(kind, clock=None, **settings):
+    """Run a stand-in and yield its Caller."""
+    standin = kind.from_config(SETTINGS_TYPES[kind](**settings), clock)
+    async with aiohttp.ClientSession() as session:
+        await standin.start()
+        try:
+            yield Caller(standin, session)
+        finally:
+            await standin.stop()
+
+
+async def until(condition):
+    """Return once an async condition holds."""
+    for _ in range(2000):
+        if await condition():
+            return
+        await asyncio.sleep(0.005)
+    raise AssertionError("condition did not become true")
+
+
+async def drive(clock, awaitable, step_s=0.25):
+    """Advance a fake clock until an awaitable has its result."""
+    task = asyncio.ensure_future(awaitable)
+    while not task.done():
+        await clock.advance(step_s)
+        await asyncio.sleep(0.001)
+    return task.result()
--- /dev/null
+++ b/test/standins/test_engine.py
@@ -0,0 +1,362 @@
+"""The engine stand-in over HTTP, with its faults."""
+
+import asyncio
+import contextlib
+
+import aiohttp
+import openai
+import orjson
+import pytest
+
+from galenascale.clock import FakeClock
+from galenascale.standins.engine import EngineStandin
+from galenascale.standins.engine_text import answer_text, text_digest
+from galenascale.standins.platform import PlatformStandin
+from test.standins.serving import drive, serving, until
+
+CHAT = "/v1/chat/completions"
+COMPLETIONS = "/v1/completions"
+FAST = {"decode_step_ms": 0.2, "decode_step_per_stream_ms": 0.0}
+# Slow enough that a stream never ends by itself during a test.
+ENDLESS = {"decode_step_ms": 5.0}
+
+
+def body(prompt="hello", length=8, **more):
+    """Return a request for a plain completion."""
+    return {"model": "m", "prompt": prompt, "max_tokens": length} | more
+
+
+def text_of(prompt, first, last, names=("m", "", "")):
+    """Return the text that the engine should answer with."""
+    return answer_text(text_digest(*names, prompt), first, last)
+
+
+async def events_of(caller, request, path=COMPLETIONS, attempt="request/1"):
+    """Yield the decoded events of a streamed answer."""
+    headers = {"X-Request-Id": attempt}
+    async with caller.session.post(
+        caller.standin.url + path, json=request | {"stream": True}, headers=headers
+    ) as response:
+        assert response.status == 200
+        async for line in response.content:
+            if line.startswith(b"data: {"):
+                yield orjson.loads(line[6:])
+
+
+async def collect(caller, request, path=COMPLETIONS, attempt="request/1"):
+    """Return the events until the end or the loss of the connection."""
+    events = []
+    with contextlib.suppress(aiohttp.ClientError):
+        async for event in events_of(caller, request, path, attempt):
+            events.append(event)
+    return events
+
+
+async def one_running(caller):
+    """Return whether a stream runs and has generated tokens."""
+    state = await caller.state()
+    return state["running"] == 1 and state["generated_tokens"] > 0
+
+
+@pytest.mark.parametrize("path", [CHAT, COMPLETIONS])
+async def test_streamed_and_plain_answers_agree(path):
+    """Guards the format of chunks, usage and the order of tokens."""
+    request = {"model": "m", "max_tokens": 30, "prompt": "hi", "messages": []}
+    async with serving(EngineStandin, **FAST) as caller:
+        status, plain = await caller.call("POST", path, request)
+        options = {"stream_options": {"include_usage": True}}
+        *tokens, last = await collect(caller, request | options, path)
+    choice = plain["choices"][0]
+    text = choice["message"]["content"] if path == CHAT else choice["text"]
+    pieces = [event["choices"][0] for event in tokens]
+    assert status == 200
+    assert text == "".join(
+        piece["delta"]["content"] if path == CHAT else piece["text"] for piece in pieces
+    )
+    assert [event["token_index"] for event in tokens] == list(range(30))
+    reasons = [piece["finish_reason"] for piece in pieces]
+    assert reasons == [None] * 29 + ["length"]
+    assert last["choices"] == []
+    for name in ("prompt_tokens", "completion_tokens", "total_tokens"):
+        assert last["usage"][name] == plain["usage"][name]
+    assert plain["usage"]["completion_tokens"] == 30
+
+
+async def test_public_client_reads_the_answers():
+    """Guards compatibility with the openai package."""
+    async with (
+        serving(EngineStandin, **FAST) as caller,
+        openai.AsyncOpenAI(
+            base_url=caller.standin.url + "/v1", api_key="none"
+        ) as client,
+    ):
+        request = {"model": "m", "messages": [{"role": "user", "content": "hi"}]}
+        plain = await client.chat.completions.create(**request, max_tokens=5)
+        stream = await client.chat.completions.create(
+            **request, max_tokens=5, stream=True
+        )
+        text = "".join([chunk.choices[0].delta.content async for chunk in stream])
+    assert text == plain.choices[0].message.content == text_of("user: hi", 0, 5)
+
+
+@pytest.mark.parametrize(
+    ("request_body", "status"),
+    [
+        ({"prompt": "a"}, 400),
+        (body(max_tokens=0), 400),
+        (body(max_tokens="9"), 400),
+        (body(n=2), 400),
+        (body(prompt=7), 400),
+        (body(resume_from={"tokens": 8, "text": ""}), 400),
+        (body(length=70_000), 400),
+        ([], 400),
+    ],
+)
+async def test_bad_requests_are_refused(request_body, status):
+    """Guards against bad input that occupies a slot or stops the loop."""
+    async with serving(EngineStandin, **FAST) as caller:
+        assert (await caller.call("POST", COMPLETIONS, request_body))[0] == status
+        assert (await caller.call("POST", COMPLETIONS, body()))[0] == 200
+
+
+async def test_dropped_stream_resumes_on_another_engine():
+    """Guards P4: the joined pieces are the uninterrupted answer."""
+    async with (
+        serving(EngineStandin, **FAST) as first,
+        serving(EngineStandin, **FAST) as second,
+    ):
+        await first.faults(drop_answer=True)
+        events = await collect(first, body(length=40))
+        done = len(events)
+        assert 0 < done < 40
+        text = "".join(event["choices"][0]["text"] for event in events)
+        resume = {"resume_from": {"tokens": done, "text": text}}
+        rest = await collect(second, body(length=40, **resume))
+        assert rest[0]["token_index"] == done
+        text += "".join(event["choices"][0]["text"] for event in rest)
+        assert text == text_of("hello", 0, 40)
+        assert (await second.state())["resume_mismatches"] == 0
+        await collect(
+            second, body(length=40, resume_from={"tokens": 3, "text": "other "})
+        )
+        assert (await second.state())["resume_mismatches"] == 1
+
+
+async def test_dropped_plain_answer_has_run():
+    """Guards the fault that leaves a caller in doubt about a run."""
+    async with serving(EngineStandin, **FAST) as caller:
+        await caller.faults(drop_answer=True)
+        with pytest.raises(aiohttp.ClientError):
+            await caller.call("POST", COMPLETIONS, body(length=12))
+        assert (await caller.state())["generated_tokens"] == 12
+
+
+@pytest.mark.parametrize("how", ["order", "closed connection"])
+async def test_cancelled_streams_free_their_slot(how):
+    """Guards P2 and giving way: a cancelled attempt stops generating."""
+    async with serving(EngineStandin, slots=1, **ENDLESS) as caller:
+        task = asyncio.create_task(collect(caller, body(length=10_000)))
+        await until(lambda: one_running(caller))
+        cancel = {"request_id": "request/1"}
+        if how == "order":
+            _, answer = await caller.call("POST", "/v1/cancel", cancel)
+            events = await task
+            assert answer == {"cancelled": True, "tokens": len(events) - 1}
+            assert events[-1]["choices"][0]["finish_reason"] == "cancelled"
+        else:
+            task.cancel()
+
+        async def idle():
+            return (await caller.state())["running"] == 0
+
+        await until(idle)
+        again = await caller.call("POST", "/v1/cancel", cancel)
+        assert again == (200, {"cancelled": False, "tokens": 0})
+        assert (await caller.call("POST", COMPLETIONS, body(length=1)))[0] == 200
+
+
+async def test_crash_resets_all_streams_and_refuses_until_restart():
+    """Guards the crash on a marker: others fail too, caches are lost."""
+    async with serving(EngineStandin, models=["m@v1"], **ENDLESS) as caller:
+        await caller.faults(crash_on="poison", restart_after_s=0.2)
+        other = asyncio.create_task(collect(caller, body(length=10_000)))
+        await until(lambda: one_running(caller))
+        with pytest.raises(aiohttp.ClientError):
+            await caller.call("POST", COMPLETIONS, body("a poison pill"))
+        assert len(await other) < 10_000
+        with pytest.raises(aiohttp.ClientConnectorError):
+            await caller.state()
+        await until(lambda: asyncio.sleep(0, caller.standin.up))
+        state = await caller.state()
+        assert (state["incarnation"], state["running"]) == (2, 0)
+        assert state["generated_tokens"] == state["kv_used_tokens"] == 0
+        assert (await caller.call("POST", COMPLETIONS, body(length=2)))[0] == 200
+
+
+async def test_hanging_server_answers_nothing_until_it_goes_on():
+    """Guards the hang: requests in flight and new ones wait."""
+    async with serving(EngineStandin, **FAST) as caller:
+        await caller.faults(hang=True)
+        tasks = [
+            asyncio.create_task(caller.call("POST", COMPLETIONS, body())),
+            asyncio.create_task(caller.call("GET", "/load")),
+        ]
+        done, _ = await asyncio.wait(tasks, timeout=0.05)
+        assert not done
+        await caller.faults()
+        assert [status for status, _ in await asyncio.gather(*tasks)] == [200, 200]
+
+
+async def test_leaving_server_finishes_what_runs():
+    """Guards P7 and P8: new requests are refused as not run."""
+    async with serving(EngineStandin, **FAST) as caller:
+        task = asyncio.create_task(collect(caller, body(length=400)))
+        await until(lambda: one_running(caller))
+        await caller.faults(leave=True)
+        async with caller.session.post(
+            caller.standin.url + COMPLETIONS, json=body()
+        ) as response:
+            assert response.status == 503
+            assert response.headers["X-Leaving"] == "true"
+        assert len(await task) == 400
+        await caller.faults()
+        assert (await caller.call("POST", COMPLETIONS, body()))[0] == 200
+
+
+async def test_full_queue_and_duplicate_attempts_are_refused():
+    """Guards the truth of 429 and 409: neither request runs."""
+    settings = {"slots": 1, "max_queue": 1} | ENDLESS
+    async with serving(EngineStandin, **settings) as caller:
+        tasks = [
+            asyncio.create_task(collect(caller, body(length=9000), attempt=attempt))
+            for attempt in ("request/1", "request/2")
+        ]
+
+        async def queued():
+            return (await caller.state())["queued"] == 1
+
+        await until(queued)
+        assert (await caller.call("POST", COMPLETIONS, body()))[0] == 429
+        await caller.call("POST", "/v1/cancel", {"request_id": "request/2"})
+        headers = {"X-Request-Id": "request/1"}
+        answer = await caller.call("POST", COMPLETIONS, body(), headers=headers)
+        assert (answer[0], answer[1]["code"]) == (409, "duplicate_attempt")
+        await caller.call("POST", "/v1/cancel", {"request_id": "request/1"})
+        assert await tasks[1] != []
+        await tasks[0]
+
+
+@pytest.mark.parametrize("lag", [None, 2.0])
+async def test_load_report_lags_and_state_does_not(lag):
+    """Guards the lag that routing has to cope with."""
+    clock = FakeClock()
+    async with serving(EngineStandin, clock, load_report_lag_s=0.5) as caller:
+        await clock.advance(10)
+        await caller.faults(leave=True, load_lag_s=lag)
+        lag_s = lag or 0.5
+        await clock.advance(lag_s - 0.25)
+        assert not (await caller.call("GET", "/load"))[1]["leaving"]
+        assert (await caller.state())["leaving"]
+        await clock.advance(lag_s)
+        assert (await caller.call("GET", "/load"))[1]["leaving"]
+
+
+@pytest.mark.parametrize(
+    ("checks", "numbers", "statuses"),
+    [
+        (True, [5, 5, 4, 6], [200, 200, 409, 200]),
+        (False, [5, 4, 6], [200, 200, 200]),
+    ],
+)
+async def test_orders_with_and_without_fencing_check(checks, numbers, statuses):
+    """Guards both kinds of servers that a declaration can name."""
+    async with serving(EngineStandin, checks_fencing=checks) as caller:
+        answers = [
+            await caller.call(
+                "POST",
+                "/orders",
+                {"fencing": number, "action": "set_role", "target": "decode"},
+            )
+            for number in numbers
+        ]
+        assert [status for status, _ in answers] == statuses
+        for status, answer in answers:
+            if status == 409:
+                assert answer == {"code": "stale_fencing", "current": 5}
+        state = await caller.state()
+        assert (state["fencing"], state["role"]) == (max(numbers), "decode")
+
+
+async def test_orders_load_and_unload_what_requests_need():
+    """Guards placement: weights come from the store, answers by version."""
+    async with serving(PlatformStandin) as platform:
+        settings = {"platform_url": platform.standin.url, "weight_load_s": 0.0}
+        async with serving(
+            EngineStandin, models=["m@v1"], **FAST, **settings
+        ) as caller:
+
+            async def order(action, target, version="v2", status=200):
+                values = {"action": action, "target": target, "version": version}
+                answer = await caller.call("POST", "/orders", values | {"fencing": 1})
+                assert answer[0] == status
+
+            async def text(model):
+                status, answer = await caller.call(
+                    "POST", COMPLETIONS, body() | {"model": model}
+                )
+                return answer["choices"][0]["text"] if status == 200 else status
+
+            assert await text("m@v2") == 404
+            await order("load_adapter", "m:a", status=400)
+            await order("load_model", "m")
+            await order("load_adapter", "m:a")
+            assert await text("m@v2") == text_of("hello", 0, 8, ("m", "v2", ""))
+            assert await text("m@v1") == text_of("hello", 0, 8, ("m", "v1", ""))
+            assert await text("m:a") == text_of("hello", 0, 8, ("m", "v2", "a"))
+            await order("unload_model", "m")
+            assert await text("m:a") == 404
+            await order("explode", "m", status=400)
+            await order("drain", "")
+            assert await text("m") == 503
+        assert platform.standin.stats.weight_bytes == 2_000_000_000
+
+
+async def test_imported_cache_saves_prefill_on_another_engine():
+    """Guards export and import between two servers."""
+    prompt = "p" * 400
+    async with (
+        serving(EngineStandin, **ENDLESS) as first,
+        serving(EngineStandin, prefix_cache_tokens=0, **FAST) as second,
+    ):
+        task = asyncio.create_task(collect(first, body(prompt, 10_000)))
+        await until(lambda: one_running(first))
+        cancel = {"request_id": "request/1"}
+        _, stopped = await first.call("POST", "/v1/cancel", cancel)
+        _, export = await first.call("POST", "/kv/export", cancel)
+        assert export["tokens"] == stopped["tokens"]
+        await task
+        source = {"kv_id": export["kv_id"], "source_url": first.standin.url}
+        assert (await second.call("POST", "/kv/import", source))[0] == 200
+        done = export["tokens"]
+        resume = {"tokens": done, "text": text_of(prompt, 0, done)}
+        await collect(second, body(prompt, done + 5, resume_from=resume))
+        assert (await second.state())["prefilled_tokens"] == 1
+        missing = source | {"kv_id": "none"}
+        assert (await second.call("POST", "/kv/import", missing))[0] == 502
+
+
+async def test_cache_events_become_visible_late():
+    """Guards the lag of cache events under the stand-in's clock."""
+    clock = FakeClock()
+    async with serving(EngineStandin, clock, cache_event_gap=0) as caller:
+        request = caller.call("POST", COMPLETIONS, body("q" * 600, 1))
+        await drive(clock, request, step_s=0.05)
+        _, early = await caller.call("GET", "/cache-events")
+        await clock.advance(1)
+        _, late = await caller.call("GET", "/cache-events?after=-1")
+        assert early["events"] == []
+        assert [(e["type"], e["tokens"]) for e in late["events"]] == [
+            ("stored", 64)
+        ] * 2
+        assert late["next"] == 1
+        assert (await caller.call("GET", "/cache-events?after=x"))[0] == 400
--- /dev/null
+++ b/test/standins/test_plain_service.py
@@ -0,0 +1,77 @@
+"""The plain service stand-in and its faults."""
+
+import aiohttp
+import pytest
+
+from galenascale.standins.plain_service import PlainServiceStandin
+from test.standins.serving import serving, until
+
+FAST = {"service_time_ms": 1.0}
+INVOICE = {"guest": "poison"}
+
+
+@pytest.mark.parametrize(
+    ("faults", "expected", "runs"),
+    [
+        ({}, 200, 1),
+        ({"slow": 2.0}, 200, 1),
+        ({"leave": True}, 503, 0),
+        ({"drop_answer": True}, aiohttp.ClientError, 1),
+        ({"hang": True}, TimeoutError, 0),
+        ({"crash_on": "poison", "restart_after_s": 0.01}, aiohttp.ClientError, 1),
+        ({"crash_on": "other"}, 200, 1),
+    ],
+)
+async def test_runs_are_counted_as_the_outside_world_sees_them(faults, expected, runs):
+    """Guards the counts that show whether a call ran twice (P6)."""
+    async with serving(PlainServiceStandin, **FAST) as caller:
+        await caller.faults(**faults)
+        timeout = aiohttp.ClientTimeout(total=0.1 if "hang" in faults else 10)
+        call = caller.call(
+            "POST",
+            "/invoices",
+            INVOICE,
+            headers={"X-Call-Id": "call-1"},
+            timeout=timeout,
+        )
+        if isinstance(expected, int):
+            assert (await call)[0] == expected
+        else:
+            with pytest.raises(expected):
+                await call
+        await until(lambda: _is_up(caller))
+        # Not clearing the faults: a hanging call must not run before this.
+        counts = caller.standin.runs_by_call_id, caller.standin.runs_by_content
+        assert [sum(count.values()) for count in counts] == [runs, runs]
+
+
+async def _is_up(caller):
+    return caller.standin.up
+
+
+async def test_repeated_content_is_counted_with_and_without_call_ids():
+    """Guards the count by content, which finds repeats under new ids."""
+    async with serving(PlainServiceStandin, **FAST) as caller:
+        for number in range(3):
+            headers = {"X-Call-Id": f"call-{number}"} if number else {}
+            status, answer = await caller.call(
+                "POST", "/bookings", INVOICE, headers=headers
+            )
+            assert (status, answer["run"]) == (200, number + 1)
+        await caller.call("GET", "/quotes/7")
+        _, runs = await caller.call("GET", "/runs")
+        assert runs["by_call_id"] == {"call-1": 1, "call-2": 1}
+        assert sorted(runs["by_content"].values()) == [1, 3]
+
+
+async def test_other_paths_and_reports():
+    """Guards the idempotent paths and the form of the load report."""
+    settings = {"server_id": "app-1", "slots": 2, "load_report_lag_s": 0.0} | FAST
+    async with serving(PlainServiceStandin, **settings) as caller:
+        first = await caller.call("POST", "/check", {"photo": 1})
+        assert first == await caller.call("POST", "/check", {"photo": 1})
+        assert (await caller.call("GET", "/quotes/9"))[1]["quote"] == "9"
+        _, load = await caller.call("GET", "/load")
+        assert (load["server_id"], load["slots"], load["running"]) == ("app-1", 2, 0)
+        assert (await caller.call("PUT", "/faults", {"hangs": True}))[0] == 400
+        assert (await caller.call("PUT", "/faults", {"slow": 0.0}))[0] == 400
--- /dev/null
+++ b/test/standins/test_platform.py
@@ -0,0 +1,163 @@
+"""The platform stand-in and its faults."""
+
+import asyncio
+
+import aiohttp
+import pytest
+
+from galenascale.clock import FakeClock
+from galenascale.errors import AppendUnknown, LogUnavailable
+from galenascale.log_client import LogClient
+from galenascale.standins.platform import MAX_APPEND_BYTES, PlatformStandin
+from test.standins.serving import drive, serving
+
+
+def log_client(caller, domain="a", timeout_s=10.0):
+    """Return a client of the log whose requests come from a domain."""
+    caller.session.headers["X-Failure-Domain"] = domain
+    return LogClient(caller.session, caller.standin.url, timeout_s)
+
+
+@pytest.mark.parametrize(
+    ("faults", "expected", "kept"),
+    [
+        ({}, 0, [b"body"]),
+        ({"append": "slow"}, 0, [b"body"]),
+        ({"append": "down"}, LogUnavailable, []),
+        ({"append": "lost_answer"}, AppendUnknown, [b"body"]),
+        ({"append": "duplicate"}, 0, [b"body", b"body"]),
+        ({"read": "down"}, 0, [b"body"]),
+        ({"read": "slow"}, 0, [b"body"]),
+        ({"retention_records": 0}, 0, []),
+        ({"partition": ["b"]}, 0, [b"body"]),
+    ],
+)
+async def test_append_faults(faults, expected, kept):
+    """Guards what each fault leaves in the log and tells the writer."""
+    clock = FakeClock()
+    async with serving(PlatformStandin, clock) as caller:
+        client = log_client(caller)
+        await caller.faults(**faults)
+        append = drive(clock, client.append("work.0", b"body"))
+        if isinstance(expected, int):
+            assert await append == expected
+        else:
+            with pytest.raises(expected):
+                await append
+        assert caller.standin.stats.appends_by_stream["work.0"] == bool(
+            kept or expected == 0
+        )
+        read = drive(clock, client.read("work.0", 0))
+        if faults.get("read") == "down":
+            with pytest.raises(LogUnavailable):
+                await read
+        else:
+            assert [record for _, record in (await read).records] == kept
+        await caller.faults()
+        assert [
+            record for _, record in (await client.read("work.0", 0)).records
+        ] == kept
+
+
+async def test_partitioned_domain_gets_no_answer_and_has_no_effect():
+    """Guards against an append that arrives after the partition heals."""
+    async with serving(PlatformStandin) as caller:
+        await caller.faults(partition=["a"])
+        pending = asyncio.create_task(log_client(caller).append("config", b"late"))
+        done, _ = await asyncio.wait([pending], timeout=0.05)
+        assert not done
+        other = log_client(caller, "b")
+        assert await other.append("config", b"other") == 0
+        await caller.faults()
+        with pytest.raises(AppendUnknown):
+            await pending
+        assert (await other.bounds("config")).next_offset == 1
+
+
+async def test_append_rate_is_shared_and_retention_is_limited():
+    """Guards the scarce appends and the trimmed start of a stream."""
+    clock = FakeClock()
+    settings = {"appends_per_s": 5, "retention_records": 2}
+    async with serving(PlatformStandin, clock, **settings) as caller:
+        client = log_client(caller)
+        for number in range(5):
+            assert await client.append(f"work.{number % 2}", b"x") == number // 2
+        with pytest.raises(LogUnavailable):
+            await client.append("work.0", b"x")
+        await clock.advance(0.25)
+        assert await client.append("work.0", b"last") == 3
+        result = await client.read("work.0", 0)
+        assert (result.first_offset, result.next_offset) == (2, 4)
+        assert [offset for offset, _ in result.records] == [2, 3]
+        stats = (await caller.call("GET", "/stats"))[1]
+        assert (stats["appends"], stats["refused_appends"]) == (6, 1)
+        assert (stats["reads"], stats["append_bytes"]) == (1, 9)
+
+
+async def test_host_list_lags_freezes_and_fails():
+    """Guards the lag and the faults of the host list."""
+    clock = FakeClock()
+    async with serving(PlatformStandin, clock, host_list_lag_s=1.0) as caller:
+
+        async def announce(state):
+            path, value = "/v1/hosts/host-1", {"failure_domain": "a", "state": state}
+            return (await caller.call("PUT", path, value | {"newer_field": 1}))[0]
+
+        async def states():
+            status, answer = await caller.call("GET", "/v1/hosts")
+            return (
+                [host["state"] for host in answer["hosts"]] if status == 200 else status
+            )
+
+        assert await announce("live") == 200
+        assert await states() == []
+        await clock.advance(1)
+        assert await states() == ["live"]
+        await caller.faults(hosts="frozen")
+        assert await announce("leaving") == 200
+        await clock.advance(30)
+        assert await states() == ["live"]
+        await caller.faults(hosts="down")
+        assert (await states(), await announce("live")) == (503, 503)
+        await caller.faults()
+        assert await states() == []
+        assert await announce("unknown") == 400
+
+
+async def test_weights_wait_for_the_shared_rate():
+    """Guards the rate limit of the weight store."""
+    clock = FakeClock()
+    async with serving(PlatformStandin, clock, weight_bytes_per_s=100) as caller:
+        path = "/v1/weights/m/v1?bytes=50"
+        tasks = [caller.call("GET", path) for _ in range(3)]
+        answers = await drive(clock, asyncio.gather(*tasks), step_s=0.1)
+        waits = sorted(answer["waited_s"] for _, answer in answers)
+        assert waits[0] <= 0.5 and 0.5 <= waits[1] <= waits[2] <= 1.5
+        assert clock.monotonic() >= 1001.5 - 1e-6
+
+
+@pytest.mark.parametrize(
+    ("method", "path", "value"),
+    [
+        ("PUT", "/faults", {"append": "slowly"}),
+        ("PUT", "/faults", {"retention_records": -1}),
+        ("PUT", "/faults", {"unknown": 1}),
+        ("PUT", "/faults", {"partition": "a"}),
+        ("PUT", "/v1/hosts/host-1", [1]),
+        ("GET", "/v1/streams/s/records?offset=x", None),
+        ("GET", "/v1/streams/s/records?offset=-1", None),
+        ("GET", "/v1/weights/m/v?bytes=x", None),
+    ],
+)
+async def test_bad_input_is_refused(method, path, value):
+    """Guards against a mistyped fault that silently does nothing."""
+    async with serving(PlatformStandin) as caller:
+        assert (await caller.call(method, path, value))[0] == 400
+
+
+async def test_oversized_append_is_refused():
+    """Guards the limit on the size of one append."""
+    async with serving(PlatformStandin) as caller:
+        with pytest.raises((LogUnavailable, aiohttp.ClientError)):
+            await log_client(caller).append("s", b"x" * (MAX_APPEND_BYTES + 1))
+        assert caller.standin.stats.appends == 0
