Close gaps in the tests of the stand-ins

Rules were broken one by one on a scratch copy; the tests missed a cancelled stream in the step in progress, tokens that arrive while the headers are sent, calls that wait while a plain service crashes, the time of a slow append, the eviction order of the prefix cache and a second line on stdout. Each now has a check. HeldCache needs no bound by the resumed tokens, as the last position is always computed.

--- a/galenascale/standins/engine_model.py
+++ b/galenascale/standins/engine_model.py
@@ -236,7 +236,7 @@
         held = self._held_by_digest.get(stream.digest)
         if held is None:
             return 0
-        return held.prompt_tokens + min(held.generated, stream.first_token)
+        return held.tokens
 
     def _begin_step(self, now):
         self._admit()
--- a/test/commands/test_dev.py
+++ b/test/commands/test_dev.py
@@ -32,10 +32,11 @@
     try:
         summary = json.loads(process.stdout.readline())
         process.send_signal(number)
-        rest, errors = process.communicate(timeout=TIMEOUT_S)
+        rest, errors = process.stdout.read(), process.stderr.read()
+        process.wait(TIMEOUT_S)
     finally:
         process.kill()
-        process.wait()
+        process.communicate()
     assert (process.returncode, rest) == (0, "")
     assert "Traceback" not in errors
     assert "host: Listening on port" in errors
--- a/test/standins/test_engine.py
+++ b/test/standins/test_engine.py
@@ -9,6 +9,7 @@
 
 from galenascale.clock import FakeClock
 from galenascale.standins.engine import EngineStandin
+from galenascale.standins.engine_requests import EngineRequest, StreamedAnswer
 from galenascale.standins.engine_text import answer_text, text_digest
 from galenascale.standins.platform import PlatformStandin
 from test.standins.serving import drive, serving, until
@@ -130,15 +131,19 @@
 async def test_hanging_server_answers_nothing_until_it_goes_on():
     """Guards the hang: requests in flight and new ones wait."""
     async with serving(EngineStandin, **FAST) as caller:
+        running = asyncio.create_task(collect(caller, body(length=400)))
+        await until(lambda: one_running(caller))
         await caller.faults(hang=True)
+        before = caller.standin.model.generated_tokens
         tasks = [
             asyncio.create_task(caller.call("POST", COMPLETIONS, body())),
             asyncio.create_task(caller.call("GET", "/load")),
         ]
         done, _ = await asyncio.wait(tasks, timeout=0.05)
-        assert not done
+        assert not done and caller.standin.model.generated_tokens == before
         await caller.faults()
         assert [status for status, _ in await asyncio.gather(*tasks)] == [200, 200]
+        assert len(await running) == 400
 
 
 async def test_leaving_server_finishes_what_runs():
@@ -308,3 +313,28 @@
             assert answers[2][1] == {"code": "stale_fencing", "current": 5}
         state = await caller.state()
         assert (state["fencing"], state["role"]) == (6, "decode")
+
+
+async def test_tokens_that_come_while_headers_are_sent_are_not_lost():
+    """Guards the change from the handler's writes to those of the loop."""
+    request = EngineRequest.parse(COMPLETIONS, body(length=3), "request/1")
+    answer, stream, written = StreamedAnswer(request), request.to_stream(""), []
+
+    class Response:
+        async def write(self, data):
+            written.append(data)
+            if len(written) == 1:
+                answer.add(stream, 1, None)
+
+    class Transport:
+        def write(self, data):
+            written.append(data)
+
+    answer.add(stream, 0, None)
+    relay = asyncio.create_task(answer.relay_to(Response(), Transport()))
+    await asyncio.sleep(0)
+    answer.add(stream, 2, "length")
+    assert await relay == "length"
+    assert [data.count(b'"token_index":%d' % i) for i, data in enumerate(written)] == [
+        1
+    ] * 3
--- a/test/standins/test_engine_model.py
+++ b/test/standins/test_engine_model.py
@@ -57,6 +57,7 @@
 
     def collect(self, tokens):
         for token in tokens:
+            assert token.stream.phase != Phase.CANCELLED
             self.indexes_by_stream[token.stream].append(token.index)
             assert token.final == (token.index == token.stream.max_tokens - 1)
 
@@ -200,6 +201,11 @@
         assert len(held) * BLOCK_TOKENS == cache.tokens <= 4 * BLOCK_TOKENS
         assert all(cache.match((block,)) for block in held)
         assert cache.match(tuple(chain)) == BLOCK_TOKENS * min(len(chain), 4)
+        assert cache.match((-1, *chain)) == 0
+    cache.store((11, 12, 13, 14))
+    cache.store((15,))
+    # A chain loses its end first, as its start is shared the most.
+    assert cache.match((11, 12, 13, 14)) == 3 * BLOCK_TOKENS
 
 
 REFUSED = [("first", 5, 0, "already"), ("new", KV_TOKENS, 0, "exceeds")]
--- a/test/standins/test_plain_service.py
+++ b/test/standins/test_plain_service.py
@@ -1,8 +1,11 @@
 """The plain service stand-in and its faults."""
 
+import asyncio
+
 import aiohttp
 import pytest
 
+from galenascale.clock import FakeClock
 from galenascale.standins.plain_service import PlainServiceStandin
 from test.standins.serving import serving, until
 
@@ -75,3 +78,25 @@
         assert (load["server_id"], load["slots"], load["running"]) == ("app-1", 2, 0)
         assert (await caller.call("PUT", "/faults", {"hangs": True}))[0] == 400
         assert (await caller.call("PUT", "/faults", {"slow": 0.0}))[0] == 400
+
+
+async def test_crash_loses_waiting_calls_but_a_closed_connection_does_not():
+    """Guards which calls run: a lost caller does not stop its call."""
+    clock = FakeClock()
+    async with serving(PlainServiceStandin, clock, slots=1) as caller:
+        calls = [caller.call("POST", "/invoices", {"n": n}) for n in range(3)]
+        tasks = [asyncio.create_task(call) for call in calls]
+        await until(lambda: asyncio.sleep(0, caller.standin.in_flight == 3))
+        tasks[0].cancel()
+        await asyncio.wait(tasks[:1])
+        await asyncio.sleep(0.02)
+        await clock.advance(0.01)
+        assert caller.standin.runs_by_content.total() == 1
+        caller.standin.crash()
+        await clock.advance(10)
+        await until(lambda: _is_up(caller))
+        await clock.advance(10)
+        failures = await asyncio.gather(*tasks[1:], return_exceptions=True)
+        assert all(isinstance(error, aiohttp.ClientError) for error in failures)
+        assert caller.standin.runs_by_content.total() == 1
+        assert caller.standin.in_flight == 0
--- a/test/standins/test_platform.py
+++ b/test/standins/test_platform.py
@@ -37,9 +37,11 @@
     async with serving(PlatformStandin, clock) as caller:
         client = log_client(caller)
         await caller.faults(**faults)
-        append = drive(clock, client.append("work.0", b"body"))
+        append = drive(clock, client.append("work.0", b"body"), step_s=0.05)
         if isinstance(expected, int):
             assert await append == expected
+            slow = faults.get("append") == "slow"
+            assert not slow or clock.monotonic() >= 1001.5 - 1e-6
         else:
             with pytest.raises(expected):
                 await append
