Check which call runs when a caller of a plain service goes away

The test counted runs without their call ids, so a plain service that stopped the call of a lost caller passed: a waiting call ran in its place. The test now names the call.

--- a/galenascale/standins/engine_model.py
+++ b/galenascale/standins/engine_model.py
@@ -221,9 +221,10 @@
             self.queue.popleft()
             stream.phase = Phase.RUNNING
             total = stream.prompt_tokens + stream.first_token
-            cached = max(
-                self.prefix_cache.match(stream.blocks), self._held_prefix(stream)
-            )
+            held = self._held_by_digest.get(stream.digest)
+            cached = self.prefix_cache.match(stream.blocks)
+            if held is not None:
+                cached = max(cached, held.tokens)
             # The last position is always computed, as it yields the token.
             stream.cached_tokens = min(cached, total - 1)
             stream.prefill_left = total - stream.cached_tokens
@@ -232,12 +233,6 @@
             self.reserved_tokens += stream.reserved_tokens
             self._evict_held()
 
-    def _held_prefix(self, stream):
-        held = self._held_by_digest.get(stream.digest)
-        if held is None:
-            return 0
-        return held.tokens
-
     def _begin_step(self, now):
         self._admit()
         if not self.running:
--- a/test/standins/test_plain_service.py
+++ b/test/standins/test_plain_service.py
@@ -84,19 +84,24 @@
     """Guards which calls run: a lost caller does not stop its call."""
     clock = FakeClock()
     async with serving(PlainServiceStandin, clock, slots=1) as caller:
-        calls = [caller.call("POST", "/invoices", {"n": n}) for n in range(3)]
-        tasks = [asyncio.create_task(call) for call in calls]
-        await until(lambda: asyncio.sleep(0, caller.standin.in_flight == 3))
+        tasks = []
+        for number in range(3):
+            headers = {"X-Call-Id": f"call-{number}"}
+            call = caller.call("POST", "/invoices", INVOICE, headers=headers)
+            tasks.append(asyncio.create_task(call))
+            await until(
+                lambda: asyncio.sleep(0, caller.standin.in_flight == len(tasks))
+            )
         tasks[0].cancel()
         await asyncio.wait(tasks[:1])
         await asyncio.sleep(0.02)
         await clock.advance(0.01)
-        assert caller.standin.runs_by_content.total() == 1
+        assert caller.standin.runs_by_call_id == {"call-0": 1}
         caller.standin.crash()
         await clock.advance(10)
         await until(lambda: _is_up(caller))
         await clock.advance(10)
         failures = await asyncio.gather(*tasks[1:], return_exceptions=True)
         assert all(isinstance(error, aiohttp.ClientError) for error in failures)
-        assert caller.standin.runs_by_content.total() == 1
+        assert caller.standin.runs_by_call_id == {"call-0": 1}
         assert caller.standin.in_flight == 0
