Add the caller API for online requests and the client of backend servers

The thin path relayed bytes without keys, limits, validation or metrics. Requests are now checked before anything runs, tenants are found by digests of their keys, streamed answers are relayed by chunk, and failures have OpenAI's shape with a stable code and execution. The listener reads TLS from settings. The path through separate processes passes with a tenant key.

--- a/galenascale/host.py
+++ b/galenascale/host.py
@@ -4,13 +4,17 @@
 import contextlib
 
 import aiohttp
-from aiohttp import web
 
 from galenascale.clock import Clock
 from galenascale.config_follower import ConfigFollower
-from galenascale.http_api import make_app
+from galenascale.engine_client import EngineClient
+from galenascale.http_api import ApiContext, make_app, start_listener
 from galenascale.log_client import LogClient
 from galenascale.logs import get_logger
+from galenascale.metrics import Metrics
+from galenascale.online_direct import DirectOnline
+from galenascale.tenants import Tenants
+from galenascale.tls import ServerTls
 
 log = get_logger("host")
 
@@ -40,14 +44,40 @@
         )
         self.config = ConfigFollower(log_client, self.clock, settings.log.config_poll_s)
         self._run(self.config.run())
-        runner = web.AppRunner(make_app(self))
-        await runner.setup()
-        self._stack.push_async_callback(runner.cleanup)
-        site = web.TCPSite(runner, settings.listen_address, settings.port)
-        await site.start()
-        self.port = runner.addresses[0][1]
+        engine_client = EngineClient(self.session, self.clock)
+        self.online = DirectOnline(self.config, engine_client)
+        tenants = Tenants(settings.operator_key_digests)
+        self.config.subscribe(tenants.install)
+        self.metrics = Metrics()
+        context = ApiContext(
+            self.online,
+            self.config,
+            tenants,
+            self.metrics,
+            settings.limits,
+            self.clock,
+            self.is_ready,
+        )
+        tls_context = None
+        if settings.tls.certificate:
+            tls = ServerTls(settings.tls, self.clock)
+            tls_context = tls.context
+            self._run(tls.run())
+        self.port = await self._stack.enter_async_context(
+            start_listener(
+                make_app(context),
+                settings.listen_address,
+                settings.port,
+                settings.limits,
+                tls_context,
+            )
+        )
         log.info("Listening on port %d.", self.port)
 
+    def is_ready(self):
+        """Return whether requests are taken: a configuration is in force."""
+        return self.config.current.version >= 0
+
     def _run(self, coroutine):
         task = asyncio.create_task(coroutine)
 
--- a/galenascale/http_api/__init__.py
+++ b/galenascale/http_api/__init__.py
@@ -1,5 +1,7 @@
-"""The HTTP API for callers."""
+"""The HTTP API for callers, one module per group of routes."""
 
-from galenascale.http_api.app import make_app
+from galenascale.http_api.application import make_app
+from galenascale.http_api.context import ApiContext
+from galenascale.http_api.listener import start_listener
 
-__all__ = ["make_app"]
+__all__ = ["ApiContext", "make_app", "start_listener"]
--- /dev/null
+++ b/galenascale/http_api/completions.py
@@ -0,0 +1,111 @@
+"""`/v1/chat/completions` and `/v1/completions`."""
+
+import asyncio
+import contextlib
+import uuid
+
+import orjson
+from aiohttp import web
+
+from galenascale.errors import BackendError, Execution
+from galenascale.http_api import limits
+from galenascale.http_api.context import CONTEXT
+from galenascale.http_api.models import find_model
+from galenascale.http_api.relay import relay
+from galenascale.http_api.validation import check_completion
+from galenascale.requests import OnlineRequest
+
+CLASS = "online"
+
+
+async def _complete(request):
+    context = request.app[CONTEXT]
+    timer = context.metrics.start_request(CLASS)
+    try:
+        online_request = await _make_request(request, context)
+        timer.tenant = online_request.tenant
+        headers = {"X-Request-Id": online_request.request_id}
+        chunks = context.online.complete(online_request)
+        async with contextlib.aclosing(chunks):
+            if online_request.stream:
+                return await relay(request, chunks, timer, headers)
+            return await _collect(online_request, chunks, timer, headers)
+    except (asyncio.CancelledError, ConnectionResetError):
+        timer.code = "caller_gone"
+        raise
+    finally:
+        timer.finish()
+
+
+async def _make_request(request, context):
+    """Return the checked OnlineRequest; raise UserError before it runs."""
+    limits.check_headers(request)
+    tenant = context.tenants.tenant_of(request.headers.get("Authorization"))
+    started = context.clock.monotonic()
+    body = limits.decode_object(await limits.read_body(request))
+    check_completion(request.path, body)
+    config = context.config.current
+    model = find_model(config, body["model"])
+    service = config.services_by_name.get(model.service_name)
+    default_s = (
+        service.default_deadline_s if service else context.limits.default_deadline_s
+    )
+    return OnlineRequest(
+        request_id=uuid.uuid4().hex,
+        tenant=tenant,
+        endpoint=request.path,
+        model=model.name,
+        body=body,
+        deadline=started + limits.deadline_s(request, default_s),
+        stream=bool(body.get("stream")),
+    )
+
+
+async def _collect(online_request, chunks, timer, headers):
+    """Return the plain answer put together from the chunks."""
+    texts, first, finish_reason, usage = [], None, None, None
+    async for chunk in chunks:
+        if first is None:
+            first = chunk
+            timer.first_token()
+        texts.append(chunk.text)
+        finish_reason = chunk.finish_reason or finish_reason
+        usage = chunk.usage or usage
+    if first is None:
+        raise BackendError(
+            "answer has no content",
+            code="empty_answer",
+            step="collect",
+            execution=Execution.MAY_HAVE_RUN,
+        )
+    timer.succeed()
+    answer = _make_answer(
+        online_request, orjson.loads(first.data), "".join(texts), finish_reason
+    )
+    answer["usage"] = usage
+    return web.Response(
+        body=orjson.dumps(answer), headers=headers, content_type="application/json"
+    )
+
+
+def _make_answer(online_request, first, text, finish_reason):
+    choice = {"index": 0, "logprobs": None, "finish_reason": finish_reason}
+    if online_request.endpoint == "/v1/chat/completions":
+        kind = "chat.completion"
+        choice["message"] = {"role": "assistant", "content": text}
+    else:
+        kind = "text_completion"
+        choice["text"] = text
+    return {
+        "id": first.get("id") or online_request.request_id,
+        "object": kind,
+        "created": first.get("created") or 0,
+        "model": first.get("model") or online_request.model,
+        "choices": [choice],
+    }
+
+
+ROUTES = [
+    web.post("/v1/chat/completions", _complete),
+    web.post("/v1/completions", _complete),
+]
--- /dev/null
+++ b/galenascale/tls.py
@@ -0,0 +1,112 @@
+"""TLS contexts from settings that hold file paths or PEM text."""
+
+import contextlib
+import ssl
+import tempfile
+from pathlib import Path
+
+from galenascale.errors import UserError
+from galenascale.logs import get_logger
+
+log = get_logger("tls")
+
+PEM_MARK = "-----BEGIN"
+# Certificates are replaced days before they expire.
+RELOAD_INTERVAL_S = 30.0
+
+
+def read_pem(value):
+    """Return the PEM text of a setting: the text itself or that of a file."""
+    if PEM_MARK in value:
+        return value
+    try:
+        return Path(value).read_text()
+    except (OSError, ValueError) as error:
+        raise UserError(f"{value}: cannot be read: {error}", step="tls") from error
+
+
+def load_pair(context, certificate, private_key):
+    """Load PEM texts into a context; raise UserError if they don't fit."""
+    with contextlib.ExitStack() as stack:
+        # The ssl module reads certificates and keys only from files; these
+        # are readable by the owner alone and removed at once.
+        paths = []
+        for text in (certificate, private_key):
+            file = stack.enter_context(tempfile.NamedTemporaryFile("w"))
+            file.write(text)
+            file.flush()
+            paths.append(file.name)
+        try:
+            context.load_cert_chain(*paths)
+        except (ssl.SSLError, OSError) as error:
+            raise UserError(
+                f"certificate and private key cannot be used: {error}", step="tls"
+            ) from error
+
+
+def make_server_context(tls):
+    """Return an SSLContext for callers; `ca` demands certificates of them."""
+    context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
+    context.minimum_version = ssl.TLSVersion.TLSv1_2
+    load_pair(context, read_pem(tls.certificate), read_pem(tls.private_key))
+    if tls.ca:
+        _load_ca(context, tls.ca)
+        context.verify_mode = ssl.CERT_REQUIRED
+    return context
+
+
+def make_client_context(tls):
+    """Return an SSLContext that trusts `ca` and presents the certificate."""
+    context = ssl.create_default_context()
+    if tls.ca:
+        _load_ca(context, tls.ca)
+    if tls.certificate:
+        load_pair(context, read_pem(tls.certificate), read_pem(tls.private_key))
+    return context
+
+
+def _load_ca(context, ca):
+    try:
+        context.load_verify_locations(cadata=read_pem(ca))
+    except ssl.SSLError as error:
+        raise UserError(f"CA cannot be used: {error}", step="tls") from error
+
+
+class ServerTls:
+    """A server context whose certificate is read again when files change."""
+
+    def __init__(self, tls, clock):
+        self._tls = tls
+        self._clock = clock
+        self._loaded = self._read()
+        self.context = make_server_context(tls)
+
+    def _read(self):
+        return read_pem(self._tls.certificate), read_pem(self._tls.private_key)
+
+    async def run(self):
+        """Look for changed files until cancelled."""
+        while True:
+            await self._clock.sleep(RELOAD_INTERVAL_S)
+            self.reload()
+
+    def reload(self):
+        """
+        Use changed files for new connections and return whether they were.
+
+        Files that cannot be used, such as a certificate whose key is not yet
+        in place, leave the earlier ones in force.
+        """
+        try:
+            pair = self._read()
+            if pair == self._loaded:
+                return False
+            # A failed load may leave a context with a mismatched pair.
+            load_pair(ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER), *pair)
+            load_pair(self.context, *pair)
+        except UserError as error:
+            log.warning("Kept the earlier certificate: %s.", error)
+            return False
+        self._loaded = pair
+        log.info("Installed a changed certificate.")
+        return True
--- a/test/test_processes.py
+++ b/test/test_processes.py
@@ -9,14 +9,18 @@
 from galenascale.config_follower import ConfigFollower
 from galenascale.generated.messages import ConfigEntry
 from galenascale.log_client import LogClient
+from galenascale.tenants import key_digest
 from test.processes import running, write_json
 
+KEY = "test-key-of-team-a"
+
 
 def declarations(engine_port):
     """Return configuration entries with one model on one server."""
     values = [
         {"kind": "service", "name": "assist-llm"},
         {"kind": "model", "name": "assist", "service_name": "assist-llm"},
+        {"kind": "tenant", "name": "team-a", "key_digests": [key_digest(KEY)]},
         {
             "kind": "backend_server",
             "name": "server-1",
@@ -46,8 +50,13 @@
         client = LogClient(session, f"http://127.0.0.1:{platform_port}")
         await ConfigFollower(client, Clock()).publish(declarations(engine_port), -1)
         await wait_ready(session, url)
-        body = {"model": "assist", "stream": True, "max_tokens": 5, "messages": []}
-        async with session.post(f"{url}/v1/chat/completions", json=body) as response:
+        messages = [{"role": "user", "content": "hello"}]
+        body = {"model": "assist", "stream": True, "max_tokens": 5}
+        async with session.post(
+            f"{url}/v1/chat/completions",
+            json={**body, "messages": messages},
+            headers={"Authorization": f"Bearer {KEY}"},
+        ) as response:
             assert response.status == 200
             return await response.read()
 
