--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 VENV := .venv
 PYTHON := $(VENV)/bin/python
 
-.PHONY: test demo generate format lint check clean
+.PHONY: test bench demo generate format lint check clean
 
 $(VENV)/.installed: requirements.txt pyproject.toml
 	python3 -m venv $(VENV)
@@ -13,6 +13,9 @@
 test: $(VENV)/.installed
 	$(PYTHON) -m pytest -q -rx
 
+bench: $(VENV)/.installed
+	$(PYTHON) -m bench.relay
+
 demo: $(VENV)/.installed
 	$(PYTHON) -m galenascale demo
 
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments that measure galenascale; `make bench` runs them."""
