Relay chunks with less work per token

Steps of the chunk iterator are run in the loop that writes, without an object for each token, and single events are encoded without a join.

--- a/galenascale/http_api/relay.py
+++ b/galenascale/http_api/relay.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import types
 
 from aiohttp import web
 
@@ -16,47 +17,24 @@
 SSE_HEADERS = {"Content-Type": "text/event-stream", "Cache-Control": "no-cache"}
 
 
-class Pull:
-    """One step of an async iterator that can be tried without waiting."""
-
-    def __init__(self, chunks):
-        self._steps = chunks.__anext__().__await__()
-        self._pending = None
-
-    def try_now(self):
-        """
-        Run up to the first wait and return the chunk, or None if it waits.
+@types.coroutine
+def finish_step(steps, pending):
+    """
+    Await the rest of a step of an async iterator and return its chunk.
 
-        After None the step has to be awaited. Raise what the iterator raises,
-        StopAsyncIteration at its end.
-        """
+    `steps` was run by hand up to its first wait, which gave `pending`.
+    """
+    while True:
+        try:
+            sent = yield pending
+        except BaseException as error:
+            resume, argument = steps.throw, error
+        else:
+            resume, argument = steps.send, sent
         try:
-            self._pending = next(self._steps)
+            pending = resume(argument)
         except StopIteration as stop:
             return stop.value
-        return None
-
-    async def cancel(self):
-        """Cancel a waiting step; raise what it raises instead of a chunk."""
-        try:
-            self._pending = self._steps.throw(asyncio.CancelledError())
-        except StopIteration:
-            return
-        await self
-
-    def __await__(self):
-        pending = self._pending
-        while True:
-            try:
-                sent = yield pending
-            except BaseException as error:
-                resume, argument = self._steps.throw, error
-            else:
-                resume, argument = self._steps.send, sent
-            try:
-                pending = resume(argument)
-            except StopIteration as stop:
-                return stop.value
 
 
 async def relay(request, chunks, timer, headers):
@@ -87,22 +65,26 @@
 
 async def _write_all(response, chunks, contents, timer):
     """Write chunks until the end; `contents` holds those not yet written."""
-    write = response.write
+    write, append = response.write, contents.append
     try:
         while True:
-            pull = Pull(chunks)
-            chunk = pull.try_now()
-            if chunk is None:
-                if contents:
-                    timer.tokens(len(contents))
-                    events = encode_events(contents)
-                    contents.clear()
-                    try:
-                        await write(events)
-                    except BaseException as error:
-                        await _cancel_after(error, pull)
-                chunk = await pull
-            contents.append(chunk.data)
+            # Running a step by hand shows whether a chunk is there already;
+            # only a step that waits makes the earlier chunks be written.
+            steps = chunks.__anext__().__await__()
+            try:
+                pending = next(steps)
+            except StopIteration as stop:
+                append(stop.value.data)
+                continue
+            if contents:
+                timer.tokens(len(contents))
+                events = encode_events(contents)
+                contents.clear()
+                try:
+                    await write(events)
+                except BaseException as error:
+                    await _cancel_after(error, steps)
+            append((await finish_step(steps, pending)).data)
     except StopAsyncIteration:
         timer.succeed()
         if contents:
@@ -112,7 +94,7 @@
         await write(events + DONE_EVENT)
 
 
-async def _cancel_after(error, pull):
+async def _cancel_after(error, steps):
     """
     Cancel a step after a failed write and raise the error that ends the relay.
 
@@ -120,10 +102,19 @@
     write; the step then raises the timeout that the cancellation stands for.
     """
     try:
-        await pull.cancel()
+        await _cancel(steps)
     except GalenascaleError as failure:
         if isinstance(error, asyncio.CancelledError):
             raise failure from error
     except (asyncio.CancelledError, StopAsyncIteration):
         pass
     raise error
+
+
+async def _cancel(steps):
+    """Cancel a waiting step; raise what it raises instead of a chunk."""
+    try:
+        pending = steps.throw(asyncio.CancelledError())
+    except StopIteration:
+        return
+    await finish_step(steps, pending)
--- a/galenascale/sse.py
+++ b/galenascale/sse.py
@@ -67,6 +67,8 @@
 
 def encode_events(contents):
     """Return the bytes of events with the given data, one line each."""
+    if len(contents) == 1:
+        return b"data: %b\n\n" % contents[0]
     return b"data: " + b"\n\ndata: ".join(contents) + b"\n\n"
 
 
--- a/test/http_api/test_relay.py
+++ b/test/http_api/test_relay.py
@@ -5,7 +5,7 @@
 import pytest
 
 from galenascale.errors import BackendError
-from galenascale.http_api.relay import Pull, _write_all
+from galenascale.http_api.relay import _write_all, finish_step
 from galenascale.metrics import Metrics
 from galenascale.requests import Chunk
 from galenascale.sse import DONE_EVENT
@@ -84,12 +84,11 @@
         await _write_all(Sink(asyncio.CancelledError()), chunks(), [], timer)
 
 
-async def test_pull_passes_cancellation_on_to_the_step():
+async def test_cancellation_is_passed_on_to_the_step():
     """Guards a waiting step against surviving the task that awaits it."""
     closed = []
-    pull = Pull(groups([], closed))
-    assert pull.try_now() is None
-    task = asyncio.create_task(_await(pull))
+    steps = groups([], closed).__anext__().__await__()
+    task = asyncio.create_task(_finish(steps, next(steps)))
     for _ in range(5):
         await asyncio.sleep(0)
     task.cancel()
@@ -98,8 +97,8 @@
     assert closed == [True]
 
 
-async def _await(pull):
-    return await pull
+async def _finish(steps, pending):
+    return await finish_step(steps, pending)
 
 
 async def test_caller_that_leaves_stops_the_answer():
