Close connections whose first headers do not arrive

aiohttp limits the time between two requests but not the time to the first one, so a caller could hold connections up to the limit by sending headers slowly. The listener closes such a connection after body_timeout_s; one whose request is being served stays open.

--- a/galenascale/http_api/listener.py
+++ b/galenascale/http_api/listener.py
@@ -33,7 +33,26 @@
 
 @contextlib.asynccontextmanager
 async def start_listener(app, address, port, limits, tls_context=None):
-    """Listen for callers and yield the port until the block ends."""
+    """
+    Listen for callers and yield the port until the block ends.
+
+    A connection is closed if the headers of its first request do not arrive
+    within `body_timeout_s`, and later after `idle_timeout_s` without one.
+    """
+    without_request = set()
+
+    @web.middleware
+    async def note_request(request, handler):
+        without_request.discard(request.protocol)
+        return await handler(request)
+
+    def close_silent(protocol):
+        # aiohttp limits only the time between two requests.
+        if protocol in without_request:
+            without_request.remove(protocol)
+            protocol.force_close()
+
+    app.middlewares.append(note_request)
     runner = web.AppRunner(
         app,
         access_log=None,
@@ -49,10 +68,14 @@
     def make_protocol():
         if len(runner.server.connections) >= limits.max_connections:
             return _RefusedConnection()
-        return runner.server()
+        protocol = runner.server()
+        without_request.add(protocol)
+        loop.call_later(limits.body_timeout_s, close_silent, protocol)
+        return protocol
 
+    loop = asyncio.get_running_loop()
     try:
-        server = await asyncio.get_running_loop().create_server(
+        server = await loop.create_server(
             make_protocol, address, port, ssl=tls_context, backlog=1024
         )
         try:
--- a/test/http_api/test_limits.py
+++ b/test/http_api/test_limits.py
@@ -13,7 +13,7 @@
 from galenascale.http_api.context import CONTEXT
 from galenascale.http_api.limits import deadline_s, decode_object
 from galenascale.http_api.validation import check_completion
-from test.loopback import KEY, OPERATOR_KEY, api
+from test.loopback import KEY, OPERATOR_KEY, answer_tokens, api
 
 CHAT = {"model": "assist", "messages": [{"role": "user", "content": "hello"}]}
 AUTH = {"Authorization": f"Bearer {KEY}"}
@@ -120,6 +120,25 @@
             await writer.wait_closed()
 
 
+async def test_silent_connections_are_closed_and_busy_ones_are_not():
+    """Guards connections against callers that send headers slowly."""
+
+    async def engine(request):
+        await asyncio.sleep(3 * LIMITS.body_timeout_s)
+        return await answer_tokens(request)
+
+    async with api(engine, LIMITS) as (session, url, _):
+        port = int(url.rpartition(":")[2])
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(b"GET /healthz HTTP/1.1\r\nHost: ")
+        assert await reader.read() == b""
+        writer.close()
+        async with session.post(
+            f"{url}/v1/chat/completions", data=chat(), headers=AUTH
+        ) as response:
+            assert response.status == 200
+
+
 def fake_request(header):
     """Return what deadline_s() reads of a request."""
     context = types.SimpleNamespace(limits=LimitSettings(max_deadline_s=600.0))
