--- a/test/test_sse.py
+++ b/test/test_sse.py
@@ -3,7 +3,7 @@
 import re
 
 import pytest
-from hypothesis import given
+from hypothesis import example, given
 from hypothesis import strategies as st
 
 from galenascale.errors import DecodeError
@@ -42,6 +42,9 @@
 
 
 @given(st.lists(st.sampled_from(PIECES)), st.lists(st.integers(0, 80)))
+# A whole event that follows a begun one, and a CR LF in two reads.
+@example([b"data:", b"{}", b"data: x\n\n"], [7])
+@example([b"data:", b"\r\n", b"data:", b"\r\n", b"\r\n"], [6])
 def test_any_split_into_reads_gives_the_same_events(pieces, cuts):
     """Guards against events lost or doubled where a network read ends."""
     data = b"".join(pieces)
