--- /dev/null
+++ b/galenascale/admission.py
@@ -0,0 +1,308 @@
+"""Admission of requests: bounded queues, fair shares, limits, early refusal.
+
+Decision core without I/O; the caller passes the monotonic time. Tenants share
+a service by start-time fair queueing: of the waiting tenants the one with the
+smallest start tag is next, and its following tag lies `cost / share` later. A
+tenant that floods therefore only lengthens its own queue.
+"""
+
+import enum
+import math
+from collections import deque
+
+import attrs
+
+from galenascale.errors import Refused
+
+# Weight of the newest sample in the average time between two starts.
+START_INTERVAL_WEIGHT = 0.1
+MIN_RETRY_AFTER_S = 0.05
+MAX_RETRY_AFTER_S = 30.0
+# Idle tenants are forgotten beyond this number.
+MAX_IDLE_TENANTS = 4096
+
+
+class Priority(enum.IntEnum):
+    """Classes of work; lower values go first."""
+
+    ONLINE = 0
+    BATCH = 1
+
+
+@attrs.define(eq=False)
+class Ticket:
+    """One request in admission; `group` names what it needs capacity of."""
+
+    request_id: str
+    tenant: str
+    deadline: float
+    group: str = ""
+    priority: Priority = Priority.ONLINE
+    cost: float = 1.0
+    running: bool = False
+
+
+@attrs.define(eq=False)
+class TenantLimits:
+    """Limits of one tenant; 0 means no limit."""
+
+    share: float = 1.0
+    max_concurrency: int = 0
+    requests_per_s: float = 0.0
+
+    @classmethod
+    def from_declaration(cls, declaration):
+        """Return the limits that a TenantDeclaration sets."""
+        return cls(
+            max(declaration.share, 0.001),
+            declaration.max_concurrency,
+            declaration.requests_per_s,
+        )
+
+
+@attrs.define(eq=False)
+class _Flow:
+    """Waiting tickets of one tenant in one class of a service."""
+
+    tickets: deque = attrs.field(factory=deque)
+    next_start: float = 0.0
+
+
+@attrs.define(eq=False)
+class _Lane:
+    """One class of a service with its virtual time."""
+
+    flows_by_tenant: dict = attrs.field(factory=dict)
+    virtual_time: float = 0.0
+    waiting: int = 0
+
+
+@attrs.define(eq=False)
+class _Tenant:
+    running: int = 0
+    rate_tokens: float = 0.0
+    rate_at: float = -math.inf
+
+
+class Admission:
+    """Admission of one service on one host."""
+
+    def __init__(self, max_queue=256):
+        self.max_queue = max_queue
+        self._limits_by_tenant = {}
+        self._tenants = {}
+        self._lanes = {priority: _Lane() for priority in Priority}
+        self._start_interval_s = 0.0
+        self._last_start = None
+
+    def configure(self, max_queue, limits_by_tenant):
+        """Put new limits in force; tickets that wait already stay."""
+        self.max_queue = max_queue
+        self._limits_by_tenant = limits_by_tenant
+
+    def waiting(self, priority=Priority.ONLINE):
+        """Return the number of tickets that wait in a class."""
+        return self._lanes[priority].waiting
+
+    def running(self, tenant):
+        """Return the number of started and unfinished tickets of a tenant."""
+        state = self._tenants.get(tenant)
+        return state.running if state else 0
+
+    def offer(self, ticket, now):
+        """
+        Queue a ticket and return the ticket it displaces, if any.
+
+        Raise Refused when the ticket exceeds a limit or cannot start before
+        its deadline. The displaced ticket must be refused by the caller: it is
+        the newest of the tenant that holds the most of a full queue for its
+        share.
+        """
+        if now >= ticket.deadline:
+            raise self._refusal("deadline has passed", "deadline_exceeded", 0.0)
+        lane = self._lanes[ticket.priority]
+        wait_s = self.expected_wait_s(ticket)
+        if now + wait_s >= ticket.deadline:
+            raise self._refusal(
+                f"expected wait of {wait_s:.2f} s exceeds the deadline",
+                "deadline_unreachable",
+                wait_s,
+            )
+        displaced = None
+        if lane.waiting >= self.max_queue:
+            displaced = self._displaceable(lane, ticket)
+        self._charge_rate(ticket.tenant, now)
+        if displaced is not None:
+            self.withdraw(displaced)
+        flow = lane.flows_by_tenant.get(ticket.tenant)
+        if flow is None:
+            flow = lane.flows_by_tenant[ticket.tenant] = _Flow()
+        if not flow.tickets:
+            flow.next_start = max(flow.next_start, lane.virtual_time)
+        flow.tickets.append(ticket)
+        lane.waiting += 1
+        return displaced
+
+    def take(self, now, fits):
+        """
+        Start the next ticket and return (ticket, what `fits` returned).
+
+        `fits(ticket)` returns a true value when there is capacity for it. A
+        group without capacity is not asked for twice, so batch never passes
+        online requests of its group. Return None when nothing can start.
+        """
+        blocked = set()
+        for priority in Priority:
+            lane = self._lanes[priority]
+            flows = [item for item in lane.flows_by_tenant.items() if item[1].tickets]
+            flows.sort(key=lambda item: (item[1].next_start, item[0]))
+            for tenant, flow in flows:
+                if not self._below_concurrency(tenant):
+                    continue
+                for ticket in flow.tickets:
+                    if ticket.group in blocked or now >= ticket.deadline:
+                        continue
+                    fit = fits(ticket)
+                    if fit:
+                        self._start(lane, flow, ticket, now)
+                        return ticket, fit
+                    blocked.add(ticket.group)
+        return None
+
+    def withdraw(self, ticket):
+        """Remove a waiting ticket; return False when it does not wait."""
+        lane = self._lanes[ticket.priority]
+        flow = lane.flows_by_tenant.get(ticket.tenant)
+        if flow is None or ticket not in flow.tickets:
+            return False
+        flow.tickets.remove(ticket)
+        lane.waiting -= 1
+        self._forget_idle(lane)
+        return True
+
+    def finish(self, ticket):
+        """Return the capacity of a started ticket."""
+        if ticket.running:
+            ticket.running = False
+            self._tenants[ticket.tenant].running -= 1
+
+    def expire(self, now):
+        """Remove and return the waiting tickets whose deadline has passed."""
+        return self._remove(lambda ticket: now >= ticket.deadline)
+
+    def clear(self):
+        """Remove and return all waiting tickets."""
+        return self._remove(lambda ticket: True)
+
+    def expected_wait_s(self, ticket):
+        """Return the expected wait in seconds of a ticket offered now."""
+        lane = self._lanes[ticket.priority]
+        if not lane.waiting:
+            return 0.0
+        share = self._share(ticket.tenant)
+        flow = lane.flows_by_tenant.get(ticket.tenant)
+        rounds = ((len(flow.tickets) if flow else 0) + 1) / share
+        ahead = sum(
+            min(len(other.tickets), rounds * self._share(tenant))
+            for tenant, other in lane.flows_by_tenant.items()
+            if other.tickets
+        )
+        return ahead * self._start_interval_s
+
+    def refusal_for(self, ticket, code="overloaded", http_status=503):
+        """Return the refusal of a ticket that was given up on in the queue."""
+        wait_s = self.expected_wait_s(ticket)
+        return self._refusal("request was not started", code, wait_s, http_status)
+
+    def _remove(self, condition):
+        removed = []
+        for lane in self._lanes.values():
+            for flow in lane.flows_by_tenant.values():
+                gone = [ticket for ticket in flow.tickets if condition(ticket)]
+                for ticket in gone:
+                    flow.tickets.remove(ticket)
+                lane.waiting -= len(gone)
+                removed += gone
+            self._forget_idle(lane)
+        return removed
+
+    def _limits(self, tenant):
+        return self._limits_by_tenant.get(tenant) or DEFAULT_LIMITS
+
+    def _share(self, tenant):
+        return self._limits(tenant).share
+
+    def _below_concurrency(self, tenant):
+        limit = self._limits(tenant).max_concurrency
+        return not limit or self.running(tenant) < limit
+
+    def _start(self, lane, flow, ticket, now):
+        flow.tickets.remove(ticket)
+        lane.waiting -= 1
+        lane.virtual_time = max(lane.virtual_time, flow.next_start)
+        flow.next_start += ticket.cost / self._share(ticket.tenant)
+        state = self._tenants.setdefault(ticket.tenant, _Tenant())
+        state.running += 1
+        ticket.running = True
+        # Only starts out of a backlog show the pace of the service.
+        if self._last_start is not None and lane.waiting:
+            sample = now - self._last_start
+            weight = START_INTERVAL_WEIGHT if self._start_interval_s else 1.0
+            self._start_interval_s += weight * (sample - self._start_interval_s)
+        self._last_start = now if lane.waiting else None
+
+    def _displaceable(self, lane, ticket):
+        def excess(item):
+            tenant, flow = item
+            return len(flow.tickets) / self._share(tenant)
+
+        tenant, flow = max(lane.flows_by_tenant.items(), key=excess)
+        own = lane.flows_by_tenant.get(ticket.tenant)
+        own_count = (len(own.tickets) if own else 0) + 1
+        if tenant == ticket.tenant or (
+            own_count / self._share(ticket.tenant) > excess((tenant, flow)) - 1e-9
+        ):
+            raise self._refusal(
+                "queue is full", "queue_full", self.expected_wait_s(ticket)
+            )
+        return flow.tickets[-1]
+
+    def _charge_rate(self, tenant, now):
+        rate = self._limits(tenant).requests_per_s
+        if not rate:
+            return
+        state = self._tenants.setdefault(tenant, _Tenant())
+        burst = max(1.0, rate)
+        elapsed = max(0.0, now - state.rate_at)
+        state.rate_tokens = min(burst, state.rate_tokens + elapsed * rate)
+        state.rate_at = now
+        # A bucket refilled in small steps may stay a rounding error below 1.
+        if state.rate_tokens < 1.0 - 1e-9:
+            missing_s = (1.0 - state.rate_tokens) / rate
+            raise self._refusal(
+                f"tenant {tenant!r} exceeds {rate:g} requests/s",
+                "rate_limited",
+                missing_s,
+                429,
+            )
+        state.rate_tokens -= 1.0
+
+    def _forget_idle(self, lane):
+        if len(lane.flows_by_tenant) <= MAX_IDLE_TENANTS:
+            return
+        for tenant, flow in list(lane.flows_by_tenant.items()):
+            if not flow.tickets and flow.next_start <= lane.virtual_time:
+                del lane.flows_by_tenant[tenant]
+
+    def _refusal(self, message, code, wait_s, http_status=503):
+        retry_after_s = min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, wait_s))
+        return Refused(
+            message,
+            code=code,
+            http_status=http_status,
+            retry_after_s=retry_after_s,
+            step="admission",
+        )
+
+
+DEFAULT_LIMITS = TenantLimits()
--- /dev/null
+++ b/galenascale/batch/__init__.py
@@ -0,0 +1,1 @@
+"""Batch work on capacity that online requests leave idle."""
--- /dev/null
+++ b/galenascale/batch/slots.py
@@ -0,0 +1,72 @@
+"""Batch slots of one backend server, decided by the owner of its slots.
+
+Decision core without I/O. Capacity is withdrawn from batch at once. It is
+returned when it was idle for the whole of `HOLD_S`, so that gaps between
+online requests do not start streams that are cancelled shortly after.
+"""
+
+from collections import deque
+
+import attrs
+
+# Half of the second within which batch must fill idle capacity; the rest is
+# for the owner's evaluation interval and the start of the streams.
+HOLD_S = 0.5
+
+
+@attrs.frozen
+class BatchStream:
+    """One running batch stream; only resumable ones may be cancelled."""
+
+    attempt_id: str
+    prompt_tokens: int = 0
+    generated_tokens: int = 0
+    started_at: float = 0.0
+    resumable: bool = True
+    # False while the engine still queues it, so cancelling loses no work.
+    prefilled: bool = True
+
+
+@attrs.define
+class BatchSlots:
+    """Number of batch streams that one server may run."""
+
+    # (time, target) with rising times and targets: a sliding window minimum.
+    # A target holds until the time of the entry after it.
+    _window: deque = attrs.field(factory=deque)
+
+    def allowed(self, now, slots, online, reserve):
+        """
+        Return how many batch streams may run from now on.
+
+        `online` counts the online requests in flight, own and of peers. The
+        time before the first call counts as busy, as nothing is known of it.
+        """
+        target = max(0, slots - online - reserve)
+        if not self._window:
+            self._window.append((now, 0))
+        while self._window and self._window[-1][1] >= target:
+            self._window.pop()
+        self._window.append((now, target))
+        while len(self._window) > 1 and self._window[1][0] <= now - HOLD_S:
+            self._window.popleft()
+        return self._window[0][1]
+
+
+def resume_cost(stream):
+    """Return the tokens that must be prefilled again after a cancel."""
+    if not stream.prefilled:
+        return 0
+    return stream.prompt_tokens + stream.generated_tokens
+
+
+def streams_to_cancel(streams, count):
+    """Return up to `count` streams, the cheapest to resume first."""
+    candidates = [stream for stream in streams if stream.resumable]
+    candidates.sort(key=lambda item: (resume_cost(item), -item.started_at))
+    return candidates[: max(0, count)]
+
+
+def excess(streams, allowed):
+    """Return the streams to cancel so that `allowed` remain."""
+    return streams_to_cancel(streams, len(streams) - allowed)
--- /dev/null
+++ b/galenascale/online_run.py
@@ -0,0 +1,340 @@
+"""State of one online request: relay, retry, resume and cancel."""
+
+import asyncio
+import inspect
+from collections import deque
+
+import attrs
+import orjson
+import xxhash
+
+from galenascale.admission import Ticket
+from galenascale.dispatch import Waiter, contained_error
+from galenascale.errors import BackendError, Execution, Refused, UserError
+from galenascale.logs import get_logger
+from galenascale.poison import fingerprint
+from galenascale.routing import RouteRequest, choose_version
+
+log = get_logger("online")
+
+# A stream without a token for this long is broken off and resumed elsewhere.
+STALL_S = 15.0
+# Tokens kept for a caller that reads slowly before the engine is held back.
+MAX_BUFFERED_CHUNKS = 256
+# Part of a prompt that decides on prefix affinity; shorter prompts than the
+# minimum gain nothing from a cache.
+PREFIX_CHARS = 512
+MIN_PREFIX_CHARS = 128
+# Failures after which another server may serve the request.
+RETRIABLE = frozenset(
+    ("connect_failed", "overloaded", "leaving", "stream_broken", "stalled")
+)
+# An engine that does not confirm a cancel by then is taken to have stopped.
+CANCEL_TIMEOUT_S = 5.0
+
+
+class OnlineRun:
+    """State of one request while it is served."""
+
+    def __init__(self, service, request):
+        config = service.refresh_config()
+        model = config.models_by_name.get(request.model)
+        if model is None:
+            raise UserError(
+                f"model {request.model!r} does not exist",
+                param="model",
+                code="model_not_found",
+                http_status=404,
+            )
+        version = choose_version(request.request_id, model.versions)
+        if len(model.versions) > 1:
+            # The engine must continue a resumed answer with the same version.
+            body = {**request.body, "version": version}
+            request = attrs.evolve(request, body=body)
+        self.service = service
+        self.request = request
+        self.dispatcher = service.dispatcher(model.service_name)
+        ticket = Ticket(
+            request.request_id,
+            request.tenant,
+            request.deadline,
+            group=f"{request.model}/{version}",
+        )
+        route = RouteRequest(
+            request.model,
+            version,
+            request.body.get("adapter") or "",
+            _prefix_hash(request),
+        )
+        self.waiter = Waiter(ticket, route, fingerprint(request.endpoint, request.body))
+        self.attempt = 0
+        self.charged_attempts = 1
+        self.server = None
+        self.execution = Execution.NOT_RUN
+        self.sent_tokens = 0
+        self.text_parts = []
+        self.finished = False
+        self.progress_at = 0.0
+        self._expired = False
+        self._task = None
+        self._events = deque()
+        self._arrived = asyncio.Event()
+        self._drained = asyncio.Event()
+
+    async def chunks(self):
+        """Yield the chunks of the answer in order, each token once."""
+        self.dispatcher.watchers.add(self._watch)
+        place = self.dispatcher.admit
+        try:
+            while True:
+                self.attempt += 1
+                attempt_id = f"{self.request.request_id}/{self.attempt}"
+                self.waiter.attempt_id = attempt_id
+                self._start((await self._placed(place)).server)
+                async for chunk in self._relay():
+                    yield chunk
+                if self.finished:
+                    return
+                place = self.dispatcher.place_again
+        finally:
+            self.dispatcher.watchers.discard(self._watch)
+            self._abandon()
+            self.dispatcher.finish(self.waiter)
+
+    async def _placed(self, place):
+        try:
+            return await place(self.waiter)
+        except asyncio.CancelledError:
+            # The choice may have been made while the caller went away.
+            future = self.waiter.future
+            if future and future.done() and not future.cancelled():
+                if future.exception() is None:
+                    self._end_attempt(future.result().server.name)
+            raise
+        except (Refused, BackendError) as error:
+            if self.execution == Execution.NOT_RUN:
+                raise
+            raise self._final(error) from error
+
+    def _start(self, server):
+        self.server = server
+        self.progress_at = self.service.clock.monotonic()
+        self._events.clear()
+        text = "".join(self.text_parts)
+        self._task = asyncio.ensure_future(
+            self._read(server, self.attempt, self.sent_tokens, text)
+        )
+
+    async def _read(self, server, attempt, tokens, text):
+        """Post the chunks of one attempt, then None or its error."""
+        try:
+            stream = self.service.engine.stream(
+                server, self.request, attempt, tokens, text
+            )
+            if inspect.isawaitable(stream):
+                stream = await stream
+            async for chunk in stream:
+                self._post(attempt, chunk)
+                while len(self._events) >= MAX_BUFFERED_CHUNKS:
+                    self._drained.clear()
+                    await self._drained.wait()
+            self._post(attempt, None)
+        except BackendError as error:
+            self._post(attempt, error)
+        except Exception as error:
+            log.exception("Attempt %s failed.", self.waiter.attempt_id)
+            message = f"engine client failed: {error!r}"
+            self._post(attempt, _broken(message, code="internal_error"))
+
+    def _post(self, attempt, event):
+        self._events.append((attempt, event))
+        self._arrived.set()
+
+    async def _next(self):
+        """Return the next event of the current attempt."""
+        while True:
+            while self._events:
+                attempt, event = self._events.popleft()
+                self._drained.set()
+                if attempt == self.attempt:
+                    return event
+            self._arrived.clear()
+            await self._arrived.wait()
+
+    async def _relay(self):
+        """Yield the new chunks of one attempt; return when it has ended."""
+        while True:
+            event = await self._next()
+            if isinstance(event, Exception) or event is None:
+                await self._ended(event)
+                return
+            self.progress_at = self.service.clock.monotonic()
+            if event.usage and not event.text and not event.finish_reason:
+                yield event
+            elif self.finished or event.index < self.sent_tokens:
+                continue
+            elif event.index > self.sent_tokens:
+                message = f"token {event.index} came instead of {self.sent_tokens}"
+                await self._ended(_broken(message, code="stalled"))
+                return
+            else:
+                self.sent_tokens += 1
+                self.text_parts.append(event.text)
+                self.finished = event.finish_reason is not None
+                yield event
+
+    def _watch(self, now):
+        """Break off an attempt past its deadline or without progress."""
+        if self.server is None or self._expired:
+            return
+        if now >= self.request.deadline:
+            self._expired = True
+            error = _broken("deadline has passed", code="deadline_exceeded")
+            self._post(self.attempt, error)
+        elif now >= self.progress_at + STALL_S and not self._events:
+            self._post(self.attempt, _broken("no token arrived", code="stalled"))
+
+    async def _ended(self, error):
+        """Settle an ended attempt; raise if it may not be retried."""
+        if error is None and not self.finished:
+            error = _broken("stream ended before the answer did")
+        server_id = self.server.name
+        code = "" if error is None else error.code
+        now = self.service.clock.monotonic()
+        router = self.dispatcher.router
+        verdict = None
+        if self.finished:
+            verdict = self._finished_content()
+            router.succeeded(server_id, now)
+        elif code == "stream_broken":
+            verdict = self._crashed_content()
+            router.failed(server_id, now)
+        elif code in ("connect_failed", "stalled"):
+            router.failed(server_id, now, decisive=code == "connect_failed")
+        elif code == "overloaded":
+            router.overloaded(server_id, now)
+        elif code == "leaving":
+            router.leaving(server_id, now)
+        if error is not None and error.execution != Execution.NOT_RUN:
+            self.execution = Execution.MAY_HAVE_RUN
+        if code in ("stalled", "deadline_exceeded"):
+            self._abandon()
+        else:
+            self._end_attempt(server_id)
+        if verdict is not None:
+            await logged(self.service.share(verdict))
+        if not self.finished:
+            self._check_retry(error, server_id)
+
+    def _check_retry(self, error, server_id):
+        if self.dispatcher.poison_contained(self.waiter):
+            raise contained_error(Execution.FAILED)
+        if error.code not in RETRIABLE:
+            raise self._final(error)
+        # A planned stop sends requests away; that must not use up retries.
+        if error.code != "leaving":
+            self.charged_attempts += 1
+            if self.charged_attempts > self.dispatcher.max_attempts:
+                raise self._final(error)
+            if not self.dispatcher.budget.withdraw():
+                raise self._final(error)
+        avoid = self.waiter.route.avoid | {server_id}
+        self.waiter.route = attrs.evolve(self.waiter.route, avoid=avoid)
+
+    def _final(self, error):
+        """Return the error for the caller, truthful about all attempts."""
+        if error.code == "request_crashes_servers":
+            return contained_error(Execution.FAILED)
+        if error.code == "bad_request":
+            return error
+        details = {"code": error.code, "step": "online", "peer": error.peer}
+        if self.execution == Execution.NOT_RUN and (
+            error.execution == Execution.NOT_RUN
+        ):
+            return Refused(error.message, **details)
+        execution = Execution.MAY_HAVE_RUN
+        if error.code not in RETRIABLE and error.execution != Execution.NOT_RUN:
+            execution = error.execution
+        status = 504 if error.code == "deadline_exceeded" else 502
+        return BackendError(
+            error.message, http_status=status, execution=execution, **details
+        )
+
+    def _end_attempt(self, server_id):
+        """Return what an attempt held that the engine no longer runs."""
+        self.server = None
+        self.dispatcher.poison.ended(self.waiter.content, self.waiter.attempt_id)
+        self.dispatcher.attempt_ended(self.waiter, server_id)
+
+    def _abandon(self):
+        """Stop an attempt that the engine may still run."""
+        if self.server is None:
+            return
+        self._task.cancel()
+        server = self.server
+        if self.finished:
+            verdict = self._finished_content()
+            self._end_attempt(server.name)
+            if verdict is not None:
+                self.service.spawn(self.service.share(verdict))
+            return
+        self.server = None
+        # The server stays reserved and the content in flight until the engine
+        # has confirmed, else a caller who goes away and resends would let a
+        # poisonous content run on more servers than allowed.
+        reserved, self.waiter.reserved = self.waiter.reserved, None
+        self.service.spawn(self._cancel(server, self.waiter.attempt_id, reserved))
+
+    async def _cancel(self, server, attempt_id, reserved):
+        content, poison = self.waiter.content, self.dispatcher.poison
+        crashed = False
+        try:
+            async with asyncio.timeout(CANCEL_TIMEOUT_S):
+                await self.service.engine.cancel(server, attempt_id)
+        except BackendError as error:
+            crashed = error.code in ("connect_failed", "stream_broken")
+        finally:
+            verdict = None
+            if crashed:
+                verdict = poison.crashed(content, attempt_id, self._wall_ms())
+            poison.ended(content, attempt_id)
+            self.dispatcher.cancelled(server.name, reserved)
+        if verdict is not None:
+            await self.service.share(verdict)
+
+    def _finished_content(self):
+        return self.dispatcher.poison.finished(
+            self.waiter.content, self.waiter.attempt_id, self._wall_ms()
+        )
+
+    def _crashed_content(self):
+        return self.dispatcher.poison.crashed(
+            self.waiter.content, self.waiter.attempt_id, self._wall_ms()
+        )
+
+    def _wall_ms(self):
+        return self.service.clock.wall_ms()
+
+
+async def logged(awaitable):
+    """Await something whose failure is logged and must not end a request."""
+    try:
+        return await awaitable
+    except Exception as error:
+        log.warning("Background work failed: %r.", error)
+        return None
+
+
+def _broken(message, code="stream_broken"):
+    return BackendError(
+        message, code=code, step="online", execution=Execution.MAY_HAVE_RUN
+    )
+
+
+def _prefix_hash(request):
+    body = request.body
+    prompt = body.get("messages") or body.get("prompt") or ""
+    text = prompt if isinstance(prompt, str) else orjson.dumps(prompt).decode()
+    if len(text) < MIN_PREFIX_CHARS:
+        return None
+    return xxhash.xxh3_64_intdigest(f"{request.model}\0{text[:PREFIX_CHARS]}")
--- /dev/null
+++ b/galenascale/routing/load.py
@@ -0,0 +1,123 @@
+"""Estimate of the load of one backend server."""
+
+from collections import deque
+
+import attrs
+
+# Reports and digests older than this are ignored.
+STALE_S = 3.0
+# Own counts are remembered for as long as a report may lag.
+HISTORY_S = 3.0
+# A server that refused as overloaded gets nothing for this long.
+OVERLOAD_PAUSE_S = 0.1
+# Reports made later than this after the first sign of leaving may end it;
+# until then lagged sources contradict each other and the earliest wins.
+LEAVING_HOLD_S = 10.0
+
+
+@attrs.define(eq=False)
+class ServerState:
+    """What a host knows about one backend server."""
+
+    declaration: object
+    own_online: int = 0
+    own_batch: int = 0
+    # (time, own requests in flight from then on)
+    history: deque = attrs.field(factory=deque)
+    reported: int = 0
+    reported_own: int = 0
+    reported_at: float = float("-inf")
+    peer_loads: dict = attrs.field(factory=dict)
+    peer_online: int = 0
+    peer_batch: int = 0
+    reserved: bool = False
+    # Peers that ejected the server because of what they saw themselves.
+    crashed_by: set = attrs.field(factory=set)
+    # Peers that keep the server for one suspect request.
+    reserved_by: set = attrs.field(factory=set)
+    leaving_since: float | None = None
+    # Keys of models, versions and adapters that the server holds.
+    loaded: frozenset = frozenset()
+    groups: tuple = ()
+
+    def note_own(self, now, online=0, batch=0):
+        """Change the own counts, keeping their history."""
+        self.own_online += online
+        self.own_batch += batch
+        self.history.append((now, self.own_online + self.own_batch))
+        while len(self.history) > 1 and self.history[1][0] < now - HISTORY_S:
+            self.history.popleft()
+
+    def own_at(self, at):
+        """Return the own requests that were in flight at a past time."""
+        count = self.history[0][1] if self.history else 0
+        if self.history and self.history[0][0] > at:
+            count = 0
+        for time, value in self.history:
+            if time > at:
+                break
+            count = value
+        return count
+
+    def note_report(self, report, as_of):
+        """Take over a ServerReport of the state at the time `as_of`."""
+        if as_of < self.reported_at:
+            return
+        self.reported = report.running + report.queued
+        self.reported_own = self.own_at(as_of)
+        self.reported_at = as_of
+
+    def note_peer(self, peer_id, load, now):
+        """Take over the load that a peer itself puts on the server."""
+        self.peer_loads[peer_id] = (now, load.online_in_flight, load.batch_in_flight)
+        if load.reserved:
+            self.reserved_by.add(peer_id)
+        else:
+            self.reserved_by.discard(peer_id)
+        self._sum_peers()
+
+    def drop_stale(self, now):
+        """Forget what is too old; return True when something was forgotten."""
+        stale = [
+            peer for peer, load in self.peer_loads.items() if load[0] < now - STALE_S
+        ]
+        for peer in stale:
+            del self.peer_loads[peer]
+            self.reserved_by.discard(peer)
+            self.crashed_by.discard(peer)
+        self._sum_peers()
+        old_report = self.reported and self.reported_at < now - STALE_S
+        if old_report:
+            self.reported = self.reported_own = 0
+        return bool(stale or old_report)
+
+    def _sum_peers(self):
+        self.peer_online = sum(load[1] for load in self.peer_loads.values())
+        self.peer_batch = sum(load[2] for load in self.peer_loads.values())
+
+    @property
+    def others(self):
+        """Requests of other hosts; own ones are not counted twice."""
+        return max(
+            self.peer_online + self.peer_batch, self.reported - self.reported_own
+        )
+
+    @property
+    def online(self):
+        """Online requests in flight, own and estimated ones of others."""
+        return self.own_online + max(self.peer_online, self.others - self.peer_batch)
+
+    @property
+    def batch(self):
+        """Batch requests in flight, own ones and those of peers."""
+        return self.own_batch + self.peer_batch
+
+
+def loaded_keys(report):
+    """Return the keys of the versions and adapters in a ServerReport."""
+    keys = set()
+    for model, version in report.models:
+        keys.add((model, version))
+        for adapter in report.adapters_by_model.get(model, ()):
+            keys.add((model, version, adapter))
+    return frozenset(keys)
--- /dev/null
+++ b/galenascale/routing/router.py
@@ -0,0 +1,303 @@
+"""Choice of a backend server of one service.
+
+Every change of a server's load updates the few groups that the server is in,
+so a choice costs the same for 5 and for 480 servers.
+"""
+
+from galenascale.generated.messages import ServerLoad
+from galenascale.routing.choice import Choice
+from galenascale.routing.ejection import Ejector, Health
+from galenascale.routing.load import (
+    LEAVING_HOLD_S,
+    OVERLOAD_PAUSE_S,
+    ServerState,
+    loaded_keys,
+)
+from galenascale.routing.pool import Group
+
+# Interval at which stale reports and digests are dropped.
+REFRESH_S = 1.0
+
+
+class Router:
+    """Load, health and choice of the servers of one service."""
+
+    def __init__(self, failure_domain, random):
+        self.failure_domain = failure_domain
+        self._random = random
+        self._states_by_id = {}
+        self._groups_by_key = {}
+        self._ejector = Ejector()
+        self._refresh_at = 0.0
+        # Ends of pauses after refusals by server id.
+        self._paused = {}
+
+    def set_servers(self, declarations, now):
+        """Use these BackendServerDeclarations; known servers keep state."""
+        by_id = {declaration.name: declaration for declaration in declarations}
+        for server_id in list(self._states_by_id):
+            if server_id not in by_id:
+                self._leave_groups(server_id, self._states_by_id.pop(server_id))
+        self._ejector.set_servers(by_id)
+        for server_id, declaration in by_id.items():
+            state = self._states_by_id.get(server_id)
+            if state is None:
+                state = self._states_by_id[server_id] = ServerState(declaration)
+            moved = state.declaration.failure_domain != declaration.failure_domain
+            state.declaration = declaration
+            if moved or not state.groups:
+                self._join_groups(server_id, state)
+            self._update(server_id, now)
+
+    def has_usable_servers(self):
+        """Return False when every server is leaving or there is none."""
+        return any(state.leaving_since is None for state in self._states_by_id.values())
+
+    def choose(self, request, now):
+        """Return the Choice for a RouteRequest, or None without capacity."""
+        self.refresh(now)
+        server_id = self._pick(request, request.avoid)
+        if server_id is None and request.avoid:
+            server_id = self._pick(request, frozenset())
+        return None if server_id is None else self._choice(server_id)
+
+    def reserve(self, request, now):
+        """
+        Keep a server for one request alone; return its id or None.
+
+        Nothing else is sent there until `release`. The request may start when
+        `is_idle` tells that all others on the server have ended.
+        """
+        self.refresh(now)
+        candidates = [
+            server_id
+            for group in self._groups(request)
+            for server_id in group.free_ids()
+        ]
+        fresh = [item for item in candidates if item not in request.avoid]
+        server_id = min(
+            fresh or candidates,
+            key=lambda item: (self._load(item), self._states_by_id[item].batch, item),
+            default=None,
+        )
+        if server_id is not None:
+            self._states_by_id[server_id].reserved = True
+            self._update(server_id, now)
+        return server_id
+
+    def reserved_count(self):
+        """Return the number of reserved servers."""
+        return sum(state.reserved for state in self._states_by_id.values())
+
+    def reservation(self, server_id):
+        """Return the Choice of a reserved server, None if it is unusable."""
+        state = self._states_by_id.get(server_id)
+        if state is None or state.leaving_since is not None:
+            return None
+        return Choice(state.declaration, state.batch)
+
+    def is_idle(self, server_id):
+        """Return True when no request is known to be on a server."""
+        state = self._states_by_id.get(server_id)
+        return state is None or state.online + state.batch <= 0
+
+    def release(self, server_id, now):
+        """End a reservation."""
+        if server_id in self._states_by_id:
+            self._states_by_id[server_id].reserved = False
+            self._update(server_id, now)
+
+    def started(self, server_id, now, batch=False):
+        """Count a request sent to a server."""
+        self._count(server_id, now, 1, batch)
+
+    def ended(self, server_id, now, batch=False):
+        """Count the end of a request sent to a server."""
+        self._count(server_id, now, -1, batch)
+
+    def succeeded(self, server_id, now):
+        """Note that a server served a request."""
+        self._ejector.success(server_id)
+        self._update(server_id, now)
+
+    def failed(self, server_id, now, decisive=False):
+        """Note a failure; `decisive` for a server that cannot be reached."""
+        self._ejector.failure(server_id, now, decisive)
+        self._update(server_id, now)
+
+    def overloaded(self, server_id, now):
+        """Note that a server refused a request as overloaded."""
+        if server_id in self._states_by_id:
+            self._paused[server_id] = now + OVERLOAD_PAUSE_S
+            self._update(server_id, now)
+
+    def leaving(self, server_id, now):
+        """Note a sign that a server is leaving; the earliest sign counts."""
+        state = self._states_by_id.get(server_id)
+        if state is not None and state.leaving_since is None:
+            state.leaving_since = now
+            self._update(server_id, now)
+
+    def report(self, report, now, wall_ms):
+        """Take over a ServerReport received now."""
+        state = self._states_by_id.get(report.server_id)
+        if state is None:
+            return
+        # Hosts and servers synchronize their wall clocks; a report from the
+        # future counts as current.
+        as_of = now - max(0.0, (wall_ms - report.at_ms) / 1000.0)
+        state.note_report(report, as_of)
+        if report.leaving:
+            self.leaving(report.server_id, now)
+        elif as_of >= (state.leaving_since or 0.0) + LEAVING_HOLD_S:
+            # The report was made long after the signs of leaving.
+            state.leaving_since = None
+        loaded = loaded_keys(report)
+        if loaded != state.loaded:
+            state.loaded = loaded
+            self._join_groups(report.server_id, state)
+        self._update(report.server_id, now)
+
+    def peer_loads(self, peer_id, loads, now):
+        """Take over the ServerLoads of a peer's digest."""
+        for load in loads:
+            state = self._states_by_id.get(load.server_id)
+            if state is None:
+                continue
+            state.note_peer(peer_id, load, now)
+            if load.leaving:
+                self.leaving(load.server_id, now)
+            # Only the change counts: a peer repeats its digest, and a server
+            # that is half-open here must be able to return.
+            if load.crashed and peer_id not in state.crashed_by:
+                self._ejector.hint(load.server_id, now)
+            if load.crashed:
+                state.crashed_by.add(peer_id)
+            else:
+                state.crashed_by.discard(peer_id)
+            self._update(load.server_id, now)
+
+    def digest(self):
+        """Return the ServerLoads of this host's own requests for its peers."""
+        return [
+            ServerLoad(
+                server_id=server_id,
+                online_in_flight=state.own_online,
+                batch_in_flight=state.own_batch,
+                leaving=state.leaving_since is not None,
+                crashed=self._ejector.is_failing(server_id),
+                reserved=state.reserved,
+            )
+            for server_id, state in self._states_by_id.items()
+        ]
+
+    def own_online(self, server_id):
+        """Return this host's online requests on a server."""
+        return self._states_by_id[server_id].own_online
+
+    def online_load(self, server_id):
+        """Return the online requests on a server, own and of others."""
+        return self._load(server_id)
+
+    def refresh(self, now):
+        """Apply the passing of time to ejections, pauses and stale reports."""
+        for server_id in self._ejector.refresh(now):
+            self._update(server_id, now)
+        for server_id in [item for item, at in self._paused.items() if now >= at]:
+            del self._paused[server_id]
+            self._update(server_id, now)
+        if now < self._refresh_at:
+            return
+        self._refresh_at = now + REFRESH_S
+        for server_id, state in self._states_by_id.items():
+            if state.drop_stale(now):
+                self._update(server_id, now)
+
+    def _pick(self, request, avoid):
+        if request.only is not None:
+            avoid = avoid | (self._states_by_id.keys() - request.only)
+        # Another domain's server is used only when the own ones are full.
+        for group in self._groups(request):
+            if request.prefix_hash is not None:
+                server_id = group.affine(request.prefix_hash, avoid)
+                if server_id is not None:
+                    return server_id
+            server_id = group.two_choices(self._random, self._load, avoid)
+            if server_id is not None:
+                return server_id
+        return None
+
+    def _groups(self, request):
+        """Return the groups to try, the preferred first."""
+        version = (request.model, request.version)
+        adapter = (*version, request.adapter)
+        keys = [version] if self._holders(version) else [()]
+        if request.adapter and self._holders(adapter):
+            keys.insert(0, adapter)
+        groups = [
+            self._groups_by_key.get((is_local, key))
+            for key in keys
+            for is_local in (True, False)
+        ]
+        return [group for group in groups if group]
+
+    def _holders(self, key):
+        return any(
+            len(self._groups_by_key.get((is_local, key), ()))
+            for is_local in (True, False)
+        )
+
+    def _choice(self, server_id):
+        state = self._states_by_id[server_id]
+        needed = state.online + state.batch + 1 - state.declaration.slots
+        return Choice(state.declaration, max(0, min(1, needed, state.batch)))
+
+    def _load(self, server_id):
+        return self._states_by_id[server_id].online
+
+    def _count(self, server_id, now, change, batch):
+        state = self._states_by_id.get(server_id)
+        if state is None:
+            return
+        if batch:
+            state.note_own(now, batch=change)
+        else:
+            state.note_own(now, online=change)
+        self._update(server_id, now)
+
+    def _is_free(self, server_id, state, now):
+        if state.leaving_since is not None or state.reserved or state.reserved_by:
+            return False
+        if self._paused.get(server_id, now) > now:
+            return False
+        health = self._ejector.health(server_id)
+        if health == Health.EJECTED:
+            return False
+        if health == Health.HALF_OPEN and state.own_online:
+            # One request shows whether the server works again.
+            return False
+        return state.online < state.declaration.slots
+
+    def _update(self, server_id, now):
+        state = self._states_by_id.get(server_id)
+        if state is None:
+            return
+        is_free = self._is_free(server_id, state, now)
+        load = state.online
+        for group in state.groups:
+            group.put(server_id, load, is_free)
+
+    def _join_groups(self, server_id, state):
+        self._leave_groups(server_id, state)
+        is_local = state.declaration.failure_domain == self.failure_domain
+        keys = [(is_local, key) for key in [(), *sorted(state.loaded)]]
+        state.groups = tuple(
+            self._groups_by_key.setdefault(key, Group(key)) for key in keys
+        )
+
+    def _leave_groups(self, server_id, state):
+        for group in state.groups:
+            group.discard(server_id)
+            if not len(group):
+                del self._groups_by_key[group.key]
+        state.groups = ()
--- a/schema/galenascale.thrift
+++ b/schema/galenascale.thrift
@@ -445,6 +445,8 @@
   4: i64 heartbeat = 0,
   5: bool leaving = false,
   6: bool crashed = false,
+  /** The sender keeps the server for one request that may crash it. */
+  7: bool reserved = false,
 }
 
 struct GossipMessage {
