--- a/galenascale/admission.py
+++ b/galenascale/admission.py
@@ -7,12 +7,12 @@
 """
 
 import enum
-import math
 from collections import deque
 
 import attrs
 
 from galenascale.errors import Refused
+from galenascale.rate_limit import RateBucket
 
 # Weight of the newest sample in the average time between two starts.
 START_INTERVAL_WEIGHT = 0.1
@@ -80,8 +80,7 @@
 @attrs.define(eq=False)
 class _Tenant:
     running: int = 0
-    rate_tokens: float = 0.0
-    rate_at: float = -math.inf
+    bucket: RateBucket = attrs.field(factory=RateBucket)
 
 
 class Admission:
@@ -272,20 +271,10 @@
         if not rate:
             return
         state = self._tenants.setdefault(tenant, _Tenant())
-        burst = max(1.0, rate)
-        elapsed = max(0.0, now - state.rate_at)
-        state.rate_tokens = min(burst, state.rate_tokens + elapsed * rate)
-        state.rate_at = now
-        # A bucket refilled in small steps may stay a rounding error below 1.
-        if state.rate_tokens < 1.0 - 1e-9:
-            missing_s = (1.0 - state.rate_tokens) / rate
-            raise self._refusal(
-                f"tenant {tenant!r} exceeds {rate:g} requests/s",
-                "rate_limited",
-                missing_s,
-                429,
-            )
-        state.rate_tokens -= 1.0
+        missing_s = state.bucket.take(rate, now)
+        if missing_s:
+            message = f"tenant {tenant!r} exceeds {rate:g} requests/s"
+            raise self._refusal(message, "rate_limited", missing_s, 429)
 
     def _forget_idle(self, lane):
         if len(lane.flows_by_tenant) <= MAX_IDLE_TENANTS:
--- a/galenascale/batch/slots.py
+++ b/galenascale/batch/slots.py
@@ -31,8 +31,8 @@
 class BatchSlots:
     """Number of batch streams that one server may run."""
 
-    # (time, target) with rising times and targets: a sliding window minimum.
-    # A target holds until the time of the entry after it.
+    # (time, target) with rising times and targets: since that time, targets
+    # were at least that high. The first entry gives the window's minimum.
     _window: deque = attrs.field(factory=deque)
 
     def allowed(self, now, slots, online, reserve):
@@ -45,9 +45,10 @@
         target = max(0, slots - online - reserve)
         if not self._window:
             self._window.append((now, 0))
+        since = now
         while self._window and self._window[-1][1] >= target:
-            self._window.pop()
-        self._window.append((now, target))
+            since = self._window.pop()[0]
+        self._window.append((since, target))
         while len(self._window) > 1 and self._window[1][0] <= now - HOLD_S:
             self._window.popleft()
         return self._window[0][1]
--- a/galenascale/online.py
+++ b/galenascale/online.py
@@ -44,7 +44,7 @@
                 yield chunk
 
     def dispatcher(self, service_name):
-        """Return the Dispatcher of a service, with the newest configuration."""
+        """Return the Dispatcher of a service, with the newest settings."""
         self.refresh_config()
         dispatcher = self._dispatchers_by_service.get(service_name)
         if dispatcher is None:
--- a/galenascale/online_run.py
+++ b/galenascale/online_run.py
@@ -1,14 +1,13 @@
 """State of one online request: relay, retry, resume and cancel."""
 
 import asyncio
-import inspect
-from collections import deque
 
 import attrs
 import orjson
 import xxhash
 
 from galenascale.admission import Ticket
+from galenascale.attempt_reader import AttemptReader, broken
 from galenascale.dispatch import Waiter, contained_error
 from galenascale.errors import BackendError, Execution, Refused, UserError
 from galenascale.logs import get_logger
@@ -19,8 +18,6 @@
 
 # A stream without a token for this long is broken off and resumed elsewhere.
 STALL_S = 15.0
-# Tokens kept for a caller that reads slowly before the engine is held back.
-MAX_BUFFERED_CHUNKS = 256
 # Part of a prompt that decides on prefix affinity; shorter prompts than the
 # minimum gain nothing from a cache.
 PREFIX_CHARS = 512
@@ -76,10 +73,7 @@
         self.finished = False
         self.progress_at = 0.0
         self._expired = False
-        self._task = None
-        self._events = deque()
-        self._arrived = asyncio.Event()
-        self._drained = asyncio.Event()
+        self.reader = None
 
     async def chunks(self):
         """Yield the chunks of the answer in order, each token once."""
@@ -107,9 +101,9 @@
         except asyncio.CancelledError:
             # The choice may have been made while the caller went away.
             future = self.waiter.future
-            if future and future.done() and not future.cancelled():
-                if future.exception() is None:
-                    self._end_attempt(future.result().server.name)
+            placed = future and future.done() and not future.cancelled()
+            if placed and future.exception() is None:
+                self._end_attempt(future.result().server.name)
             raise
         except (Refused, BackendError) as error:
             if self.execution == Execution.NOT_RUN:
@@ -119,52 +113,20 @@
     def _start(self, server):
         self.server = server
         self.progress_at = self.service.clock.monotonic()
-        self._events.clear()
-        text = "".join(self.text_parts)
-        self._task = asyncio.ensure_future(
-            self._read(server, self.attempt, self.sent_tokens, text)
-        )
-
-    async def _read(self, server, attempt, tokens, text):
-        """Post the chunks of one attempt, then None or its error."""
-        try:
-            stream = self.service.engine.stream(
-                server, self.request, attempt, tokens, text
+        self.reader = AttemptReader(
+            self.service.engine.stream(
+                server,
+                self.request,
+                self.attempt,
+                self.sent_tokens,
+                "".join(self.text_parts),
             )
-            if inspect.isawaitable(stream):
-                stream = await stream
-            async for chunk in stream:
-                self._post(attempt, chunk)
-                while len(self._events) >= MAX_BUFFERED_CHUNKS:
-                    self._drained.clear()
-                    await self._drained.wait()
-            self._post(attempt, None)
-        except BackendError as error:
-            self._post(attempt, error)
-        except Exception as error:
-            log.exception("Attempt %s failed.", self.waiter.attempt_id)
-            message = f"engine client failed: {error!r}"
-            self._post(attempt, _broken(message, code="internal_error"))
-
-    def _post(self, attempt, event):
-        self._events.append((attempt, event))
-        self._arrived.set()
-
-    async def _next(self):
-        """Return the next event of the current attempt."""
-        while True:
-            while self._events:
-                attempt, event = self._events.popleft()
-                self._drained.set()
-                if attempt == self.attempt:
-                    return event
-            self._arrived.clear()
-            await self._arrived.wait()
+        )
 
     async def _relay(self):
         """Yield the new chunks of one attempt; return when it has ended."""
         while True:
-            event = await self._next()
+            event = await self.reader.next()
             if isinstance(event, Exception) or event is None:
                 await self._ended(event)
                 return
@@ -175,7 +137,7 @@
                 continue
             elif event.index > self.sent_tokens:
                 message = f"token {event.index} came instead of {self.sent_tokens}"
-                await self._ended(_broken(message, code="stalled"))
+                await self._ended(broken(message, code="stalled"))
                 return
             else:
                 self.sent_tokens += 1
@@ -189,15 +151,15 @@
             return
         if now >= self.request.deadline:
             self._expired = True
-            error = _broken("deadline has passed", code="deadline_exceeded")
-            self._post(self.attempt, error)
-        elif now >= self.progress_at + STALL_S and not self._events:
-            self._post(self.attempt, _broken("no token arrived", code="stalled"))
+            error = broken("deadline has passed", code="deadline_exceeded")
+            self.reader.post(error)
+        elif now >= self.progress_at + STALL_S and self.reader.is_empty:
+            self.reader.post(broken("no token arrived", code="stalled"))
 
     async def _ended(self, error):
         """Settle an ended attempt; raise if it may not be retried."""
         if error is None and not self.finished:
-            error = _broken("stream ended before the answer did")
+            error = broken("stream ended before the answer did")
         server_id = self.server.name
         code = "" if error is None else error.code
         now = self.service.clock.monotonic()
@@ -270,7 +232,7 @@
         """Stop an attempt that the engine may still run."""
         if self.server is None:
             return
-        self._task.cancel()
+        self.reader.cancel()
         server = self.server
         if self.finished:
             verdict = self._finished_content()
@@ -325,12 +287,6 @@
         return None
 
 
-def _broken(message, code="stream_broken"):
-    return BackendError(
-        message, code=code, step="online", execution=Execution.MAY_HAVE_RUN
-    )
-
-
 def _prefix_hash(request):
     body = request.body
     prompt = body.get("messages") or body.get("prompt") or ""
--- a/galenascale/routing/router.py
+++ b/galenascale/routing/router.py
@@ -195,10 +195,6 @@
         """Return this host's online requests on a server."""
         return self._states_by_id[server_id].own_online
 
-    def online_load(self, server_id):
-        """Return the online requests on a server, own and of others."""
-        return self._load(server_id)
-
     def refresh(self, now):
         """Apply the passing of time to ejections, pauses and stale reports."""
         for server_id in self._ejector.refresh(now):
