--- a/galenascale/attempt_reader.py
+++ b/galenascale/attempt_reader.py
@@ -26,6 +26,8 @@
         self._events = deque()
         self._arrived = asyncio.Event()
         self._drained = asyncio.Event()
+        # True once the server broke the stream off, read already or not.
+        self.is_broken = False
         self._task = asyncio.ensure_future(self._read(stream))
 
     @property
@@ -61,6 +63,7 @@
                     await self._drained.wait()
             self.post(None)
         except BackendError as error:
+            self.is_broken = error.code == "stream_broken"
             self.post(error)
         except Exception as error:
             log.exception("Reading an engine's stream failed.")
--- a/galenascale/dispatch.py
+++ b/galenascale/dispatch.py
@@ -204,9 +204,11 @@
             if self.router.is_idle(waiter.reserved) or (waited and not own):
                 return choice
             return None
-        kept = [item for item in self._retrying if item.reserved is not None]
         limit = max(1, self._server_count // SERVERS_PER_SUSPECT)
-        if len(kept) >= limit or any(item.content == waiter.content for item in kept):
+        if self.router.reserved_count() >= limit or any(
+            item.reserved is not None and item.content == waiter.content
+            for item in self._retrying
+        ):
             return None
         waiter.reserved = self.router.reserve(waiter.route, now)
         waiter.reserved_at = now
--- a/galenascale/online_run.py
+++ b/galenascale/online_run.py
@@ -43,6 +43,8 @@
                 code="model_not_found",
                 http_status=404,
             )
+        # Before the version is added: versions share their verdicts.
+        content = fingerprint(request.endpoint, request.body)
         version = choose_version(request.request_id, model.versions)
         if len(model.versions) > 1:
             # The engine must continue a resumed answer with the same version.
@@ -63,7 +65,7 @@
             request.body.get("adapter") or "",
             _prefix_hash(request),
         )
-        self.waiter = Waiter(ticket, route, fingerprint(request.endpoint, request.body))
+        self.waiter = Waiter(ticket, route, content)
         self.attempt = 0
         self.charged_attempts = 1
         self.server = None
@@ -85,7 +87,7 @@
                 attempt_id = f"{self.request.request_id}/{self.attempt}"
                 self.waiter.attempt_id = attempt_id
                 self._start((await self._placed(place)).server)
-                async for chunk in self._relay():
+                while (chunk := await self._next_chunk()) is not None:
                     yield chunk
                 if self.finished:
                     return
@@ -123,27 +125,27 @@
             )
         )
 
-    async def _relay(self):
-        """Yield the new chunks of one attempt; return when it has ended."""
+    async def _next_chunk(self):
+        """Return the next new chunk, or None when the attempt has ended."""
         while True:
             event = await self.reader.next()
             if isinstance(event, Exception) or event is None:
                 await self._ended(event)
-                return
+                return None
             self.progress_at = self.service.clock.monotonic()
             if event.usage and not event.text and not event.finish_reason:
-                yield event
+                return event
             elif self.finished or event.index < self.sent_tokens:
                 continue
             elif event.index > self.sent_tokens:
                 message = f"token {event.index} came instead of {self.sent_tokens}"
                 await self._ended(broken(message, code="stalled"))
-                return
+                return None
             else:
                 self.sent_tokens += 1
                 self.text_parts.append(event.text)
                 self.finished = event.finish_reason is not None
-                yield event
+                return event
 
     def _watch(self, now):
         """Break off an attempt past its deadline or without progress."""
@@ -234,8 +236,9 @@
             return
         self.reader.cancel()
         server = self.server
-        if self.finished:
-            verdict = self._finished_content()
+        if self.finished or self.reader.is_broken:
+            settle = self._finished_content if self.finished else self._crashed_content
+            verdict = settle()
             self._end_attempt(server.name)
             if verdict is not None:
                 self.service.spawn(self.service.share(verdict))
@@ -293,4 +296,4 @@
     text = prompt if isinstance(prompt, str) else orjson.dumps(prompt).decode()
     if len(text) < MIN_PREFIX_CHARS:
         return None
-    return xxhash.xxh3_64_intdigest(f"{request.model}\0{text[:PREFIX_CHARS]}")
+    return xxhash.xxh3_64_intdigest(f"{request.model}\0{text[:PREFIX_CHARS]}".encode())
--- a/galenascale/routing/pool.py
+++ b/galenascale/routing/pool.py
@@ -11,6 +11,8 @@
 AFFINITY_DEPTH = 3
 # A server may hold this much more than the average load for affinity's sake.
 AFFINITY_BOUND = 1.25
+# Load up to which a cached prefix is worth more than an idle server.
+AFFINITY_MIN_LOAD = 2
 
 
 class Group:
@@ -76,7 +78,8 @@
         """Return the free server of a prefix with a load within the bound."""
         if not self._free:
             return None
-        bound = math.ceil(AFFINITY_BOUND * (self._total + 1) / len(self._load_by_id))
+        average = (self._total + 1) / len(self._load_by_id)
+        bound = max(AFFINITY_MIN_LOAD, math.ceil(AFFINITY_BOUND * average))
         for server_id in self._ranks(prefix_hash % PREFIX_BUCKETS):
             if (
                 server_id in self._place_by_id
--- a/galenascale/routing/versions.py
+++ b/galenascale/routing/versions.py
@@ -13,7 +13,7 @@
     total = sum(max(0, version.weight) for version in versions)
     if not total:
         return versions[0].name if versions else ""
-    point = xxhash.xxh3_64_intdigest(f"version\0{request_id}") % total
+    point = xxhash.xxh3_64_intdigest(f"version\0{request_id}".encode()) % total
     for version in versions:
         point -= max(0, version.weight)
         if point < 0:
--- /dev/null
+++ b/test/test_hashing.py
@@ -0,0 +1,16 @@
+"""Hashing: text keys are accepted and owners move only when they must."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from galenascale.hashing import rendezvous_owner, rendezvous_rank, shard_of
+
+
+@given(key=st.text(), nodes=st.sets(st.text(), min_size=2))
+def test_owner_leads_the_rank_and_survives_the_loss_of_others(key, nodes):
+    # Regression: xxhash 4 takes no str, so every text key raised TypeError.
+    first, *others = rendezvous_rank(key, nodes)
+    assert rendezvous_owner(key, nodes) == first
+    assert rendezvous_owner(key, nodes - {others[0]}) == first
+    assert rendezvous_rank(key, nodes - {first}) == others
+    assert 0 <= shard_of(key, 4) < 4
