--- a/galenascale/dispatch.py
+++ b/galenascale/dispatch.py
@@ -265,14 +265,21 @@
 
 def contained_error(execution):
     """Return the error for a request that crashed `MAX_CRASHES` servers."""
-    return BackendError(
+    return failed_error(
         "this request crashes backend servers and is not run again",
+        422,
         code="request_crashes_servers",
-        http_status=422,
         execution=execution,
         step="dispatch",
     )
 
 
+def failed_error(message, http_status, **details):
+    """Return a BackendError with another HTTP status than its class has."""
+    error = BackendError(message, **details)
+    error.http_status = http_status
+    return error
+
+
 def _no_server():
     return Refused("no usable backend server", code="no_backend_server")
--- a/galenascale/online_run.py
+++ b/galenascale/online_run.py
@@ -8,7 +8,7 @@
 
 from galenascale.admission import Ticket
 from galenascale.attempt_reader import AttemptReader, broken
-from galenascale.dispatch import Waiter, contained_error
+from galenascale.dispatch import Waiter, contained_error, failed_error
 from galenascale.errors import BackendError, Execution, Refused, UserError
 from galenascale.logs import get_logger
 from galenascale.poison import fingerprint
@@ -220,9 +220,7 @@
         if error.code not in RETRIABLE and error.execution != Execution.NOT_RUN:
             execution = error.execution
         status = 504 if error.code == "deadline_exceeded" else 502
-        return BackendError(
-            error.message, http_status=status, execution=execution, **details
-        )
+        return failed_error(error.message, status, execution=execution, **details)
 
     def _end_attempt(self, server_id):
         """Return what an attempt held that the engine no longer runs."""
