--- a/test/fakes.py
+++ b/test/fakes.py
@@ -48,6 +48,8 @@
         try:
             if request.body.get("poison"):
                 await asyncio.sleep(0)
+                if crash.is_set():  # another copy crashed it just before
+                    raise failure("stream_broken")
                 self.crashes.append(server.name)
                 self.crash_events.pop(server.name, None)
                 crash.set()
