--- a/galenascale/admission.py
+++ b/galenascale/admission.py
@@ -40,6 +40,7 @@
     priority: Priority = Priority.ONLINE
     cost: float = 1.0
     running: bool = False
+    queued_at: float = 0.0
 
 
 @attrs.define(eq=False)
@@ -92,7 +93,7 @@
         self._tenants = {}
         self._lanes = {priority: _Lane() for priority in Priority}
         self._start_interval_s = 0.0
-        self._last_start = None
+        self._last_start = 0.0
 
     def configure(self, max_queue, limits_by_tenant):
         """Put new limits in force; tickets that wait already stay."""
@@ -138,6 +139,7 @@
             flow = lane.flows_by_tenant[ticket.tenant] = _Flow()
         if not flow.tickets:
             flow.next_start = max(flow.next_start, lane.virtual_time)
+        ticket.queued_at = now
         flow.tickets.append(ticket)
         lane.waiting += 1
         return displaced
@@ -243,12 +245,13 @@
         state = self._tenants.setdefault(ticket.tenant, _Tenant())
         state.running += 1
         ticket.running = True
-        # Only starts out of a backlog show the pace of the service.
-        if self._last_start is not None and lane.waiting:
-            sample = now - self._last_start
-            weight = START_INTERVAL_WEIGHT if self._start_interval_s else 1.0
-            self._start_interval_s += weight * (sample - self._start_interval_s)
-        self._last_start = now if lane.waiting else None
+        # A ticket that did not have to wait counts as 0, so that the average
+        # falls again after an outage even if nothing waits any more.
+        sample = now - max(self._last_start, ticket.queued_at)
+        self._start_interval_s += START_INTERVAL_WEIGHT * (
+            sample - self._start_interval_s
+        )
+        self._last_start = now
 
     def _displaceable(self, lane, ticket):
         def excess(item):
--- a/galenascale/routing/load.py
+++ b/galenascale/routing/load.py
@@ -69,12 +69,18 @@
 
     def note_peer(self, peer_id, load, now):
         """Take over the load that a peer itself puts on the server."""
-        self.peer_loads[peer_id] = (now, load.online_in_flight, load.batch_in_flight)
+        old = self.peer_loads.get(peer_id, (now, 0, 0))
+        new = self.peer_loads[peer_id] = (
+            now,
+            load.online_in_flight,
+            load.batch_in_flight,
+        )
+        self.peer_online += new[1] - old[1]
+        self.peer_batch += new[2] - old[2]
         if load.reserved:
             self.reserved_by.add(peer_id)
         else:
             self.reserved_by.discard(peer_id)
-        self._sum_peers()
 
     def drop_stale(self, now):
         """Forget what is too old; return True when something was forgotten."""
@@ -82,19 +88,16 @@
             peer for peer, load in self.peer_loads.items() if load[0] < now - STALE_S
         ]
         for peer in stale:
-            del self.peer_loads[peer]
+            _, online, batch = self.peer_loads.pop(peer)
+            self.peer_online -= online
+            self.peer_batch -= batch
             self.reserved_by.discard(peer)
             self.crashed_by.discard(peer)
-        self._sum_peers()
         old_report = self.reported and self.reported_at < now - STALE_S
         if old_report:
             self.reported = self.reported_own = 0
         return bool(stale or old_report)
 
-    def _sum_peers(self):
-        self.peer_online = sum(load[1] for load in self.peer_loads.values())
-        self.peer_batch = sum(load[2] for load in self.peer_loads.values())
-
     @property
     def others(self):
         """Requests of other hosts; own ones are not counted twice."""
--- a/test/routing/test_router.py
+++ b/test/routing/test_router.py
@@ -1,13 +1,16 @@
 """Routing: capacity, leaving, reservations, affinity, domains, versions."""
 
 import random
+import re
 from collections import Counter
+from pathlib import Path
 
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, rule
 
+import galenascale
 from galenascale.generated.messages import (
     BackendServerDeclaration,
     ModelVersion,
@@ -15,7 +18,7 @@
 )
 from galenascale.requests import ServerReport
 from galenascale.routing import RetryBudget, Router, RouteRequest, choose_version
-from galenascale.routing.ejection import MAX_EJECTED_SHARE, Ejector, Health
+from galenascale.routing.ejection import MAX_EJECTED_SHARE, Ejector
 from galenascale.routing.load import LEAVING_HOLD_S, STALE_S
 from galenascale.routing.pool import Group
 
@@ -281,7 +284,18 @@
         assert retries <= 64 + 0.2 * requests + 1e-6
 
 
-def test_health_of_new_servers_is_open():
-    ejector = Ejector()
-    ejector.set_servers(["a"])
-    assert ejector.health("a") == Health.OPEN
+def test_server_that_a_peer_keeps_for_a_suspect_is_left_alone_until_it_is_silent():
+    router = make_router(1)
+    router.peer_loads("h2", [ServerLoad(server_id="s0", reserved=True)], 0.0)
+    assert router.choose(RouteRequest(), 0.5) is None
+    assert router.choose(RouteRequest(), STALE_S + 1.5).server.name == "s0"
+
+
+@pytest.mark.parametrize("core", ["admission", "poison", "rate_limit", "routing"])
+def test_decision_core_uses_no_clock_and_no_io(core):
+    root = Path(galenascale.__file__).parent
+    files = [root / f"{core}.py", *(root / core).glob("*.py")]
+    sources = [file.read_text() for file in files if file.exists()]
+    pattern = r"^\s*(import|from) (asyncio|aiohttp|time|random|galenascale\.clock)\b"
+    assert sources
+    assert not any(re.search(pattern, source, re.MULTILINE) for source in sources)
--- a/test/test_admission.py
+++ b/test/test_admission.py
@@ -177,3 +177,17 @@
         fill(admission, "a", 1)
     assert (caught.value.http_status, caught.value.retry_after_s) == (429, 2.0)
     admission.offer(Ticket("x", "a", 9.0), 2.0)
+
+
+def test_long_waits_of_an_outage_do_not_refuse_later_requests():
+    # Regression: the average was only updated out of a backlog, so after an
+    # outage each request behind a single waiting one was refused for good.
+    admission = Admission()
+    fill(admission, "a", 30)
+    for start in range(30):
+        admission.take(start * 10.0, lambda item: True)
+    for number in range(60):
+        admission.offer(Ticket(str(number), "a", 1e9), 400.0)
+        admission.take(400.0, lambda item: True)
+    admission.offer(Ticket("x", "a", 401.0), 400.0)
+    admission.offer(Ticket("y", "a", 401.0), 400.0)
