--- a/galenascale/admission.py
+++ b/galenascale/admission.py
@@ -12,7 +12,7 @@
 import attrs
 
 from galenascale.errors import Refused
-from galenascale.rate_limit import RateBucket
+from galenascale.rate_limit import DEFAULT_LIMITS, RateBucket
 
 # Weight of the newest sample in the average time between two starts.
 START_INTERVAL_WEIGHT = 0.1
@@ -43,24 +43,6 @@
     queued_at: float = 0.0
 
 
-@attrs.define(eq=False)
-class TenantLimits:
-    """Limits of one tenant; 0 means no limit."""
-
-    share: float = 1.0
-    max_concurrency: int = 0
-    requests_per_s: float = 0.0
-
-    @classmethod
-    def from_declaration(cls, declaration):
-        """Return the limits that a TenantDeclaration sets."""
-        return cls(
-            max(declaration.share, 0.001),
-            declaration.max_concurrency,
-            declaration.requests_per_s,
-        )
-
-
 @attrs.define(eq=False)
 class _Flow:
     """Waiting tickets of one tenant in one class of a service."""
@@ -74,6 +56,8 @@
     """One class of a service with its virtual time."""
 
     flows_by_tenant: dict = attrs.field(factory=dict)
+    # The flows with waiting tickets, so that idle tenants cost nothing.
+    backlog: dict = attrs.field(factory=dict)
     virtual_time: float = 0.0
     waiting: int = 0
 
@@ -139,6 +123,7 @@
             flow = lane.flows_by_tenant[ticket.tenant] = _Flow()
         if not flow.tickets:
             flow.next_start = max(flow.next_start, lane.virtual_time)
+            lane.backlog[ticket.tenant] = flow
         ticket.queued_at = now
         flow.tickets.append(ticket)
         lane.waiting += 1
@@ -155,9 +140,10 @@
         blocked = set()
         for priority in Priority:
             lane = self._lanes[priority]
-            flows = [item for item in lane.flows_by_tenant.items() if item[1].tickets]
-            flows.sort(key=lambda item: (item[1].next_start, item[0]))
-            for tenant, flow in flows:
+            order = sorted(
+                lane.backlog.items(), key=lambda item: (item[1].next_start, item[0])
+            )
+            for tenant, flow in order:
                 if not self._below_concurrency(tenant):
                     continue
                 for ticket in flow.tickets:
@@ -173,11 +159,10 @@
     def withdraw(self, ticket):
         """Remove a waiting ticket; return False when it does not wait."""
         lane = self._lanes[ticket.priority]
-        flow = lane.flows_by_tenant.get(ticket.tenant)
+        flow = lane.backlog.get(ticket.tenant)
         if flow is None or ticket not in flow.tickets:
             return False
-        flow.tickets.remove(ticket)
-        lane.waiting -= 1
+        self._unqueue(lane, flow, ticket)
         self._forget_idle(lane)
         return True
 
@@ -201,12 +186,11 @@
         if not lane.waiting:
             return 0.0
         share = self._share(ticket.tenant)
-        flow = lane.flows_by_tenant.get(ticket.tenant)
+        flow = lane.backlog.get(ticket.tenant)
         rounds = ((len(flow.tickets) if flow else 0) + 1) / share
         ahead = sum(
             min(len(other.tickets), rounds * self._share(tenant))
-            for tenant, other in lane.flows_by_tenant.items()
-            if other.tickets
+            for tenant, other in lane.backlog.items()
         )
         return ahead * self._start_interval_s
 
@@ -218,15 +202,21 @@
     def _remove(self, condition):
         removed = []
         for lane in self._lanes.values():
-            for flow in lane.flows_by_tenant.values():
+            for flow in list(lane.backlog.values()):
                 gone = [ticket for ticket in flow.tickets if condition(ticket)]
                 for ticket in gone:
-                    flow.tickets.remove(ticket)
-                lane.waiting -= len(gone)
+                    self._unqueue(lane, flow, ticket)
                 removed += gone
             self._forget_idle(lane)
         return removed
 
+    @staticmethod
+    def _unqueue(lane, flow, ticket):
+        flow.tickets.remove(ticket)
+        lane.waiting -= 1
+        if not flow.tickets:
+            del lane.backlog[ticket.tenant]
+
     def _limits(self, tenant):
         return self._limits_by_tenant.get(tenant) or DEFAULT_LIMITS
 
@@ -238,8 +228,7 @@
         return not limit or self.running(tenant) < limit
 
     def _start(self, lane, flow, ticket, now):
-        flow.tickets.remove(ticket)
-        lane.waiting -= 1
+        self._unqueue(lane, flow, ticket)
         lane.virtual_time = max(lane.virtual_time, flow.next_start)
         flow.next_start += ticket.cost / self._share(ticket.tenant)
         state = self._tenants.setdefault(ticket.tenant, _Tenant())
@@ -258,8 +247,8 @@
             tenant, flow = item
             return len(flow.tickets) / self._share(tenant)
 
-        tenant, flow = max(lane.flows_by_tenant.items(), key=excess)
-        own = lane.flows_by_tenant.get(ticket.tenant)
+        tenant, flow = max(lane.backlog.items(), key=excess)
+        own = lane.backlog.get(ticket.tenant)
         own_count = (len(own.tickets) if own else 0) + 1
         if tenant == ticket.tenant or (
             own_count / self._share(ticket.tenant) > excess((tenant, flow)) - 1e-9
@@ -295,6 +284,3 @@
             retry_after_s=retry_after_s,
             step="admission",
         )
-
-
-DEFAULT_LIMITS = TenantLimits()
--- a/galenascale/dispatch.py
+++ b/galenascale/dispatch.py
@@ -9,10 +9,11 @@
 
 import attrs
 
-from galenascale.admission import Admission, TenantLimits
+from galenascale.admission import Admission
 from galenascale.errors import BackendError, Execution, GalenascaleError, Refused
 from galenascale.logs import get_logger
 from galenascale.poison import PoisonTracker, Standing
+from galenascale.rate_limit import TenantLimits
 from galenascale.routing import RetryBudget, Router
 
 log = get_logger("dispatch")
--- a/galenascale/rate_limit.py
+++ b/galenascale/rate_limit.py
@@ -1,4 +1,4 @@
-"""Token bucket for limits on request rates."""
+"""Limits on what a tenant may send."""
 
 import math
 
@@ -22,3 +22,24 @@
             return (1.0 - self.tokens) / rate
         self.tokens -= 1.0
         return 0.0
+
+
+@attrs.define(eq=False)
+class TenantLimits:
+    """Limits of one tenant; 0 means no limit."""
+
+    share: float = 1.0
+    max_concurrency: int = 0
+    requests_per_s: float = 0.0
+
+    @classmethod
+    def from_declaration(cls, declaration):
+        """Return the limits that a TenantDeclaration sets."""
+        return cls(
+            max(declaration.share, 0.001),
+            declaration.max_concurrency,
+            declaration.requests_per_s,
+        )
+
+
+DEFAULT_LIMITS = TenantLimits()
--- a/test/test_admission.py
+++ b/test/test_admission.py
@@ -5,8 +5,9 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from galenascale.admission import Admission, Priority, TenantLimits, Ticket
+from galenascale.admission import Admission, Priority, Ticket
 from galenascale.errors import Execution, Refused
+from galenascale.rate_limit import TenantLimits
 
 TENANTS = ["a", "b", "c"]
 LIMITS = {"a": TenantLimits(1.0, 2), "b": TenantLimits(3.0, 0, 5.0)}
