--- a/test/fakes.py
+++ b/test/fakes.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from collections import Counter
 
 from galenascale.clock import FakeClock
 from galenascale.configuration import Configuration
@@ -33,12 +34,14 @@
         self.go_on = asyncio.Event()
         self.running = {}  # attempt id -> server id
         self.crash_events = {}
+        self.attempts = Counter()
         self.crashes, self.cancelled, self.ran, self.starts = [], [], [], []
 
     async def stream(self, server, request, attempt, resume_tokens, resume_text):
         assert resume_text == "".join(text(request, i) for i in range(resume_tokens))
         attempt_id = f"{request.request_id}/{attempt}"
         repeat, count, end = self.scripts.pop(0) if self.scripts else (0, TOKENS, "")
+        self.attempts[request.request_id] += end != "leaving"
         if end in NOT_RUN:
             raise failure(end)
         self.ran.append(request.request_id)
--- a/test/test_admission.py
+++ b/test/test_admission.py
@@ -143,6 +143,16 @@
         assert admission.take(0.0, lambda item: True)[0] is ticket
 
 
+def test_idle_time_earns_no_credit():
+    admission = Admission()
+    fill(admission, "a", 40)
+    for _ in range(20):
+        admission.take(0.0, lambda item: True)
+    fill(admission, "b", 10)
+    first = [admission.take(0.0, lambda item: True)[0].tenant for _ in range(10)]
+    assert 4 <= first.count("a") <= 6
+
+
 def test_batch_waits_for_online_of_its_group_only():
     admission = Admission()
     fill(admission, "a", 1)
--- a/test/test_online.py
+++ b/test/test_online.py
@@ -41,6 +41,7 @@
         results = await deployment.run(*map(deployment.call, requests))
         for request, (chunks, error) in zip(requests, results, strict=True):
             check_answer(deployment, request, chunks, error)
+            assert engine.attempts[request.request_id] <= attempts
             if not scripts:
                 assert error is None
         await deployment.close()
