--- a/galenascale/online_run.py
+++ b/galenascale/online_run.py
@@ -173,10 +173,13 @@
         elif code == "stream_broken":
             verdict = self._crashed_content()
             router.failed(server_id, now)
+            # Copies of another content whose break is not noticed yet must
+            # not go to a server that restarted at once.
+            router.pause(server_id, now)
         elif code in ("connect_failed", "stalled"):
             router.failed(server_id, now, decisive=code == "connect_failed")
         elif code == "overloaded":
-            router.overloaded(server_id, now)
+            router.pause(server_id, now)
         elif code == "leaving":
             router.leaving(server_id, now)
         if error is not None and error.execution != Execution.NOT_RUN:
--- a/galenascale/routing/load.py
+++ b/galenascale/routing/load.py
@@ -8,8 +8,9 @@
 STALE_S = 3.0
 # Own counts are remembered for as long as a report may lag.
 HISTORY_S = 3.0
-# A server that refused as overloaded gets nothing for this long.
-OVERLOAD_PAUSE_S = 0.1
+# A server that refused as overloaded or broke a stream gets nothing for this
+# long; by then all breaks of a crash are noticed.
+PAUSE_S = 0.1
 # Reports made later than this after the first sign of leaving may end it;
 # until then lagged sources contradict each other and the earliest wins.
 LEAVING_HOLD_S = 10.0
--- a/galenascale/routing/router.py
+++ b/galenascale/routing/router.py
@@ -9,7 +9,7 @@
 from galenascale.routing.ejection import Ejector, Health
 from galenascale.routing.load import (
     LEAVING_HOLD_S,
-    OVERLOAD_PAUSE_S,
+    PAUSE_S,
     ServerState,
     loaded_keys,
 )
@@ -29,7 +29,7 @@
         self._groups_by_key = {}
         self._ejector = Ejector()
         self._refresh_at = 0.0
-        # Ends of pauses after refusals by server id.
+        # Ends of pauses by server id.
         self._paused = {}
 
     def set_servers(self, declarations, now):
@@ -125,10 +125,10 @@
         self._ejector.failure(server_id, now, decisive)
         self._update(server_id, now)
 
-    def overloaded(self, server_id, now):
-        """Note that a server refused a request as overloaded."""
+    def pause(self, server_id, now):
+        """Send a server nothing for a moment, after a refusal or a break."""
         if server_id in self._states_by_id:
-            self._paused[server_id] = now + OVERLOAD_PAUSE_S
+            self._paused[server_id] = now + PAUSE_S
             self._update(server_id, now)
 
     def leaving(self, server_id, now):
