--- a/schema/galenascale.thrift
+++ b/schema/galenascale.thrift
@@ -436,6 +436,10 @@
   8: i32 reads_version = 1,
   9: i64 config_version = -1,
   10: bool ready = false,
+  /** Orders the incarnations of a host: the higher generation is newer. */
+  11: i64 generation = 0,
+  /** Lowest reads_version in the host's failure domain; 0 if not told. */
+  12: i32 domain_reads_version = 0,
 }
 
 struct ServerLoad {
@@ -456,6 +460,27 @@
   /** Seconds since the sender last read the end of the config stream. */
   5: double config_age_s = 0.0,
   6: list<string> leaving_servers,
+  /** Fingerprints of the HostInfos that the sender holds as live. */
+  7: list<i32> known_keys,
+  /** Heartbeats in the order of known_keys. */
+  8: list<i64> known_heartbeats,
+  /** Fingerprints that the sender asks the HostInfos of. */
+  9: list<i32> wanted,
+  /** Time since each server in leaving_servers was first seen leaving. */
+  10: list<i32> leaving_ages_ms,
+}
+
+/** The error that ended a call between hosts. */
+struct PeerErrorMessage {
+  /** Code of the error class, which the receiver raises again. */
+  1: string kind = "",
+  2: string code = "",
+  3: string message = "",
+  4: string step = "",
+  5: string peer = "",
+  6: string execution = "",
+  7: i32 http_status = 0,
+  8: double retry_after_s = 0.0,
 }
 
 struct SubmitRequest {
@@ -624,6 +649,11 @@
   3: double dead_after_s = 2.0,
   4: double host_list_poll_s = 1.0,
   5: double load_poll_s = 0.25,
+  /**
+   * Bytes, sent and received, that gossip may cost a host; above it rounds
+   * contact fewer peers.
+   */
+  6: double gossip_bytes_per_s = 16000.0,
 }
 
 struct StopSettings {
