--- a/galenascale/hashing.py
+++ b/galenascale/hashing.py
@@ -5,11 +5,16 @@
 import xxhash
 
 
+def _digest(text):
+    """Return a 64-bit digest; xxhash 4 takes bytes only."""
+    return xxhash.xxh3_64_intdigest(text.encode())
+
+
 def rendezvous_rank(key, node_ids):
     """Return the node ids ordered by rendezvous weight, the owner first."""
     return sorted(
         node_ids,
-        key=lambda node_id: (xxhash.xxh3_64_intdigest(f"{key}\0{node_id}"), node_id),
+        key=lambda node_id: (_digest(f"{key}\0{node_id}"), node_id),
         reverse=True,
     )
 
@@ -18,14 +23,14 @@
     """Return the node id with the highest weight, or None for no nodes."""
     return max(
         node_ids,
-        key=lambda node_id: (xxhash.xxh3_64_intdigest(f"{key}\0{node_id}"), node_id),
+        key=lambda node_id: (_digest(f"{key}\0{node_id}"), node_id),
         default=None,
     )
 
 
 def shard_of(key, shards):
     """Return the shard number of a key, from 0 to shards - 1."""
-    return xxhash.xxh3_64_intdigest(key) % shards
+    return _digest(key) % shards
 
 
 def content_digest(*parts):
--- a/galenascale/host.py
+++ b/galenascale/host.py
@@ -9,6 +9,7 @@
 
 from galenascale.clock import Clock
 from galenascale.config_follower import ConfigFollower
+from galenascale.errors import GalenascaleError
 from galenascale.generated.messages import HostInfo
 from galenascale.host_list import HostList
 from galenascale.http_api import make_app
@@ -45,6 +46,7 @@
         server_tls, self._client_tls = make_tls_contexts(settings.peer_tls)
         self._signer = signer
         self.peer_server = PeerServer(signer, server_tls)
+        self.gossip = None
         self._stack = contextlib.AsyncExitStack()
 
     @classmethod
@@ -74,6 +76,8 @@
             url = f"http://{settings.listen_address}:{self.port}"
             self.membership.update_own(url=url)
         self._run(self.host_list.run())
+        self.gossip = Gossip(self.exchange, self.peers, self.clock, settings.membership)
+        self.gossip.register(self.peer_server)
         self._run(self.gossip.run())
         log.info("Listening on port %d.", self.port)
 
@@ -89,13 +93,11 @@
         self.peers.on_refused = lambda host_id: self.membership.host_failed(
             self.clock.monotonic(), host_id
         )
-        exchange = Exchange(
+        self.exchange = Exchange(
             self.membership,
             config_version=lambda: self.config.current.version,
             config_age_s=self._config_age_s,
         )
-        self.gossip = Gossip(exchange, self.peers, self.clock, settings.membership)
-        self.gossip.register(self.peer_server)
         await self.peer_server.start(
             self._stack, settings.listen_address, settings.peer_port
         )
@@ -110,6 +112,14 @@
             settings.membership.host_list_poll_s,
         )
 
+    async def _tell_leaving(self):
+        self.membership.update_own(state="leaving", ready=False)
+        try:
+            async with asyncio.timeout(self.settings.membership.dead_after_s):
+                await asyncio.gather(self.gossip.tell_all(), self.host_list.announce())
+        except (TimeoutError, GalenascaleError) as error:
+            log.warning("Leaving was not told to all: %r.", error)
+
     def _config_age_s(self):
         """Return the configuration's age for gossip; -1 before any read."""
         read_at = self.config.read_at
@@ -125,7 +135,9 @@
         self._stack.push_async_callback(cancel)
 
     async def stop(self):
-        """Close everything."""
+        """Tell peers and the host list, then close everything."""
         self.ready = False
+        if self.gossip is not None:
+            await self._tell_leaving()
         await self._stack.aclose()
         log.info("Stopped.")
--- a/galenascale/host_entries.py
+++ b/galenascale/host_entries.py
@@ -24,7 +24,7 @@
         f"{info.domain_reads_version}\0{info.url}\0{info.peer_url}\0"
         f"{info.failure_domain}"
     )
-    value = xxhash.xxh32_intdigest(text)
+    value = xxhash.xxh32_intdigest(text.encode())
     return value - (1 << 32) if value >= 1 << 31 else value
 
 
--- a/galenascale/membership.py
+++ b/galenascale/membership.py
@@ -65,6 +65,7 @@
         self._entries_by_id = {}
         self._ids_by_key = {}
         self._listed_by_id = {}
+        self._listed_by_domain = {}
         self._view = None
 
     # --- Observations ------------------------------------------------------
@@ -159,7 +160,11 @@
         how the previous one left.
         """
         self._listed_by_id = {item.host_id: item for item in listed}
+        self._listed_by_domain = {}
         for item in listed:
+            if item.state == "live":
+                ids = self._listed_by_domain.setdefault(item.failure_domain, [])
+                ids.append(item.host_id)
             entry = self._entries_by_id.get(item.host_id)
             if entry is None:
                 continue
@@ -267,19 +272,33 @@
         versions += [info.domain_reads_version for info in infos]
         return min(version for version in versions if version > 0)
 
-    def contact_candidates(self, now, domain=None):
-        """Return ids of listed or seed hosts that are not known as live."""
-        live = self.view(now).by_id
-        ids = set(self._seed_peers)
+    def contact_candidates(self, now, domain):
+        """
+        Return ids of hosts of a domain that may be live but are silent.
+
+        These are listed hosts, hosts that fell silent and seeds, whose domain
+        is not known until they are heard of.
+        """
+        ids = set(self._listed_by_domain.get(domain, ()))
         ids.update(
             host_id
-            for host_id, item in self._listed_by_id.items()
-            if item.state == "live"
+            for host_id, entry in self._entries_by_id.items()
+            if entry.info.failure_domain == domain and entry.info.state == "live"
         )
-        if domain is not None:
-            # A seed is named without its domain, so it counts for each.
-            ids = {key for key in ids if self.domain_of(key) in ("", domain)}
-        return sorted(ids.difference(live))
+        ids.update(
+            host_id
+            for host_id in self._seed_peers
+            if self.domain_of(host_id) in ("", domain)
+        )
+        return sorted(ids.difference(self.view(now).by_id))
+
+    def silent_domains(self, now):
+        """Return the known domains without a live host."""
+        domains = set(self._listed_by_domain)
+        domains.update(
+            item.info.failure_domain for item in self._entries_by_id.values()
+        )
+        return sorted(domains.difference(self.view(now).by_domain))
 
     def domain_of(self, host_id):
         """Return the failure domain of a host, empty if it is not known."""
--- a/galenascale/peers/client.py
+++ b/galenascale/peers/client.py
@@ -3,9 +3,9 @@
 import aiohttp
 
 from galenascale import codec
-from galenascale.errors import Execution, GalenascaleError, PeerError
+from galenascale.errors import DecodeError, Execution, GalenascaleError, PeerError
 from galenascale.generated.messages import PeerErrorMessage
-from galenascale.peers import auth
+from galenascale.peers.auth import AuthError
 from galenascale.peers.server import CONTENT_TYPE, ERROR_STATUS
 
 MAX_ANSWER_BYTES = 32 << 20
@@ -50,7 +50,7 @@
     """Calls methods of peers over a shared pool of connections."""
 
     def __init__(self, session, signer, url_of, tls=None):
-        """Take an aiohttp session and `url_of(host_id)`, a peer URL or None."""
+        """Take a session and `url_of(host_id)`, which may return None."""
         self._session = session
         self._signer = signer
         self._url_of = url_of
@@ -78,9 +78,14 @@
         status, answer = await self._post(
             host_id, f"{url.rstrip('/')}/peer/{method}", body, headers, timeout_s
         )
+        kind = PeerErrorMessage if status == ERROR_STATUS else reply_type
+        try:
+            reply = codec.decode(kind, answer)
+        except DecodeError as error:
+            raise _lost(host_id, error.message) from error
         if status == ERROR_STATUS:
-            raise error_from_message(codec.decode(PeerErrorMessage, answer))
-        return codec.decode(reply_type, answer)
+            raise error_from_message(reply)
+        return reply
 
     async def _post(self, host_id, url, body, headers, timeout_s):
         try:
@@ -95,29 +100,32 @@
             ) as response:
                 return await self._read(host_id, response, headers)
         except aiohttp.ClientConnectorError as error:
-            self.on_refused(host_id)
+            if isinstance(error.os_error, ConnectionRefusedError):
+                self.on_refused(host_id)
             raise PeerError(
                 f"peer cannot be reached: {error}", step="connect", peer=host_id
             ) from error
         except (TimeoutError, aiohttp.ClientError, ValueError) as error:
-            raise PeerError(
-                f"no answer from peer: {error!r}",
-                step="call",
-                peer=host_id,
-                execution=Execution.MAY_HAVE_RUN,
-            ) from error
+            raise _lost(host_id, f"no answer from peer: {error!r}") from error
 
     async def _read(self, host_id, response, headers):
         if response.status not in (200, ERROR_STATUS):
-            raise PeerError(
-                f"peer answered with status {response.status}",
-                step="call",
-                peer=host_id,
-            )
-        if (response.content_length or 0) > MAX_ANSWER_BYTES:
-            raise PeerError("answer is too large", step="call", peer=host_id)
+            raise _lost(host_id, f"peer answered with status {response.status}")
+        length = response.content_length
+        if length is None or length > MAX_ANSWER_BYTES:
+            raise _lost(host_id, "answer has no acceptable length")
         answer = await response.read()
-        self._signer.check_answer(
-            headers, host_id, response.status, response.headers, answer
-        )
+        try:
+            self._signer.check_answer(
+                headers, host_id, response.status, response.headers, answer
+            )
+        except AuthError as error:
+            raise _lost(host_id, error.message) from error
         return response.status, answer
+
+
+def _lost(host_id, message):
+    """Return the error for a call whose outcome at the peer is not known."""
+    return PeerError(
+        message, step="call", peer=host_id, execution=Execution.MAY_HAVE_RUN
+    )
--- a/galenascale/peers/exchange.py
+++ b/galenascale/peers/exchange.py
@@ -163,18 +163,12 @@
     ]
     targets = rng.sample(local, min(fanout, len(local)))
     silent = membership.contact_candidates(now, own.failure_domain)
-    represents = own.host_id in view.representatives_by_domain[own.failure_domain]
-    if represents or not local:
-        domains = [key for key in view.by_domain if key != own.failure_domain]
+    if own.host_id in view.representatives_by_domain[own.failure_domain] or not local:
+        domains = sorted(view.by_domain.keys() - {own.failure_domain})
         if domains:
-            infos = view.by_domain[rng.choice(sorted(domains))]
-            targets.append(rng.choice(infos).host_id)
-        silent += [
-            host_id
-            for host_id in membership.contact_candidates(now)
-            if host_id not in silent
-            and membership.domain_of(host_id) not in view.by_domain
-        ]
+            targets.append(rng.choice(view.by_domain[rng.choice(domains)]).host_id)
+        for domain in membership.silent_domains(now):
+            silent += membership.contact_candidates(now, domain)
     if silent:
         targets.append(rng.choice(silent))
     return list(dict.fromkeys(targets))
--- a/galenascale/peers/gossip.py
+++ b/galenascale/peers/gossip.py
@@ -12,6 +12,7 @@
 log = get_logger("gossip")
 
 METHOD = "gossip"
+MAX_OPEN_ROUNDS = 16
 
 # Headers of a request and its answer, measured by bench/gossip.py.
 HTTP_BYTES = 520
@@ -44,16 +45,32 @@
         return answer
 
     async def run(self):
-        """Make rounds for ever; an error ends only its round."""
-        while True:
-            try:
-                await self.round()
-            except Exception:
-                log.exception("A round of gossip failed.")
-            # Random intervals keep hosts from making rounds in step.
-            await self._clock.sleep(
-                self._settings.gossip_s * self._rng.uniform(0.9, 1.1)
-            )
+        """
+        Start rounds for ever; an error ends only its round.
+
+        A round that waits for a silent peer does not hold up the next one.
+        """
+        rounds = set()
+        try:
+            while True:
+                if len(rounds) < MAX_OPEN_ROUNDS:
+                    task = asyncio.create_task(self._guarded_round())
+                    rounds.add(task)
+                    task.add_done_callback(rounds.discard)
+                # Random intervals keep hosts from making rounds in step.
+                await self._clock.sleep(
+                    self._settings.gossip_s * self._rng.uniform(0.9, 1.1)
+                )
+        finally:
+            for task in rounds:
+                task.cancel()
+            await asyncio.gather(*rounds, return_exceptions=True)
+
+    async def _guarded_round(self):
+        try:
+            await self.round()
+        except Exception:
+            log.exception("A round of gossip failed.")
 
     async def round(self):
         """Make one round: exchange messages with a few peers at once."""
--- a/galenascale/peers/server.py
+++ b/galenascale/peers/server.py
@@ -14,6 +14,7 @@
 log = get_logger("peers")
 
 DEFAULT_MAX_BODY_BYTES = 8 << 20
+BODY_TIMEOUT_S = 10.0
 CONTENT_TYPE = "application/x-thrift"
 # Marks an answer whose body is a PeerErrorMessage.
 ERROR_STATUS = 500
@@ -62,27 +63,25 @@
             request.transport.abort()
             return web.Response(status=503)
         try:
-            body = await request.read()
+            async with asyncio.timeout(BODY_TIMEOUT_S):
+                body = await request.read()
         except web.HTTPRequestEntityTooLarge:
-            return self._failure(
-                request,
-                UserError("body is too large", code="body_too_large", http_status=413),
-            )
+            return web.Response(status=413)
+        except (TimeoutError, OSError, web.RequestPayloadError):
+            return web.Response(status=400)
         try:
-            status, answer = 200, await self._call(request, body)
+            answer = await self._call(request, body)
         except AuthError as error:
             log.warning("Refused a message from %s: %s.", request.remote, error)
             return web.Response(status=error.http_status)
         except GalenascaleError as error:
             return self._failure(request, error)
-        except asyncio.CancelledError:
-            raise
         except Exception as error:
             log.exception("Method %s failed.", request.match_info["method"])
             return self._failure(
                 request, GalenascaleError(repr(error), execution="may_have_run")
             )
-        return self._respond(request, status, answer)
+        return self._respond(request, 200, answer)
 
     async def _call(self, request, body):
         name = request.match_info["method"]
