--- a/bench/gossip.py
+++ b/bench/gossip.py
@@ -47,6 +47,8 @@
     exchanges: int = 0
     messages: int = 0
     bytes: int = 0
+    # Bytes of each host, sent and received, with HTTP_BYTES for a call.
+    by_host: dict = attrs.field(factory=dict)
 
 
 class Node:
@@ -98,7 +100,10 @@
         self.cost.messages += 1
         self.cost.bytes += len(data)
         for node in nodes:
-            node.pace.spent(len(data) + HTTP_BYTES / 2)
+            size = len(data) + HTTP_BYTES / 2
+            node.pace.spent(size)
+            host_id = node.membership.own.host_id
+            self.cost.by_host[host_id] = self.cost.by_host.get(host_id, 0) + size
         return codec.decode(GossipMessage, data)
 
     def _exchange(self, node, peer):
@@ -248,6 +253,7 @@
         "http_bytes_per_call": round(call_http_bytes, 1),
         "bytes_per_host_round": round(wire_bytes * SETTINGS.gossip_s, 1),
         "bytes_per_host_s": round(wire_bytes),
+        "most_bytes_of_a_host_s": round(max(cost.by_host.values()) / seconds),
         "core_cpu_ms_per_host_round": round(1000 * cpu_s / hosts / rounds, 4),
         "call_cpu_ms": round(1000 * call_cpu_s, 4),
         "cpu_percent_of_core": round(100 * cpu, 3),
--- a/galenascale/membership.py
+++ b/galenascale/membership.py
@@ -10,41 +10,18 @@
 deployment chooses among all hosts and 25 domains of 38 hosts among 75.
 """
 
-import math
-
 import attrs
 
-from galenascale.hashing import rendezvous_owner, rendezvous_rank
+from galenascale.hashing import rendezvous_owner
 from galenascale.host_entries import HostEntry, fingerprint, order
+from galenascale.live_view import make_view
 from galenascale.server_view import ServerView
 
-REPRESENTATIVES = 3
-
-# Foreign hosts named in one message; larger fleets take turns over messages,
-# and silence of a foreign host counts as death only after as many times
-# `dead_after_s` as there are turns.
-FOREIGN_SLICE = 24
-
-# Local hosts whose heartbeats all arrive within `dead_after_s`; news spreads
-# in a time proportional to the logarithm of the number of hosts.
-LOCAL_HOSTS_IN_TIME = 9
-
 # A dead host is remembered for this many times `dead_after_s`, so that late
 # words about it are recognised as old.
 FORGET_FACTOR = 30
 
 
-@attrs.frozen
-class LiveView:
-    """Live hosts at one time; valid until a host could have fallen silent."""
-
-    until: float
-    by_id: dict
-    by_domain: dict
-    representatives_by_domain: dict
-    owners: dict = attrs.field(factory=dict)
-
-
 @attrs.frozen
 class ListedHost:
     """One entry of the host list."""
@@ -185,38 +162,11 @@
     def view(self, now):
         """Return the LiveView at `now`."""
         if self._view is None or now >= self._view.until:
-            self._view = self._make_view(now)
+            self._view = make_view(
+                now, self.own, self._entries_by_id, self.dead_after_s
+            )
         return self._view
 
-    def _make_view(self, now):
-        own_domain = self.own.failure_domain
-        foreign = sum(
-            entry.info.failure_domain != own_domain
-            for entry in self._entries_by_id.values()
-        )
-        local = max(len(self._entries_by_id) - foreign, 1)
-        local_after = self.dead_after_s * max(
-            1.0, math.log(local) / math.log(LOCAL_HOSTS_IN_TIME)
-        )
-        foreign_after = local_after * (1 + max(foreign - 1, 0) // FOREIGN_SLICE)
-        by_id = {self.own.host_id: self.own}
-        until = math.inf
-        for host_id, entry in self._entries_by_id.items():
-            near = entry.info.failure_domain == own_domain
-            silent_at = entry.heard_at + (local_after if near else foreign_after)
-            if now < silent_at and not entry.failed:
-                by_id[host_id] = entry.info
-                until = min(until, silent_at)
-        by_domain = {}
-        for host_id in sorted(by_id):
-            info = by_id[host_id]
-            by_domain.setdefault(info.failure_domain, []).append(info)
-        representatives = {
-            domain: _representatives(domain, infos)
-            for domain, infos in by_domain.items()
-        }
-        return LiveView(until, by_id, by_domain, representatives)
-
     def live_hosts(self, now, domain=None):
         """
         Return HostInfos of live hosts, leaving ones too, ordered by id.
@@ -338,8 +288,3 @@
         """Return the HostInfo of a host, dead or live, or None."""
         entry = self._entries_by_id.get(host_id)
         return entry.info if entry is not None else None
-
-
-def _representatives(domain, infos):
-    ids = [info.host_id for info in infos if info.state == "live"]
-    return rendezvous_rank(domain, ids)[:REPRESENTATIVES]
--- a/galenascale/peers/exchange.py
+++ b/galenascale/peers/exchange.py
@@ -9,7 +9,7 @@
 import attrs
 
 from galenascale.generated.messages import GossipMessage
-from galenascale.membership import FOREIGN_SLICE
+from galenascale.live_view import FOREIGN_SLICE
 
 MAX_WANTED = 64
 MAX_HOSTS = 64
