--- a/galenascale/live_view.py
+++ b/galenascale/live_view.py
@@ -6,7 +6,8 @@
 
 from galenascale.hashing import rendezvous_rank
 
-REPRESENTATIVES = 3
+# Today's failure domains have 3 or 4 hosts, so all of them are passed on.
+REPRESENTATIVES = 4
 
 # Foreign hosts named in one message; larger fleets take turns over messages,
 # and silence of a foreign host counts as death only after as many times
--- a/galenascale/membership.py
+++ b/galenascale/membership.py
@@ -7,7 +7,7 @@
 Detail is kept for all hosts of the own failure domain. Of another domain
 only its representatives are passed on: the few hosts that rank first for the
 domain's name. Owners of shards are chosen among representatives, so a small
-deployment chooses among all hosts and 25 domains of 38 hosts among 75.
+deployment chooses among all hosts and 25 domains of 38 hosts among 100.
 """
 
 import attrs
--- a/test/test_membership.py
+++ b/test/test_membership.py
@@ -186,6 +186,8 @@
         item = attrs.evolve(LISTED, state=listed_state, incarnation=incarnation)
         view.see_host_list(1.0, [item])
     assert view.live_hosts(1.0, "a")[1].state == state
+    view.see_host(1.1, HostInfo("p", "now", "a", heartbeat=2))
+    assert view.live_hosts(1.1, "a")[1].state == state
 
 
 def test_lowest_read_version_counts_hosts_that_are_not_passed_on():
@@ -195,12 +197,33 @@
     for host in domains:
         fleet.membership(host).update_own(reads_version=3)
     fleet.rounds(8)
+    # Without seeds b1 loses sight of the hosts that are not passed on.
+    fleet.membership("b1")._seed_peers.clear()
+    fleet.rounds(60)
     representatives = fleet.membership("a0").view(fleet.now).representatives_by_domain
     hidden = next(host for host in sorted(domains) if host not in representatives["a"])
-    assert fleet.membership("b1").min_reads_version(fleet.now) == 3
+    view = fleet.membership("b1")
+    assert hidden not in [info.host_id for info in view.live_hosts(fleet.now)]
+    assert view.min_reads_version(fleet.now) == 3
     fleet.membership(hidden).update_own(reads_version=2)
     fleet.rounds(8)
-    assert fleet.membership("b1").min_reads_version(fleet.now) == 2
+    assert view.min_reads_version(fleet.now) == 2
+
+
+def test_one_exchange_tells_both_sides_and_refuses_the_past():
+    """Guards answers to unknown fingerprints and the order of processes."""
+    fleet = Fleet(HOSTS)
+    past = attrs.evolve(fleet.membership("a3").own, heartbeat=99)
+    fleet.start("a3")
+    fleet.exchange("a2", "a3")
+    fleet.exchange("a1", "b1")
+    fleet.exchange("a1", "a2")
+    for host, other in (("a1", "a3"), ("a2", "b1")):
+        view = fleet.membership(host)
+        assert view.known_info(other).host_id == other
+        view.see_host(fleet.now, past)
+        if other == "a3":
+            assert view.known_info("a3").incarnation == "i6"
 
 
 def test_words_about_a_former_process_do_not_bind_a_returned_server():
