--- a/test/peers/test_gossip.py
+++ b/test/peers/test_gossip.py
@@ -6,6 +6,8 @@
 
 import pytest
 
+from galenascale.errors import UserError
+from galenascale.generated.messages import GossipMessage, HostInfo
 from galenascale.peers.exchange import Pace
 from test.peers.nodes import start_nodes
 
@@ -98,3 +100,13 @@
             spent += 4000
     assert 0.9 * 16000 * 100 < spent < 1.05 * 16000 * 100
     assert math.isclose(pace.exchange_bytes, 4000, rel_tol=0.01)
+
+
+async def test_gossip_in_the_name_of_another_host_is_refused():
+    """Guards against a host that speaks for another one."""
+    async with contextlib.AsyncExitStack() as stack:
+        nodes = await start_nodes(stack, NAMES[:2])
+        message = GossipMessage(sender=HostInfo("h3", "i", "a", heartbeat=1))
+        with pytest.raises(UserError, match="another sender"):
+            await nodes["h1"].peers.call("h2", "gossip", message, GossipMessage, 5.0)
+        assert live(nodes["h2"]) == ["h2"]
--- a/test/test_membership.py
+++ b/test/test_membership.py
@@ -237,3 +237,12 @@
     assert view.is_usable(20.0, "x")
     view.told_leaving(30.0, "x", 1.0)
     assert not view.is_usable(30.0 + TELL_LEAVING_S, "x")
+
+
+def test_silent_host_returns_by_a_relayed_heartbeat():
+    """Guards against a view that is kept although a host came back."""
+    view = Membership(HostInfo(host_id="o", failure_domain="a"))
+    view.see_host(0.0, HostInfo("p", "i", "a", heartbeat=1))
+    assert [info.host_id for info in view.live_hosts(10.0)] == ["o"]
+    assert view.see_heartbeats(10.0, [view.key_of("p"), 5], [2, 1]) == [5]
+    assert [info.host_id for info in view.live_hosts(10.0)] == ["o", "p"]
