--- /dev/null
+++ b/galenascale/commands/apply.py
@@ -0,0 +1,82 @@
+"""`galenascale apply`: publish the declarations of a directory."""
+
+import getpass
+import sys
+import uuid
+
+import orjson
+
+from galenascale import operator_client
+from galenascale.commands.plan import OperatorKey, compare, print_difference
+from galenascale.errors import AppendUnknown
+
+EXIT_CONFLICT = 1
+EXIT_UNKNOWN = 3
+
+
+def apply(
+    directory: str,
+    *,
+    host: str,
+    operator_key: OperatorKey,
+    base: int | None = None,
+    message: str = "",
+):
+    """
+    Publish declarations; exit with 1 on a conflict, 3 if it is not known.
+
+    Parameters
+    ----------
+    directory
+        Directory of JSON files with declarations.
+    host
+        URL of an entry host.
+    operator_key
+        Key of an operator.
+    base
+        Refuse the change unless exactly this version is in force.
+    message
+        Reason of the change, kept in the log.
+    """
+    version, found = compare(directory, host, operator_key)
+    print_difference(version, found)
+    if base is not None and base != version:
+        print(f"conflict: version {version} is in force, not {base}", file=sys.stderr)
+        raise SystemExit(EXIT_CONFLICT)
+    if not found.entries:
+        return
+    body = {
+        "base_version": version,
+        "entries": [_to_json(item) for item in found.entries],
+        "author": _author(),
+        "message": message,
+        "change_id": uuid.uuid4().hex,
+        "strict": base is not None,
+    }
+    try:
+        status, answer = operator_client.post_change(host, operator_key, body)
+    except AppendUnknown as error:
+        print(f"unknown: change {body['change_id']}: {error.message}", file=sys.stderr)
+        raise SystemExit(EXIT_UNKNOWN) from error
+    if status == operator_client.CONFLICT_STATUS:
+        names = ", ".join(answer["changed"]) or "the version"
+        print(f"conflict: changed meanwhile: {names}", file=sys.stderr)
+        raise SystemExit(EXIT_CONFLICT)
+    print(f"accepted as version {answer['version']}")
+
+
+def _to_json(entry):
+    declaration = None if entry.deleted else orjson.loads(entry.json)
+    return {
+        "kind": entry.kind,
+        "name": entry.name,
+        "declaration": declaration,
+        "deleted": entry.deleted,
+    }
+
+
+def _author():
+    try:
+        return getpass.getuser()
+    except (KeyError, OSError):
+        return ""
--- /dev/null
+++ b/galenascale/commands/check.py
@@ -0,0 +1,29 @@
+"""`galenascale check`: validate settings or declarations."""
+
+from pathlib import Path
+
+from galenascale import declarations
+from galenascale.settings import load_settings, read_json
+
+
+def check(path: str):
+    """
+    Validate a settings file, a declaration file or a directory of them.
+
+    Parameters
+    ----------
+    path
+        File or directory. References are checked only in a directory, as one
+        file need not hold all declarations.
+    """
+    if Path(path).is_dir():
+        found = declarations.read_directory(path)
+        print(f"{path}: {len(found)} declarations are valid")
+        return
+    value = read_json(path)
+    if isinstance(value, dict) and "kind" not in value:
+        load_settings(path)
+        print(f"{path}: settings are valid")
+        return
+    found = declarations.read_file(path)
+    print(f"{path}: {len(found)} declarations are valid")
--- /dev/null
+++ b/galenascale/commands/plan.py
@@ -0,0 +1,56 @@
+"""`galenascale plan`: show how declarations differ from what is in force."""
+
+from typing import Annotated
+
+import cyclopts
+import orjson
+
+from galenascale import declarations, operator_client
+
+OperatorKey = Annotated[str, cyclopts.Parameter(env_var="GALENASCALE_OPERATOR_KEY")]
+
+
+def plan(directory: str, *, host: str, operator_key: OperatorKey):
+    """
+    Show what `apply` would change.
+
+    Parameters
+    ----------
+    directory
+        Directory of JSON files with declarations.
+    host
+        URL of an entry host.
+    operator_key
+        Key of an operator.
+    """
+    version, found = compare(directory, host, operator_key)
+    print_difference(version, found)
+
+
+def compare(directory, host, operator_key):
+    """Return the version in force and the Difference of a directory."""
+    wanted = declarations.read_directory(directory)
+    _, answer = operator_client.call(host, operator_key, "/operator/v1/config")
+    json_by_key = {
+        (item["kind"], item["name"]): item["json"] for item in answer["entries"]
+    }
+    return answer["version"], declarations.difference(wanted, json_by_key)
+
+
+def print_difference(version, found):
+    """Print the version and one line for each entry and changed field."""
+    print(f"version in force: {version}")
+    for kind, name in found.added:
+        print(f"+ {kind}/{name}")
+    for (kind, name), fields in found.changed:
+        print(f"~ {kind}/{name}")
+        for item in fields:
+            print(f"    {item.field}: {_show(item.old)} -> {_show(item.new)}")
+    for kind, name in found.deleted:
+        print(f"- {kind}/{name}")
+    if not found.entries:
+        print("no difference")
+
+
+def _show(value):
+    return orjson.dumps(value).decode()
--- /dev/null
+++ b/galenascale/commands/status.py
@@ -0,0 +1,47 @@
+"""`galenascale status`: what one host sees of the deployment."""
+
+import orjson
+
+from galenascale import operator_client
+from galenascale.commands.plan import OperatorKey
+
+
+def status(*, host: str, operator_key: OperatorKey, json: bool = False):
+    """
+    Print hosts, configuration and backend servers as one host sees them.
+
+    Parameters
+    ----------
+    host
+        URL of an entry host.
+    operator_key
+        Key of an operator.
+    json
+        Print the answer as JSON.
+    """
+    _, answer = operator_client.call(host, operator_key, "/operator/v1/status")
+    if json:
+        print(orjson.dumps(answer, option=orjson.OPT_INDENT_2).decode())
+        return
+    print(f"seen by {answer['host_id']} in {answer['failure_domain']}")
+    print(_table([answer["config"]]))
+    for name in ("hosts", "servers"):
+        print(f"\n{name}")
+        print(_table(answer[name]) if answer[name] else "none known")
+
+
+def _table(rows):
+    """Return rows of equal keys as aligned columns."""
+    names = list(dict.fromkeys(name for row in rows for name in row))
+    lines = [names] + [[_cell(row.get(name)) for name in names] for row in rows]
+    widths = [max(len(line[at]) for line in lines) for at in range(len(names))]
+    return "\n".join(
+        "  ".join(cell.ljust(width) for cell, width in zip(line, widths, strict=True))
+        for line in lines
+    )
+
+
+def _cell(value):
+    if value is None:
+        return "-"
+    return f"{value:.1f}" if isinstance(value, float) else str(value)
--- a/galenascale/config_follower.py
+++ b/galenascale/config_follower.py
@@ -1,104 +1,298 @@
-"""Follows the `config` stream and publishes changes to it."""
+"""Follows the `config` stream and exchanges the configuration with peers."""
 
 import asyncio
-import contextlib
-import uuid
+import math
 
-from galenascale import codec, config_state
+from galenascale import config_snapshots, config_state
+from galenascale.config_keeper import SLOW_POLL_FACTOR, ConfigPeers, SnapshotSchedule
+from galenascale.config_publisher import publish
 from galenascale.configuration import Configuration
-from galenascale.errors import AppendUnknown, GalenascaleError, LogUnavailable
-from galenascale.generated.messages import ConfigChange, LogBatch, LogRecord, RecordKind
+from galenascale.errors import DecodeError, GalenascaleError, LogUnavailable
+from galenascale.generated.messages import (
+    ConfigFetchReply,
+    ConfigFetchRequest,
+    LogSettings,
+)
 from galenascale.logs import get_logger
+from galenascale.record_versions import ENCODERS_BY_VERSION
 
 log = get_logger("config")
 
 STREAM = "config"
+# Age in a reply that says nothing about the requester's version.
+NO_AGE = -1.0
 
 
 class ConfigFollower:
-    """Configuration in force on this host."""
+    """
+    Configuration in force on this host.
 
-    def __init__(self, log_client, clock, poll_s=0.25):
-        self._log_client = log_client
-        self._clock = clock
-        self._poll_s = poll_s
-        self._state = config_state.ConfigState()
-        self._subscribers = []
+    The state is always the fold of a prefix of the log, read here or taken
+    from a peer, and only ever replaced by that of a longer prefix.
+    """
+
+    def __init__(
+        self,
+        log_client,
+        clock,
+        poll_s=0.25,
+        *,
+        peers=None,
+        settings=None,
+        change_types=config_state.CHANGE_TYPES_BY_VERSION,
+        encoders_by_version=ENCODERS_BY_VERSION,
+    ):
+        self.log_client = log_client
+        self.clock = clock
+        self.poll_s = poll_s
+        self.peers = peers or ConfigPeers()
+        self.encoders_by_version = encoders_by_version
+        self.state = config_state.ConfigState()
         self.current = Configuration()
         self.read_at = None
+        # True while records are missing between the state and the log.
+        self.has_gap = False
+        self._settings = settings or LogSettings()
+        self._change_types = change_types
+        self._ready = False
+        self._subscribers = []
+        self._versions_by_peer = {}
+        self._newer_known = asyncio.Event()
+        self._reading = asyncio.Lock()
+        self._log_first_offset = 0
+        self._schedule = SnapshotSchedule(
+            self._settings.snapshot_records, self._settings.retention_records
+        )
 
     def subscribe(self, callback):
         """Call back with the current Configuration and each later one."""
         self._subscribers.append(callback)
         callback(self.current)
 
+    def is_ready(self):
+        """Tell whether a configuration came from the log or a ready peer."""
+        return self._ready and self.current.version >= 0
+
     def age_s(self):
-        """Return seconds since the stream was read to its end, or None."""
+        """Return seconds since this version was known as newest, or None."""
         if self.read_at is None:
             return None
-        return self._clock.monotonic() - self.read_at
+        return max(0.0, self.clock.monotonic() - self.read_at)
 
     async def run(self):
-        """Poll the stream until cancelled."""
+        """Poll the stream and follow notices of peers until cancelled."""
+        await asyncio.gather(self._poll(), self._follow_notices())
+
+    async def _poll(self):
         while True:
-            try:
-                await self.refresh()
-            except LogUnavailable as error:
-                log.warning("Cannot read the configuration: %s.", error)
-            await self._clock.sleep(self._poll_s)
+            await self._guard(self.refresh())
+            await self._guard(self.keep_snapshots())
+            fast = self.peers.polls_fast() and not self.has_gap
+            factor = 1 if fast else SLOW_POLL_FACTOR
+            await self.clock.sleep(self.poll_s * factor)
+
+    async def _follow_notices(self):
+        while True:
+            await self._newer_known.wait()
+            self._newer_known.clear()
+            await self._guard(self.catch_up())
+
+    async def _guard(self, step):
+        try:
+            await step
+        except GalenascaleError as error:
+            log.warning("Cannot follow the configuration: %s.", error)
+        except Exception:
+            log.exception("Following the configuration failed.")
 
     async def refresh(self):
-        """Apply all records up to the end of the stream."""
+        """
+        Apply all records up to the end of the stream.
+
+        Return False if the log no longer holds the next record and no whole
+        snapshot either. Raise LogUnavailable if the end cannot be reached.
+        """
+        async with self._reading:
+            try:
+                while True:
+                    started = self.clock.monotonic()
+                    requested = self.state.through_offset + 1
+                    result = await self.log_client.read(STREAM, requested)
+                    if result.first_offset > self.state.through_offset + 1:
+                        self.has_gap = not await self._restore(result.first_offset)
+                        if self.has_gap:
+                            return False
+                        continue
+                    if self._apply_result(requested, result):
+                        break
+                self.has_gap = False
+                self._ready = True
+                self._known_current_at(started)
+                return True
+            finally:
+                if self._ready:
+                    self._install()
+
+    def _apply_result(self, requested, result):
+        """Apply what was read; return True when the end is reached."""
+        self._log_first_offset = result.first_offset
+        if result.next_offset < requested:
+            raise LogUnavailable("log ends before the applied records", step="read")
+        before = self.state.through_offset
+        for offset, body in result.records:
+            if offset <= self.state.through_offset:
+                continue
+            if offset != self.state.through_offset + 1:
+                raise LogUnavailable("log left out a record", step="read")
+            config_state.apply_body(self.state, offset, body, self._change_types)
+            self._schedule.note(offset, body)
+        if self.state.through_offset + 1 >= result.next_offset:
+            return True
+        if self.state.through_offset == before and requested == before + 1:
+            raise LogUnavailable("log has no record before its end", step="read")
+        return False
+
+    async def _restore(self, first_offset):
+        """Take the newest whole snapshot in the log that leaves no gap."""
+        assembler = config_snapshots.Assembler()
+        offset = first_offset
         while True:
-            offset = self._state.through_offset + 1
-            result = await self._log_client.read(STREAM, offset)
+            result = await self.log_client.read(STREAM, offset)
             for position, body in result.records:
-                self._apply_body(position, body)
-            if not result.records or result.records[-1][0] + 1 >= result.next_offset:
+                for part in config_snapshots.parts_of(body)[0]:
+                    assembler.add(position, part)
+                offset = position + 1
+            if not result.records or offset >= result.next_offset:
                 break
-        self.read_at = self._clock.monotonic()
-        if self._state.version != self.current.version:
-            self.current = Configuration.from_state(self._state)
-            log.info("Installed version %d.", self.current.version)
-            for callback in self._subscribers:
+        if self.state.through_offset + 1 >= result.first_offset:
+            return True  # A peer's state closed the gap meanwhile.
+        found = assembler.complete
+        if (
+            found is None
+            or found.state.through_offset + 1 < result.first_offset
+            or not self._replace(found.state)
+        ):
+            log.warning("The log starts at %d and has no snapshot.", first_offset)
+            return False
+        self._schedule.note_complete(found)
+        log.info("Restored a snapshot through %d.", found.state.through_offset)
+        return True
+
+    def _replace(self, state):
+        """Take the state of a longer prefix; refuse any other."""
+        mine = self.state
+        if state.through_offset <= mine.through_offset or state.version < mine.version:
+            return False
+        keys = mine.entries_by_key.keys() | state.entries_by_key.keys()
+        state.touched = mine.touched | {
+            key
+            for key in keys
+            if mine.entries_by_key.get(key) != state.entries_by_key.get(key)
+        }
+        self.state = state
+        return True
+
+    def _install(self):
+        if self.state.version <= self.current.version:
+            return
+        self.current = self.current.updated(self.state, self.state.touched)
+        self.state.touched = set()
+        log.info("Installed version %d.", self.current.version)
+        for callback in self._subscribers:
+            try:
                 callback(self.current)
+            except Exception:
+                log.exception("A subscriber failed on version %d.", self.state.version)
 
-    def _apply_body(self, offset, body):
-        batch = codec.decode(LogBatch, body)
-        for index, record in enumerate(batch.records):
-            config_state.apply_record(self._state, offset, index, record)
-        self._state.through_offset = offset
+    def _known_current_at(self, monotonic_s):
+        if self.read_at is None or monotonic_s > self.read_at:
+            self.read_at = monotonic_s
 
-    async def publish(self, entries, base_version, author="", timeout_s=10.0):
+    def handle_fetch(self, request):
+        """Answer a peer's ConfigFetchRequest with a ConfigFetchReply."""
+        if not self.is_ready():
+            return ConfigFetchReply(unchanged=True, age_s=NO_AGE)
+        age_s = self.age_s()
+        age_s = NO_AGE if age_s is None else age_s
+        if request.have_version == self.state.version:
+            return ConfigFetchReply(unchanged=True, age_s=age_s)
+        if request.have_version > self.state.version:
+            self._newer_known.set()
+            return ConfigFetchReply(unchanged=True, age_s=NO_AGE)
+        snapshot = config_state.to_snapshot(self.state)
+        return ConfigFetchReply(snapshot=snapshot, age_s=age_s)
+
+    def learn(self, snapshot, age_s=NO_AGE):
         """
-        Append a change and return its verdict once it is seen in the log.
+        Take a ready peer's ConfigSnapshot if it covers more of the log.
 
-        The append is repeated with the same change id while its outcome is
-        unknown. Raise AppendUnknown if it is still unknown at the timeout.
+        `age_s` is the peer's age. Return True if the snapshot was taken.
         """
-        change = ConfigChange(
-            change_id=uuid.uuid4().hex,
-            base_version=base_version,
-            entries=entries,
-            author=author,
-            created_ms=self._clock.wall_ms(),
-        )
-        record = LogRecord(
-            change.change_id, RecordKind.CONFIG_CHANGE, 1, codec.encode(change)
-        )
-        body = codec.encode(LogBatch(records=[record]))
-        deadline = self._clock.monotonic() + timeout_s
-        while self._clock.monotonic() < deadline:
-            try:
-                await self._log_client.append(STREAM, body)
-            except GalenascaleError as error:
-                log.warning("Append of a change failed: %s.", error)
-            with contextlib.suppress(LogUnavailable):
-                await self.refresh()
-            verdict = self._state.verdicts_by_change.get(change.change_id)
-            if verdict is not None:
-                return verdict
-            await asyncio.sleep(self._poll_s)
-        raise AppendUnknown(
-            f"change {change.change_id} has no known outcome", step="publish"
-        )
+        try:
+            state = config_state.from_snapshot(snapshot)
+        except DecodeError as error:
+            log.warning("Refused a snapshot of a peer: %s.", error)
+            return False
+        taken = self._replace(state)
+        if taken or state.through_offset == self.state.through_offset:
+            self._ready = True
+            self._learn_age(age_s)
+        if self._ready:
+            self._install()
+        return taken
+
+    def _learn_age(self, age_s):
+        if math.isfinite(age_s) and age_s >= 0:
+            self._known_current_at(self.clock.monotonic() - age_s)
+
+    def notice(self, host_id, config_version, age_s=NO_AGE):
+        """Take the version and age that a peer's gossip carries."""
+        if config_version > self.state.version or (
+            self.has_gap and config_version >= 0
+        ):
+            self._versions_by_peer[host_id] = config_version
+            self._newer_known.set()
+            return
+        self._versions_by_peer.pop(host_id, None)
+        if config_version == self.state.version and self._ready and not self.has_gap:
+            self._learn_age(age_s)
+
+    async def catch_up(self):
+        """Fetch from peers with a newer version, or else read the log."""
+        known, self._versions_by_peer = self._versions_by_peer, {}
+        for host_id in sorted(known, key=known.get, reverse=True):
+            if known[host_id] <= self.state.version and not self.has_gap:
+                return
+            if await self._fetch(host_id):
+                return
+        await self.refresh()
+
+    async def _fetch(self, host_id):
+        have = -1 if self.has_gap else self.state.version
+        try:
+            reply = await self.peers.fetch_from_peer(host_id, ConfigFetchRequest(have))
+        except GalenascaleError as error:
+            log.warning("Cannot fetch the configuration: %s.", error)
+            return False
+        if reply.unchanged or reply.snapshot is None:
+            return False
+        return self.learn(reply.snapshot, reply.age_s)
+
+    async def keep_snapshots(self):
+        """Append a snapshot if one is due and this host is to write it."""
+        if (
+            self.has_gap
+            or self.state.version < 0
+            or not self._ready
+            or not self.peers.writes_snapshots()
+            or not self._schedule.due(self._log_first_offset)
+        ):
+            return
+        bodies = config_snapshots.split(self.state, self._settings.max_append_bytes)
+        for body in bodies:
+            await self.log_client.append(STREAM, body)
+        log.info("Wrote a snapshot in %d parts.", len(bodies))
+
+    async def publish(self, entries, base_version, author="", timeout_s=10.0, **more):
+        """Publish a change; see `config_publisher.publish`."""
+        return await publish(self, entries, base_version, author, timeout_s, **more)
--- a/galenascale/configuration.py
+++ b/galenascale/configuration.py
@@ -33,19 +33,40 @@
     @classmethod
     def from_state(cls, state):
         """Return the typed view of the readable part of a ConfigState."""
-        by_kind = {kind: {} for kind in DECLARATION_TYPES}
-        for (kind, name), item in state.entries_by_key.items():
-            if item.entry.deleted or kind not in DECLARATION_TYPES:
+        return cls().updated(state, state.entries_by_key)
+
+    def updated(self, state, keys):
+        """Return the view after the entries with these keys have changed."""
+        views = {
+            "service": self.services_by_name,
+            "model": self.models_by_name,
+            "tenant": self.tenants_by_id,
+            "backend_server": self.servers_by_id,
+        }
+        copied = set()
+        for kind, name in keys:
+            if kind not in views:
                 continue
-            try:
-                data = orjson.loads(item.entry.json)
-                by_kind[kind][name] = LENIENT.structure(data, DECLARATION_TYPES[kind])
-            except Exception as error:
-                log.warning("Skipped declaration %s %s: %r.", kind, name, error)
-        return cls(
-            state.version,
-            by_kind["service"],
-            by_kind["model"],
-            by_kind["tenant"],
-            by_kind["backend_server"],
+            if kind not in copied:
+                views[kind] = dict(views[kind])
+                copied.add(kind)
+            declaration = _read(state.entries_by_key.get((kind, name)))
+            if declaration is None:
+                views[kind].pop(name, None)
+            else:
+                views[kind][name] = declaration
+        return Configuration(state.version, *views.values())
+
+
+def _read(item):
+    """Return the declaration of an entry, or None if it has none in force."""
+    if item is None or item.entry.deleted:
+        return None
+    entry = item.entry
+    try:
+        return LENIENT.structure(
+            orjson.loads(entry.json), DECLARATION_TYPES[entry.kind]
         )
+    except Exception as error:
+        log.warning("Skipped declaration %s %s: %r.", entry.kind, entry.name, error)
+        return None
--- a/galenascale/host.py
+++ b/galenascale/host.py
@@ -38,7 +38,12 @@
         log_client = LogClient(
             self.session, settings.platform_url, settings.log.request_timeout_s
         )
-        self.config = ConfigFollower(log_client, self.clock, settings.log.config_poll_s)
+        self.config = ConfigFollower(
+            log_client,
+            self.clock,
+            settings.log.config_poll_s,
+            settings=settings.log,
+        )
         self._run(self.config.run())
         runner = web.AppRunner(make_app(self))
         await runner.setup()
--- a/galenascale/http_api/app.py
+++ b/galenascale/http_api/app.py
@@ -5,6 +5,7 @@
 from aiohttp import web
 
 from galenascale.errors import GalenascaleError, Refused, UserError
+from galenascale.http_api.operator import operator_routes
 
 
 def make_app(host):
@@ -18,6 +19,7 @@
             web.post("/v1/chat/completions", _chat),
         ]
     )
+    app.add_routes(operator_routes(host))
     return app
 
 
--- a/schema/galenascale.thrift
+++ b/schema/galenascale.thrift
@@ -346,12 +346,32 @@
   2: i64 changed_version = -1,
 }
 
+/** How a recent change ended. */
+struct ConfigVerdictState {
+  1: string change_id = "",
+  2: string status = "",
+  3: i64 version = -1,
+  4: list<string> changed,
+}
+
+/** Raw body of a change with fields that its reader does not know. */
+struct ConfigRawChange {
+  1: i64 offset = -1,
+  2: binary body = "",
+}
+
 struct ConfigSnapshot {
   1: i64 version = -1,
   2: i64 through_offset = -1,
   3: list<ConfigEntryState> entries,
   4: list<KeptRecord> unknown_records,
   5: list<string> recent_change_ids,
+  6: list<ConfigVerdictState> recent_verdicts,
+  7: list<ConfigRawChange> raw_changes,
+  /** Newest version whose deletions are no longer all remembered. */
+  8: i64 pruned_version = -1,
+  9: i64 malformed_records = 0,
+  10: i64 dropped_unknown_records = 0,
 }
 
 // --- Declarations ----------------------------------------------------------
