--- a/galenascale/commands/apply.py
+++ b/galenascale/commands/apply.py
@@ -38,11 +38,16 @@
     message
         Reason of the change, kept in the log.
     """
-    version, found = compare(directory, host, operator_key)
+    current, found = compare(directory, host, operator_key)
+    version = current["version"]
     print_difference(version, found)
     if base is not None and base != version:
-        print(f"conflict: version {version} is in force, not {base}", file=sys.stderr)
-        raise SystemExit(EXIT_CONFLICT)
+        changed = [
+            f"{item['kind']}/{item['name']}"
+            for item in current["entries"]
+            if item["changed_version"] > base
+        ]
+        _conflict(f"version {version} is in force, not {base}", changed)
     if not found.entries:
         return
     body = {
@@ -59,12 +64,16 @@
         print(f"unknown: change {body['change_id']}: {error.message}", file=sys.stderr)
         raise SystemExit(EXIT_UNKNOWN) from error
     if status == operator_client.CONFLICT_STATUS:
-        names = ", ".join(answer["changed"]) or "the version"
-        print(f"conflict: changed meanwhile: {names}", file=sys.stderr)
-        raise SystemExit(EXIT_CONFLICT)
+        _conflict(f"version {answer['version']} is in force", answer["changed"])
     print(f"accepted as version {answer['version']}")
 
 
+def _conflict(reason, changed):
+    names = ", ".join(changed) or "deletions only"
+    print(f"conflict: {reason}; changed since: {names}", file=sys.stderr)
+    raise SystemExit(EXIT_CONFLICT)
+
+
 def _to_json(entry):
     declaration = None if entry.deleted else orjson.loads(entry.json)
     return {
--- a/galenascale/commands/plan.py
+++ b/galenascale/commands/plan.py
@@ -23,18 +23,18 @@
     operator_key
         Key of an operator.
     """
-    version, found = compare(directory, host, operator_key)
-    print_difference(version, found)
+    answer, found = compare(directory, host, operator_key)
+    print_difference(answer["version"], found)
 
 
 def compare(directory, host, operator_key):
-    """Return the version in force and the Difference of a directory."""
+    """Return the configuration in force and the Difference of a directory."""
     wanted = declarations.read_directory(directory)
     _, answer = operator_client.call(host, operator_key, "/operator/v1/config")
     json_by_key = {
         (item["kind"], item["name"]): item["json"] for item in answer["entries"]
     }
-    return answer["version"], declarations.difference(wanted, json_by_key)
+    return answer, declarations.difference(wanted, json_by_key)
 
 
 def print_difference(version, found):
--- a/galenascale/config_follower.py
+++ b/galenascale/config_follower.py
@@ -160,7 +160,7 @@
             result = await self.log_client.read(STREAM, offset)
             for position, body in result.records:
                 for part in config_snapshots.parts_of(body)[0]:
-                    assembler.add(position, part)
+                    assembler.add(part)
                 offset = position + 1
             if not result.records or offset >= result.next_offset:
                 break
@@ -169,13 +169,13 @@
         found = assembler.complete
         if (
             found is None
-            or found.state.through_offset + 1 < result.first_offset
-            or not self._replace(found.state)
+            or found.through_offset + 1 < result.first_offset
+            or not self._replace(found)
         ):
             log.warning("The log starts at %d and has no snapshot.", first_offset)
             return False
-        self._schedule.note_complete(found)
-        log.info("Restored a snapshot through %d.", found.state.through_offset)
+        self._schedule.note_complete(found.through_offset)
+        log.info("Restored a snapshot through %d.", found.through_offset)
         return True
 
     def _replace(self, state):
--- a/galenascale/config_keeper.py
+++ b/galenascale/config_keeper.py
@@ -57,31 +57,38 @@
         # A quarter leaves room for several failed attempts before the
         # previous snapshot is trimmed.
         limit = max(1, min(snapshot_records, retention_records // 4))
+        self._max_distance = max(1, retention_records // 2)
         self._assembler = Assembler()
         # Offsets of the newest appends that hold other records than parts.
         self._offsets = collections.deque(maxlen=limit)
         self._through = -1
-        self._first_offset = 0
+        self._last_offset = -1
 
     def note(self, offset, body):
         """Take notice of one append that was read."""
+        self._last_offset = offset
         parts, count = parts_of(body)
         if count > len(parts):
             self._offsets.append(offset)
         for part in parts:
-            if self._assembler.add(offset, part):
-                complete, self._assembler.complete = self._assembler.complete, None
-                self.note_complete(complete)
-
-    def note_complete(self, snapshot):
-        """Take notice of a CompleteSnapshot in the log."""
-        if snapshot.state.through_offset > self._through:
-            self._through = snapshot.state.through_offset
-            self._first_offset = snapshot.first_offset
-            while self._offsets and self._offsets[0] <= self._through:
-                self._offsets.popleft()
+            if self._assembler.add(part):
+                state, self._assembler.complete = self._assembler.complete, None
+                self.note_complete(state.through_offset)
+
+    def note_complete(self, through_offset):
+        """Take notice of a whole snapshot in the log."""
+        self._through = max(self._through, through_offset)
+        while self._offsets and self._offsets[0] <= self._through:
+            self._offsets.popleft()
 
     def due(self, log_first_offset):
-        """Tell whether a snapshot must be written now."""
-        full = len(self._offsets) == self._offsets.maxlen
-        return full or log_first_offset > self._first_offset
+        """
+        Tell whether a snapshot must be written now.
+
+        The last one is of no use once a record after it has been trimmed.
+        """
+        return (
+            len(self._offsets) == self._offsets.maxlen
+            or log_first_offset > self._through + 1
+            or self._last_offset - self._through > self._max_distance
+        )
--- a/galenascale/config_snapshots.py
+++ b/galenascale/config_snapshots.py
@@ -67,7 +67,6 @@
 
 @attrs.define
 class _Pending:
-    first_offset: int
     part_count: int
     contents_by_part: dict = attrs.field(factory=dict)
 
@@ -76,27 +75,19 @@
         return sum(len(item) for item in self.contents_by_part.values())
 
 
-@attrs.frozen
-class CompleteSnapshot:
-    """A checked state and the offset of the first of its parts."""
-
-    first_offset: int
-    state: config_state.ConfigState
-
-
 class Assembler:
-    """Puts parts together; `complete` is the newest whole snapshot."""
+    """Puts parts together; `complete` is the state of the newest snapshot."""
 
     def __init__(self):
         self.complete = None
         self._pending_by_id = {}
 
-    def add(self, offset, part):
+    def add(self, part):
         """Take one part; return True when it completes a valid snapshot."""
         if not 0 <= part.part < part.part_count <= MAX_PARTS:
             return False
         pending = self._pending_by_id.setdefault(
-            part.snapshot_id, _Pending(offset, part.part_count)
+            part.snapshot_id, _Pending(part.part_count)
         )
         if pending.part_count == part.part_count:
             pending.contents_by_part.setdefault(part.part, part.content)
@@ -116,9 +107,9 @@
         except DecodeError:
             return False
         newest = self.complete
-        if newest and newest.state.through_offset > state.through_offset:
+        if newest and newest.through_offset > state.through_offset:
             return False
-        self.complete = CompleteSnapshot(pending.first_offset, state)
+        self.complete = state
         return True
 
     def _limit(self):
--- a/galenascale/hashing.py
+++ b/galenascale/hashing.py
@@ -9,7 +9,10 @@
     """Return the node ids ordered by rendezvous weight, the owner first."""
     return sorted(
         node_ids,
-        key=lambda node_id: (xxhash.xxh3_64_intdigest(f"{key}\0{node_id}"), node_id),
+        key=lambda node_id: (
+            xxhash.xxh3_64_intdigest(f"{key}\0{node_id}".encode()),
+            node_id,
+        ),
         reverse=True,
     )
 
@@ -18,14 +21,17 @@
     """Return the node id with the highest weight, or None for no nodes."""
     return max(
         node_ids,
-        key=lambda node_id: (xxhash.xxh3_64_intdigest(f"{key}\0{node_id}"), node_id),
+        key=lambda node_id: (
+            xxhash.xxh3_64_intdigest(f"{key}\0{node_id}".encode()),
+            node_id,
+        ),
         default=None,
     )
 
 
 def shard_of(key, shards):
     """Return the shard number of a key, from 0 to shards - 1."""
-    return xxhash.xxh3_64_intdigest(key) % shards
+    return xxhash.xxh3_64_intdigest(key.encode()) % shards
 
 
 def content_digest(*parts):
