--- a/galenascale/config_publisher.py
+++ b/galenascale/config_publisher.py
@@ -115,7 +115,7 @@
         await _refresh(follower)
         state = follower.state
         if attempt_id not in state.verdicts_by_change:
-            if attempt:
+            if state.version > base_version and not strict:
                 changed = changed_since(state, base_version, keys)
                 if changed:
                     return ChangeVerdict(
