--- a/galenascale/config_follower.py
+++ b/galenascale/config_follower.py
@@ -6,6 +6,8 @@
 from galenascale import config_snapshots, config_state
 from galenascale.config_keeper import SLOW_POLL_FACTOR, ConfigPeers, SnapshotSchedule
 from galenascale.config_publisher import publish
+from galenascale.config_restore import find_snapshot
+from galenascale.config_state import ChangeStatus
 from galenascale.configuration import Configuration
 from galenascale.errors import DecodeError, GalenascaleError, LogUnavailable
 from galenascale.generated.messages import (
@@ -23,6 +25,15 @@
 NO_AGE = -1.0
 
 
+# Verdicts on records that are not acted on, snapshot parts aside.
+REPORTED = (ChangeStatus.UNKNOWN_KIND, ChangeStatus.MALFORMED)
+
+
+def _report(offset, verdict):
+    if verdict.status in REPORTED:
+        log.warning("Record at %d is not acted on: %s.", offset, verdict.status)
+
+
 class ConfigFollower:
     """
     Configuration in force on this host.
@@ -144,7 +155,10 @@
                 continue
             if offset != self.state.through_offset + 1:
                 raise LogUnavailable("log left out a record", step="read")
-            config_state.apply_body(self.state, offset, body, self._change_types)
+            for verdict in config_state.apply_body(
+                self.state, offset, body, self._change_types
+            ):
+                _report(offset, verdict)
             self._schedule.note(offset, body)
         if self.state.through_offset + 1 >= result.next_offset:
             return True
@@ -154,34 +168,32 @@
 
     async def _restore(self, first_offset):
         """Take the newest whole snapshot in the log that leaves no gap."""
-        assembler = config_snapshots.Assembler()
-        offset = first_offset
-        while True:
-            result = await self.log_client.read(STREAM, offset)
-            for position, body in result.records:
-                for part in config_snapshots.parts_of(body)[0]:
-                    assembler.add(part)
-                offset = position + 1
-            if not result.records or offset >= result.next_offset:
-                break
-        if self.state.through_offset + 1 >= result.first_offset:
+        found, first_offset = await find_snapshot(
+            self.log_client, STREAM, first_offset, self._change_types
+        )
+        if self.state.through_offset + 1 >= first_offset:
             return True  # A peer's state closed the gap meanwhile.
-        found = assembler.complete
-        if (
-            found is None
-            or found.through_offset + 1 < result.first_offset
-            or not self._replace(found)
-        ):
+        if found is None or found.through_offset + 1 < first_offset:
             log.warning("The log starts at %d and has no snapshot.", first_offset)
             return False
+        if not self._replace(found):
+            log.warning(
+                "The log's snapshot is older than version %d.", self.state.version
+            )
+            return False
         self._schedule.note_complete(found.through_offset)
         log.info("Restored a snapshot through %d.", found.through_offset)
         return True
 
     def _replace(self, state):
-        """Take the state of a longer prefix; refuse any other."""
+        """
+        Take a newer state; refuse any other.
+
+        A newer version can come with a lower offset only from a release that
+        reads more records; the log is then read again from there.
+        """
         mine = self.state
-        if state.through_offset <= mine.through_offset or state.version < mine.version:
+        if (state.version, state.through_offset) <= (mine.version, mine.through_offset):
             return False
         keys = mine.entries_by_key.keys() | state.entries_by_key.keys()
         state.touched = mine.touched | {
@@ -260,7 +272,8 @@
     async def catch_up(self):
         """Fetch from peers with a newer version, or else read the log."""
         known, self._versions_by_peer = self._versions_by_peer, {}
-        for host_id in sorted(known, key=known.get, reverse=True):
+        ranked = sorted(known, key=known.get, reverse=True)
+        for host_id in ranked if self.peers.fetch_from_peer else ():
             if known[host_id] <= self.state.version and not self.has_gap:
                 return
             if await self._fetch(host_id):
@@ -271,8 +284,9 @@
         have = -1 if self.has_gap else self.state.version
         try:
             reply = await self.peers.fetch_from_peer(host_id, ConfigFetchRequest(have))
-        except GalenascaleError as error:
-            log.warning("Cannot fetch the configuration: %s.", error)
+        except Exception as error:
+            # Any fault of one peer must not keep the others from being asked.
+            log.warning("Cannot fetch from %s: %r.", host_id, error)
             return False
         if reply.unchanged or reply.snapshot is None:
             return False
--- a/galenascale/config_snapshots.py
+++ b/galenascale/config_snapshots.py
@@ -76,10 +76,20 @@
 
 
 class Assembler:
-    """Puts parts together; `complete` is the state of the newest snapshot."""
+    """
+    Puts parts together; `complete` is the state of the best snapshot.
 
-    def __init__(self):
+    Snapshots through an offset below `min_through` are left out. One written
+    by an older release that did not act on every change is taken only if
+    there is no other.
+    """
+
+    def __init__(
+        self, min_through=-1, change_types=config_state.CHANGE_TYPES_BY_VERSION
+    ):
         self.complete = None
+        self._min_through = min_through
+        self._change_types = change_types
         self._pending_by_id = {}
 
     def add(self, part):
@@ -106,12 +116,17 @@
             state = config_state.from_snapshot(codec.decode(ConfigSnapshot, content))
         except DecodeError:
             return False
-        newest = self.complete
-        if newest and newest.through_offset > state.through_offset:
+        if state.through_offset < self._min_through:
+            return False
+        if self.complete and self._rank(self.complete) > self._rank(state):
             return False
         self.complete = state
         return True
 
+    def _rank(self, state):
+        lacking = config_state.lacks_readable(state, self._change_types)
+        return not lacking, state.through_offset
+
     def _limit(self):
         pending = self._pending_by_id
         while len(pending) > MAX_PENDING_SNAPSHOTS or (
--- a/galenascale/config_state.py
+++ b/galenascale/config_state.py
@@ -45,6 +45,7 @@
     CONFLICT = "conflict"
     UNKNOWN_KIND = "unknown_kind"
     MALFORMED = "malformed"
+    SNAPSHOT = "snapshot"
 
 
 @attrs.frozen
@@ -104,7 +105,7 @@
 def apply_record(state, offset, index, record, change_types=CHANGE_TYPES_BY_VERSION):
     """Apply one record at its place in the log and return its verdict."""
     if record.kind == RecordKind.SNAPSHOT_PART:
-        return _verdict(record.record_id, ChangeStatus.UNKNOWN_KIND, state)
+        return _verdict(record.record_id, ChangeStatus.SNAPSHOT, state)
     change_type = change_types.get(record.schema_version)
     if record.kind != RecordKind.CONFIG_CHANGE or change_type is None:
         _keep_unknown(state, KeptRecord(offset, index, record))
@@ -220,6 +221,19 @@
         state.dropped_unknown_records += 1
 
 
+def lacks_readable(state, change_types=CHANGE_TYPES_BY_VERSION):
+    """
+    Tell whether changes that this release reads were not acted on.
+
+    Such a state was folded by an older release and can be behind.
+    """
+    return any(
+        kept.record.kind == RecordKind.CONFIG_CHANGE
+        and kept.record.schema_version in change_types
+        for kept in state.unknown_records
+    )
+
+
 def to_snapshot(state):
     """Return the state as a message; entries keep their JSON verbatim."""
     return ConfigSnapshot(
--- a/test/config_fakes.py
+++ b/test/config_fakes.py
@@ -1,5 +1,8 @@
 """A faulty log, its reference fold and a clock that never waits."""
 
+import attrs
+from thrift.Thrift import TType
+
 from galenascale import codec
 from galenascale.clock import FakeClock
 from galenascale.config_snapshots import Assembler, parts_of
@@ -15,6 +18,19 @@
 from galenascale.standins.log_store import LogStore
 
 
+@attrs.define
+class NewerChange(ConfigChange):
+    """ConfigChange of a release with one more field."""
+
+    ticket: str = ""
+
+
+NewerChange.thrift_spec = (
+    *ConfigChange.thrift_spec,
+    (7, TType.STRING, "ticket", "UTF8", None),
+)
+
+
 class StepClock(FakeClock):
     """A clock on which every sleep ends at once and takes its time."""
 
@@ -34,6 +50,13 @@
     return codec.encode(LogBatch(records=[LogRecord(change_id, kind, version, change)]))
 
 
+def newer_body(kind=RecordKind.CONFIG_CHANGE, version=1, batch_version=1, base=-1):
+    """Return a change with a field that this release does not know."""
+    change = NewerChange("n", base, [entry("t1", 1)], ticket="OPS-1")
+    record = LogRecord("n", kind, version, codec.encode(change))
+    return codec.encode(LogBatch(batch_version, records=[record]))
+
+
 class SharedLog:
     """One log for all hosts; `history` also keeps what was trimmed."""
 
--- a/test/test_config_follower.py
+++ b/test/test_config_follower.py
@@ -4,17 +4,26 @@
 
 import pytest
 
-from galenascale import config_state
+from galenascale import config_snapshots, config_state
 from galenascale.clock import FakeClock
 from galenascale.config_follower import ConfigFollower
 from galenascale.config_keeper import ConfigPeers, SnapshotSchedule
 from galenascale.errors import AppendUnknown, LogUnavailable, PeerError
 from galenascale.generated.messages import (
+    ConfigChange,
     ConfigFetchReply,
     ConfigFetchRequest,
     ConfigSnapshot,
 )
-from test.config_fakes import Link, SharedLog, StepClock, change_body, entry
+from test.config_fakes import (
+    Link,
+    NewerChange,
+    SharedLog,
+    StepClock,
+    change_body,
+    entry,
+    newer_body,
+)
 
 
 def make(log, clock=None, **peers):
@@ -169,6 +178,36 @@
     await asyncio.gather(*tasks, return_exceptions=True)
 
 
+async def test_an_older_release_takes_what_it_cannot_read_from_a_peer():
+    """Guards against hosts and snapshots that stay behind in a rollout."""
+    log = filled()
+    log.append(newer_body(version=2, base=2))
+    newer, link = make(log)
+    newer = ConfigFollower(
+        link, newer.clock, change_types={1: ConfigChange, 2: NewerChange}
+    )
+    older, _ = make(log)
+    await newer.refresh()
+    await older.refresh()
+    assert (newer.current.version, older.current.version) == (3, 2)
+    behind = config_snapshots.split(older.state, 10**6)
+    good = config_snapshots.split(newer.state, 10**6)
+    log.append(b"")
+    for body in behind:
+        log.append(body)
+    await older.refresh()
+    assert older.learn(newer.handle_fetch(ConfigFetchRequest(2)).snapshot)
+    await older.refresh()
+    assert older.current == newer.current
+    assert not newer.learn(config_state.to_snapshot(make(log)[0].state))
+    for body in [*good, *behind]:
+        log.append(body)
+    log.trim_to(4)
+    restored = ConfigFollower(link, newer.clock, change_types=newer._change_types)
+    await restored.refresh()
+    assert restored.current.version == 3
+
+
 @pytest.mark.parametrize(
     ("appends", "first_offset", "due"),
     [(3, 0, False), (4, 0, True), (0, 1, True), (0, 0, False)],
--- a/test/test_config_state.py
+++ b/test/test_config_state.py
@@ -6,7 +6,6 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
-from thrift.Thrift import TType
 
 from galenascale import codec, config_snapshots, config_state
 from galenascale.config_state import ChangeStatus, ConfigState
@@ -15,20 +14,7 @@
 from galenascale.generated import messages
 from galenascale.generated.messages import ConfigChange, LogBatch, RecordKind
 from galenascale.record_versions import choose_write_version
-from test.config_fakes import change_body, entry
-
-
-@attrs.define
-class NewerChange(ConfigChange):
-    """ConfigChange of a release with one more field."""
-
-    ticket: str = ""
-
-
-NewerChange.thrift_spec = (
-    *ConfigChange.thrift_spec,
-    (7, TType.STRING, "ticket", "UTF8", None),
-)
+from test.config_fakes import NewerChange, change_body, entry, newer_body
 
 
 def fold(*bodies, state=None, **more):
@@ -48,13 +34,6 @@
     return assembler.complete
 
 
-def newer_body(kind=RecordKind.CONFIG_CHANGE, version=1, batch_version=1):
-    """Return a change with a field that this release does not know."""
-    change = NewerChange("n", -1, [entry("t1", 1)], ticket="OPS-1")
-    record = messages.LogRecord("n", kind, version, codec.encode(change))
-    return codec.encode(LogBatch(batch_version, records=[record]))
-
-
 @pytest.mark.parametrize(
     ("record", "kept"),
     [
