--- a/test/commands/test_operators.py
+++ b/test/commands/test_operators.py
@@ -166,6 +166,8 @@
     shown = capsys.readouterr()
     assert text in shown.out + shown.err
     await host.config.refresh()
+    # A strict change is appended at most once.
+    assert base is None or len(host.log.history) <= 3
     limit = host.config.current.tenants_by_id["t1"].max_concurrency
     assert limit == (5 if code == 0 else 9 if rival == "t1" else 1)
 
--- a/test/config_fakes.py
+++ b/test/config_fakes.py
@@ -105,7 +105,7 @@
         return offset
 
     async def read(self, name, offset, limit=3):
-        if self.mode == "down":
+        if self.mode in ("down", "reads down"):
             raise LogUnavailable("down")
         first, end = self.log.store.bounds(name)
         if self.mode == "stale":
--- a/test/test_config_follower.py
+++ b/test/test_config_follower.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import attrs
 import pytest
 
 from galenascale import config_snapshots, config_state
@@ -14,6 +15,7 @@
     ConfigFetchReply,
     ConfigFetchRequest,
     ConfigSnapshot,
+    RecordKind,
 )
 from test.config_fakes import (
     Link,
@@ -66,6 +68,56 @@
     assert fresh.state == source.state
 
 
+async def test_a_partly_read_log_makes_no_ready_host_and_no_answer():
+    """Guards against serving the beginning of the log as the newest."""
+    follower, link = make(filled(5))
+
+    async def read(stream, offset):
+        link.mode = "down" if offset else "up"
+        return await Link.read(link, stream, offset)
+
+    link.read = read
+    with pytest.raises(LogUnavailable):
+        await follower.refresh()
+    assert follower.state.version == 2
+    assert (follower.is_ready(), follower.current.version) == (False, -1)
+    assert follower.handle_fetch(ConfigFetchRequest(-1)).unchanged
+
+
+async def test_a_peer_answers_while_the_log_is_read():
+    """Guards against records that are applied twice or left out."""
+    log = filled(5)
+    source, _ = make(log)
+    await source.refresh()
+    snapshot = config_state.to_snapshot(source.state)
+    log.append(change_body("next", 4, [entry("t1", 9)]))
+    follower, link = make(log)
+
+    async def read(stream, offset):
+        result = await Link.read(link, stream, offset)
+        follower.learn(snapshot)
+        return result
+
+    link.read = read
+    assert await follower.refresh()
+    await source.refresh()
+    assert follower.state == source.state
+
+
+async def test_a_read_that_leaves_out_a_record_is_refused():
+    """Guards against a state that lacks one change."""
+    follower, link = make(filled(3))
+
+    async def read(stream, offset):
+        result = await Link.read(link, stream, offset)
+        return attrs.evolve(result, records=result.records[1:])
+
+    link.read = read
+    with pytest.raises(LogUnavailable):
+        await follower.refresh()
+    assert follower.state.through_offset == -1
+
+
 async def test_restart_while_the_log_is_down():
     """Guards readiness from a ready peer only, and the age from it."""
     log = filled()
@@ -120,15 +172,20 @@
 
 @pytest.mark.parametrize(
     ("mode", "error", "copies"),
-    [("down", LogUnavailable, 0), ("delay", AppendUnknown, 0), ("stale", None, 1)],
+    [
+        ("down", LogUnavailable, 0),
+        ("reads down", LogUnavailable, 0),
+        ("delay", AppendUnknown, 0),
+        # A stale read hides the change, though its append was acknowledged.
+        ("stale", AppendUnknown, 1),
+    ],
 )
 async def test_the_outcome_is_known_only_by_reading_back(mode, error, copies):
     """Guards against success by an append's answer, and false refusals."""
     log = SharedLog()
     follower, link = make(log)
     link.mode = mode
-    # A stale read hides the change, though its append was acknowledged.
-    with pytest.raises(error or AppendUnknown):
+    with pytest.raises(error):
         await follower.publish([entry("t1")], -1, timeout_s=3.0)
     assert len(log.history) == copies
     assert follower.current.version == -1
@@ -209,14 +266,21 @@
 
 
 @pytest.mark.parametrize(
-    ("appends", "first_offset", "due"),
-    [(3, 0, False), (4, 0, True), (0, 1, True), (0, 0, False)],
+    ("appends", "first_offset", "kind", "due"),
+    [
+        (3, 0, RecordKind.CONFIG_CHANGE, False),
+        (4, 0, RecordKind.CONFIG_CHANGE, True),
+        (0, 1, None, True),
+        (0, 0, None, False),
+        (19, 0, RecordKind.SNAPSHOT_PART, False),
+        (21, 0, RecordKind.SNAPSHOT_PART, True),
+    ],
 )
-def test_snapshots_are_due_by_records_and_by_trims(appends, first_offset, due):
+def test_snapshots_are_due_by_records_and_by_trims(appends, first_offset, kind, due):
     """Guards against a stream that is trimmed beyond its last snapshot."""
-    schedule = SnapshotSchedule(snapshot_records=4, retention_records=1000)
+    schedule = SnapshotSchedule(snapshot_records=4, retention_records=40)
     for offset in range(appends):
-        schedule.note(offset, change_body("x", -1, []))
+        schedule.note(offset, change_body("x", -1, [], kind))
     assert schedule.due(first_offset) == due
     schedule.note_complete(appends)
     assert not schedule.due(first_offset)
--- a/test/test_config_state.py
+++ b/test/test_config_state.py
@@ -95,6 +95,30 @@
     assert copy[0].status == ChangeStatus.DUPLICATE
 
 
+def test_records_in_one_append_are_judged_apart():
+    """Guards unique versions, and good records beside damaged ones."""
+    damaged = messages.LogRecord("bad", RecordKind.CONFIG_CHANGE, 1, b"\xff")
+    nameless = codec.encode(ConfigChange("", -1, [entry("t9")]))
+    records = [damaged, messages.LogRecord("x", RecordKind.CONFIG_CHANGE, 1, nameless)]
+    for change_id, base in (("first", -1), ("second", 0)):
+        content = codec.encode(ConfigChange(change_id, base, [entry(change_id)]))
+        records.append(
+            messages.LogRecord(change_id, RecordKind.CONFIG_CHANGE, 1, content)
+        )
+    state = ConfigState()
+    verdicts = config_state.apply_body(
+        state, 0, codec.encode(LogBatch(records=records))
+    )
+    assert [item.status for item in verdicts] == [
+        ChangeStatus.MALFORMED,
+        ChangeStatus.MALFORMED,
+        ChangeStatus.VALID,
+        ChangeStatus.CONFLICT,
+    ]
+    assert state.malformed_records == 2
+    assert list(state.entries_by_key) == [("tenant", "first")]
+
+
 def test_memory_is_bounded_alike_after_a_snapshot(monkeypatch):
     """Guards against growth and hosts that forget different things."""
     monkeypatch.setattr(config_state, "MAX_TOMBSTONES", 3)
@@ -163,13 +187,29 @@
     for number in [*order, *range(len(parts))]:
         if number != missing:
             assert not assembler.add(parts[number])
-    assert not assembler.add(attrs.evolve(parts[missing], content=b"other"))
+    other = parts[missing].content.replace(b"tenant-", b"tenent-")
+    assert not assembler.add(attrs.evolve(parts[missing], content=other))
     assert assembler.complete is None
     for part in parts:
         assembler.add(part)
     assert assembler.complete == state
 
 
+def test_a_snapshot_that_leaves_a_gap_is_left_out():
+    """Guards against the choice of a snapshot that cannot be continued."""
+    old = fold(CHANGE)
+    behind = fold(newer_body(version=2), state=fold(CHANGE))
+    for min_through, expected in [(0, old), (1, behind), (2, None)]:
+        types = {1: ConfigChange, 2: NewerChange}
+        assembler = config_snapshots.Assembler(min_through, types)
+        for body in [
+            *config_snapshots.split(behind, 9000),
+            *config_snapshots.split(old, 9000),
+        ]:
+            assembler.add(config_snapshots.parts_of(body)[0][0])
+        assert assembler.complete == expected
+
+
 def test_one_change_keeps_the_other_declarations():
     """Guards the incremental view against the one built from scratch."""
     state = fold(change_body("first", -1, [entry(f"t{n}", n) for n in range(5)]))
