--- a/galenascale/config_follower.py
+++ b/galenascale/config_follower.py
@@ -4,25 +4,20 @@
 import math
 
 from galenascale import config_snapshots, config_state
+from galenascale.config_exchange import NO_AGE, answer_fetch, fetch_newest
 from galenascale.config_keeper import SLOW_POLL_FACTOR, ConfigPeers, SnapshotSchedule
 from galenascale.config_publisher import publish
 from galenascale.config_restore import find_snapshot
 from galenascale.config_state import ChangeStatus
 from galenascale.configuration import Configuration
 from galenascale.errors import DecodeError, GalenascaleError, LogUnavailable
-from galenascale.generated.messages import (
-    ConfigFetchReply,
-    ConfigFetchRequest,
-    LogSettings,
-)
+from galenascale.generated.messages import LogSettings
 from galenascale.logs import get_logger
 from galenascale.record_versions import ENCODERS_BY_VERSION
 
 log = get_logger("config")
 
 STREAM = "config"
-# Age in a reply that says nothing about the requester's version.
-NO_AGE = -1.0
 
 
 # Verdicts on records that are not acted on, snapshot parts aside.
@@ -222,17 +217,9 @@
 
     def handle_fetch(self, request):
         """Answer a peer's ConfigFetchRequest with a ConfigFetchReply."""
-        if not self.is_ready():
-            return ConfigFetchReply(unchanged=True, age_s=NO_AGE)
-        age_s = self.age_s()
-        age_s = NO_AGE if age_s is None else age_s
-        if request.have_version == self.state.version:
-            return ConfigFetchReply(unchanged=True, age_s=age_s)
         if request.have_version > self.state.version:
             self._newer_known.set()
-            return ConfigFetchReply(unchanged=True, age_s=NO_AGE)
-        snapshot = config_state.to_snapshot(self.state)
-        return ConfigFetchReply(snapshot=snapshot, age_s=age_s)
+        return answer_fetch(self, request)
 
     def learn(self, snapshot, age_s=NO_AGE):
         """
@@ -272,25 +259,8 @@
     async def catch_up(self):
         """Fetch from peers with a newer version, or else read the log."""
         known, self._versions_by_peer = self._versions_by_peer, {}
-        ranked = sorted(known, key=known.get, reverse=True)
-        for host_id in ranked if self.peers.fetch_from_peer else ():
-            if known[host_id] <= self.state.version and not self.has_gap:
-                return
-            if await self._fetch(host_id):
-                return
-        await self.refresh()
-
-    async def _fetch(self, host_id):
-        have = -1 if self.has_gap else self.state.version
-        try:
-            reply = await self.peers.fetch_from_peer(host_id, ConfigFetchRequest(have))
-        except Exception as error:
-            # Any fault of one peer must not keep the others from being asked.
-            log.warning("Cannot fetch from %s: %r.", host_id, error)
-            return False
-        if reply.unchanged or reply.snapshot is None:
-            return False
-        return self.learn(reply.snapshot, reply.age_s)
+        if not await fetch_newest(self, known):
+            await self.refresh()
 
     async def keep_snapshots(self):
         """Append a snapshot if one is due and this host is to write it."""
--- a/test/commands/test_operators.py
+++ b/test/commands/test_operators.py
@@ -17,6 +17,7 @@
 from galenascale.generated.messages import HostInfo, HostSettings
 from galenascale.http_api.operator import operator_routes
 from test.config_fakes import Link, SharedLog, StepClock, change_body, entry
+from test.processes import running, write_json
 
 KEY = "operator-key-1"
 SECRET = "peer-secret-0123456789"
@@ -268,3 +269,30 @@
     monkeypatch.setattr(operator_client, "call", call)
     with pytest.raises(AppendUnknown):
         operator_client.post_change("http://x", KEY, {})
+
+
+def test_apply_and_status_through_separate_processes(tmp_path, capsys):
+    """Guards the wiring of the routes, the log client and the keys."""
+    platform = write_json(tmp_path / "platform.json", {})
+    with running("standin", "platform", "--settings", platform) as log_process:
+        settings = {
+            "host_id": "host-1",
+            "failure_domain": "kigali-a",
+            "platform_url": f"http://127.0.0.1:{log_process.port}",
+            "peer_secret": SECRET,
+            "operator_key_digests": [DIGEST],
+        }
+        path = write_json(tmp_path / "host.json", settings)
+        with running("serve", "--settings", path) as process:
+            url = f"http://127.0.0.1:{process.port}"
+            remote = ["--host", url, "--operator-key", KEY]
+            (tmp_path / "declarations").mkdir()
+            directory = declare(tmp_path / "declarations", t1=1)
+            assert run(["apply", directory, *remote]) == 0
+            assert run(["plan", directory, *remote]) == 0
+            assert run(["status", *remote]) == 0
+    assert run(["plan", directory, *remote]) == 2
+    shown = capsys.readouterr()
+    for text in ("accepted as version 0", "no difference", "kigali-a"):
+        assert text in shown.out
+    assert "host cannot be reached" in shown.err
