--- a/galenascale/config_follower.py
+++ b/galenascale/config_follower.py
@@ -4,7 +4,12 @@
 import math
 
 from galenascale import config_snapshots, config_state
-from galenascale.config_exchange import NO_AGE, answer_fetch, fetch_newest
+from galenascale.config_exchange import (
+    NO_AGE,
+    RecentAppends,
+    answer_fetch,
+    fetch_newest,
+)
 from galenascale.config_keeper import SLOW_POLL_FACTOR, ConfigPeers, SnapshotSchedule
 from galenascale.config_publisher import publish
 from galenascale.config_restore import find_snapshot
@@ -63,6 +68,8 @@
         self._ready = False
         self._subscribers = []
         self._versions_by_peer = {}
+        # Relayed to peers that lag a little.
+        self.recent = RecentAppends()
         self._newer_known = asyncio.Event()
         self._reading = asyncio.Lock()
         self._log_first_offset = 0
@@ -150,17 +157,21 @@
                 continue
             if offset != self.state.through_offset + 1:
                 raise LogUnavailable("log left out a record", step="read")
-            for verdict in config_state.apply_body(
-                self.state, offset, body, self._change_types
-            ):
-                _report(offset, verdict)
-            self._schedule.note(offset, body)
+            self._apply(offset, body)
         if self.state.through_offset + 1 >= result.next_offset:
             return True
         if self.state.through_offset == before and requested == before + 1:
             raise LogUnavailable("log has no record before its end", step="read")
         return False
 
+    def _apply(self, offset, body):
+        for verdict in config_state.apply_body(
+            self.state, offset, body, self._change_types
+        ):
+            _report(offset, verdict)
+        self._schedule.note(offset, body)
+        self.recent.add(offset, body)
+
     async def _restore(self, first_offset):
         """Take the newest whole snapshot in the log that leaves no gap."""
         found, first_offset = await find_snapshot(
@@ -240,6 +251,24 @@
             self._install()
         return taken
 
+    def learn_appends(self, appends, age_s=NO_AGE):
+        """
+        Apply the appends that a ready peer read after the ones applied here.
+
+        Return True if they led to a newer version.
+        """
+        before = self.state.version
+        for item in appends:
+            if item.offset == self.state.through_offset + 1:
+                self._apply(item.offset, item.body)
+        if not appends or self.state.through_offset < appends[-1].offset:
+            return False
+        self._ready = True
+        self._install()
+        if self.state.through_offset == appends[-1].offset:
+            self._learn_age(age_s)
+        return self.state.version > before
+
     def _learn_age(self, age_s):
         if math.isfinite(age_s) and age_s >= 0:
             self._known_current_at(self.clock.monotonic() - age_s)
--- a/schema/galenascale.thrift
+++ b/schema/galenascale.thrift
@@ -354,7 +354,7 @@
   4: list<string> changed,
 }
 
-/** Raw body of a change with fields that its reader does not know. */
+/** Raw body of an append, or of a change with unknown fields. */
 struct ConfigRawChange {
   1: i64 offset = -1,
   2: binary body = "",
@@ -552,12 +552,16 @@
 
 struct ConfigFetchRequest {
   1: i64 have_version = -1,
+  /** Last applied offset; -1 asks for the whole configuration. */
+  2: i64 have_through = -1,
 }
 
 struct ConfigFetchReply {
   1: ConfigSnapshot snapshot,
   2: bool unchanged = false,
   3: double age_s = 0.0,
+  /** Instead of a snapshot: all appends after have_through, as read. */
+  4: list<ConfigRawChange> appends,
 }
 
 struct CallStatusRequest {
--- a/test/test_config_follower.py
+++ b/test/test_config_follower.py
@@ -5,7 +5,7 @@
 import attrs
 import pytest
 
-from galenascale import config_snapshots, config_state
+from galenascale import config_exchange, config_snapshots, config_state
 from galenascale.clock import FakeClock
 from galenascale.config_follower import ConfigFollower
 from galenascale.config_keeper import ConfigPeers, SnapshotSchedule
@@ -191,6 +191,30 @@
     assert follower.current.version == -1
 
 
+@pytest.mark.parametrize(("after", "relayed"), [(4, 1), (1, 4), (0, 0), (-1, 0)])
+async def test_a_lagging_peer_gets_the_missing_appends(monkeypatch, after, relayed):
+    """Guards the peers' traffic, and against appends that leave a gap."""
+    monkeypatch.setattr(config_exchange, "MAX_RECENT_APPENDS", 4)
+    log = filled(6)
+    source, _ = make(log)
+    await source.refresh()
+    reply = source.handle_fetch(ConfigFetchRequest(after, after))
+    assert [item.offset for item in reply.appends] == list(range(6 - relayed, 6))
+    assert (reply.snapshot.version == -1) == bool(relayed)
+
+    async def fetch(_, request):
+        return source.handle_fetch(request)
+
+    lagging, link = make(filled(after + 1), fetch_from_peer=fetch)
+    await lagging.refresh()
+    link.mode = "down"
+    assert not lagging.learn_appends(reply.appends[1:], 0.0)
+    lagging.notice("source", 5)
+    await lagging.catch_up()
+    assert lagging.state == source.state
+    assert lagging.current == source.current
+
+
 async def test_few_hosts_poll_fast_and_others_follow_notices():
     """Guards the read load on the log and the relay by peers."""
     log, clock, reads = filled(), FakeClock(), {}
