--- a/test/test_config_follower.py
+++ b/test/test_config_follower.py
@@ -209,6 +209,7 @@
     await lagging.refresh()
     link.mode = "down"
     assert not lagging.learn_appends(reply.appends[1:], 0.0)
+    assert lagging.state.through_offset == after
     lagging.notice("source", 5)
     await lagging.catch_up()
     assert lagging.state == source.state
--- a/test/test_config_machine.py
+++ b/test/test_config_machine.py
@@ -110,6 +110,12 @@
         target.notice(sender, source.current.version, -1.0 if age_s is None else age_s)
         self.do(target.catch_up())
 
+    @rule(sender=hosts, receiver=hosts)
+    def offer(self, sender, receiver):
+        if self.followers[sender].is_ready():
+            snapshot = config_state.to_snapshot(self.followers[sender].state)
+            self.followers[receiver].learn(snapshot)
+
     @rule(host=hosts)
     def restart(self, host):
         self.followers[host] = self.make(host)
