Check in the state machine that a host's state never goes back

Cause: accepting an older state from a peer was hidden by the check at installation. Change: the invariant also covers the state.

--- a/test/test_config_machine.py
+++ b/test/test_config_machine.py
@@ -29,7 +29,7 @@
         self.cut = set()
         self.links = {name: Link(self.log) for name in HOSTS}
         self.followers = {name: self.make(name) for name in HOSTS}
-        self.newest_seen = dict.fromkeys(HOSTS, -1)
+        self.newest_seen = dict.fromkeys(HOSTS, (-1, -1))
         self.accepted, self.refused = {}, set()
         self.count = 0
 
@@ -119,7 +119,7 @@
     @rule(host=hosts)
     def restart(self, host):
         self.followers[host] = self.make(host)
-        self.newest_seen[host] = -1
+        self.newest_seen[host] = (-1, -1)
 
     @rule(host=hosts, missing=st.integers(0, 3))
     def leave_out_a_snapshot_part(self, host, missing):
@@ -143,8 +143,9 @@
         steps = reference(self.log.history)
         for name, follower in self.followers.items():
             state, current = follower.state, follower.current
-            assert current.version >= self.newest_seen[name], "version went back"
-            self.newest_seen[name] = current.version
+            assert current.version >= self.newest_seen[name][0], "version went back"
+            assert state.version >= self.newest_seen[name][1], "state went back"
+            self.newest_seen[name] = (current.version, state.version)
             through = state.through_offset
             version, entries, _ = steps[through] if through >= 0 else (-1, {}, {})
             assert state.version == version
