--- a/bench/relay.py
+++ b/bench/relay.py
@@ -12,6 +12,7 @@
 import argparse
 import asyncio
 import json
+import random
 import resource
 import statistics
 import subprocess
@@ -28,7 +29,7 @@
 from galenascale.generated import messages
 from galenascale.http_api import ApiContext, make_app, start_listener
 from galenascale.metrics import Metrics
-from galenascale.online_direct import DirectOnline
+from galenascale.online import OnlineService
 from galenascale.tenants import Tenants, key_digest
 
 KEY = "key-of-the-relay-bench"
@@ -52,6 +53,10 @@
     return b"data: " + orjson.dumps(value) + b"\n\n"
 
 
+async def _ignore(*_):
+    """Do nothing, in place of what a host tells its peers."""
+
+
 async def _source(request):
     """Stream tokens, each in a write of its own, at a fixed rate."""
     body = orjson.loads(await request.read())
@@ -113,7 +118,15 @@
     tenants = Tenants()
     tenants.install(configuration)
     clock = Clock()
-    online = DirectOnline(config, EngineClient(session, clock))
+    online = OnlineService(
+        lambda: config.current,
+        EngineClient(session, clock),
+        clock,
+        random.Random(1),
+        "",
+        _ignore,
+        _ignore,
+    )
     app = make_app(ApiContext(online, config, tenants, Metrics(), clock=clock))
     app.add_routes([web.get("/usage", _usage)])
     return app
--- a/galenascale/batch/reporter.py
+++ b/galenascale/batch/reporter.py
@@ -8,9 +8,9 @@
 import collections
 
 from galenascale.errors import GalenascaleError
-from galenascale.generated.messages import Outcomes
+from galenascale.generated.messages import HandOverReply, Outcomes
 from galenascale.logs import get_logger
-from galenascale.shards import make_record
+from galenascale.shards import make_record, shard_from_id
 
 log = get_logger("batch")
 
@@ -48,6 +48,18 @@
         self._drained.clear()
         self._wake.set()
 
+    async def handle_hand_over(self, request):
+        """Take over the outcomes of a peer that stops."""
+        count = 0
+        for message in request.outcomes:
+            shard = shard_from_id(message.job_id, self._shards.count)
+            for outcome in message.outcomes:
+                self.add(
+                    shard, message.job_id, message.chunk, message.claim_offset, outcome
+                )
+                count += 1
+        return HandOverReply(count)
+
     def pending(self):
         """Return what is unrecorded as Outcomes messages by shard."""
         by_shard = collections.defaultdict(list)
--- a/galenascale/http_api/context.py
+++ b/galenascale/http_api/context.py
@@ -28,6 +28,12 @@
     limits: LimitSettings = attrs.field(factory=LimitSettings)
     clock: Clock = attrs.field(factory=Clock)
     is_ready: Callable[[], bool] = lambda: True
+    # True while the host stops: answers close their connections.
+    is_stopping: Callable[[], bool] = lambda: False
+    # FileService, JobService and CallService.
+    files: Any = None
+    jobs: Any = None
+    calls: Any = None
 
 
 CONTEXT = web.AppKey("context", ApiContext)
--- a/galenascale/jobs.py
+++ b/galenascale/jobs.py
@@ -96,6 +96,8 @@
         self._config = config
         self._clock = clock
         self._settings = settings
+        # Coroutine function called with the id of a cancelled job.
+        self.on_cancelled = None
 
     async def create(self, tenant, request):
         """
@@ -233,6 +235,8 @@
             raise Refused(
                 "job cannot be cancelled now", code="log_unavailable", step="jobs"
             ) from error
+        if self.on_cancelled is not None:
+            await self.on_cancelled(job_id)
         return await self.get(tenant, job_id)
 
     async def results(self, tenant, job_id, failed):
--- a/galenascale/online.py
+++ b/galenascale/online.py
@@ -6,6 +6,7 @@
 from galenascale.dispatch import Dispatcher
 from galenascale.errors import UserError
 from galenascale.online_run import OnlineRun, logged
+from galenascale.routing import RouteRequest
 
 
 class OnlineService:
@@ -106,6 +107,15 @@
             for load in dispatcher.router.digest()
         ]
 
+    def choose_plain(self, service_name, excluded):
+        """Return a server of a plain service, or None if none is usable."""
+        router = self.dispatcher(service_name).router
+        route = RouteRequest(avoid=frozenset(excluded))
+        choice = router.choose(route, self.clock.monotonic())
+        if choice is None or choice.server.name in excluded:
+            return None
+        return choice.server
+
     def merge_verdict(self, verdict):
         """Apply a PoisonVerdict of a peer or of the log."""
         if verdict.service_name in self.refresh_config().services_by_name:
--- /dev/null
+++ b/galenascale/peering.py
@@ -0,0 +1,93 @@
+"""Peer listener, gossip and host list of one entry host."""
+
+import asyncio
+
+from galenascale.errors import GalenascaleError
+from galenascale.generated.messages import HostInfo
+from galenascale.host_list import HostList
+from galenascale.logs import get_logger
+from galenascale.membership import Membership
+from galenascale.peers import Gossip, Peers, PeerServer
+from galenascale.peers.auth import Signer, make_tls_contexts
+from galenascale.peers.exchange import Exchange
+
+log = get_logger("peers")
+
+
+class Peering:
+    """What a host needs to know its peers and to be known by them."""
+
+    def __init__(self, settings, clock, incarnation):
+        self.settings = settings
+        self.clock = clock
+        self.membership = Membership(
+            HostInfo(
+                host_id=settings.host_id,
+                incarnation=incarnation,
+                failure_domain=settings.failure_domain,
+                url=settings.url,
+                generation=clock.wall_ms(),
+            ),
+            settings.membership.dead_after_s,
+            settings.seed_peers,
+        )
+        self._signer = Signer(settings.host_id, settings.peer_secret.encode(), clock)
+        server_tls, self._client_tls = make_tls_contexts(settings.peer_tls)
+        self.server = PeerServer(self._signer, server_tls)
+        self.exchange = Exchange(self.membership)
+        self.gossip = None
+
+    def register(self, name, request_type, reply_type, handler):
+        """Serve a peer method with `async (message) -> reply`."""
+
+        async def handle(_, message):
+            return await handler(message)
+
+        self.server.register(name, request_type, reply_type, handle)
+
+    async def start(self, session, stack):
+        """Listen for peers; gossip starts later with start_gossip()."""
+        settings = self.settings
+        self.peers = Peers(
+            session, self._signer, self.membership.peer_url, self._client_tls
+        )
+        self.peers.on_refused = lambda host_id: self.membership.host_failed(
+            self.clock.monotonic(), host_id
+        )
+        await self.server.start(stack, settings.listen_address, settings.peer_port)
+        scheme = "https" if settings.peer_tls.certificate else "http"
+        address = f"{scheme}://{settings.listen_address}:{self.server.port}"
+        self.membership.update_own(peer_url=settings.peer_url or address)
+        self.host_list = HostList(
+            session,
+            settings.platform_url,
+            self.membership,
+            self.clock,
+            settings.membership.host_list_poll_s,
+        )
+        self.gossip = Gossip(self.exchange, self.peers, self.clock, settings.membership)
+        self.gossip.register(self.server)
+
+    def live_ids(self, domain=None):
+        """Return the ids of live hosts that are not leaving."""
+        hosts = self.membership.live_hosts(self.clock.monotonic(), domain)
+        return [host.host_id for host in hosts if host.state == "live"]
+
+    def shard_owner(self, shard):
+        """Return the host id of a shard's owner in this host's view."""
+        return self.membership.owner_of_shard(self.clock.monotonic(), shard)
+
+    def slot_owner(self, server):
+        """Return the host id of the owner of a server's batch slots."""
+        return self.membership.slot_owner(
+            self.clock.monotonic(), server.name, server.failure_domain
+        )
+
+    async def tell_leaving(self):
+        """Tell peers and the host list that this host takes no new work."""
+        self.membership.update_own(state="leaving", ready=False)
+        try:
+            async with asyncio.timeout(self.settings.membership.dead_after_s):
+                await asyncio.gather(self.gossip.tell_all(), self.host_list.announce())
+        except (TimeoutError, GalenascaleError) as error:
+            log.warning("Leaving was not told to all: %r.", error)
--- a/galenascale/routing/router.py
+++ b/galenascale/routing/router.py
@@ -191,6 +191,22 @@
             for server_id, state in self._states_by_id.items()
         ]
 
+    def takes_work(self, server_id):
+        """Return True if new work may be sent to a server."""
+        state = self._states_by_id.get(server_id)
+        return (
+            state is not None
+            and state.leaving_since is None
+            and not state.reserved
+            and server_id not in self._paused
+            and not self._ejector.is_failing(server_id)
+        )
+
+    def online_load(self, server_id):
+        """Return the online requests on a server, own and of peers."""
+        state = self._states_by_id.get(server_id)
+        return 0 if state is None else max(0, state.online)
+
     def own_online(self, server_id):
         """Return this host's online requests on a server."""
         return self._states_by_id[server_id].own_online
--- a/schema/galenascale.thrift
+++ b/schema/galenascale.thrift
@@ -363,12 +363,32 @@
   2: i64 changed_version = -1,
 }
 
+/** How a recent change ended. */
+struct ConfigVerdictState {
+  1: string change_id = "",
+  2: string status = "",
+  3: i64 version = -1,
+  4: list<string> changed,
+}
+
+/** Raw body of an append, or of a change with unknown fields. */
+struct ConfigRawChange {
+  1: i64 offset = -1,
+  2: binary body = "",
+}
+
 struct ConfigSnapshot {
   1: i64 version = -1,
   2: i64 through_offset = -1,
   3: list<ConfigEntryState> entries,
   4: list<KeptRecord> unknown_records,
   5: list<string> recent_change_ids,
+  6: list<ConfigVerdictState> recent_verdicts,
+  7: list<ConfigRawChange> raw_changes,
+  /** Newest version whose deletions are no longer all remembered. */
+  8: i64 pruned_version = -1,
+  9: i64 malformed_records = 0,
+  10: i64 dropped_unknown_records = 0,
 }
 
 // --- Declarations ----------------------------------------------------------
@@ -566,12 +586,16 @@
 
 struct ConfigFetchRequest {
   1: i64 have_version = -1,
+  /** Last applied offset; -1 asks for the whole configuration. */
+  2: i64 have_through = -1,
 }
 
 struct ConfigFetchReply {
   1: ConfigSnapshot snapshot,
   2: bool unchanged = false,
   3: double age_s = 0.0,
+  /** Instead of a snapshot: all appends after have_through, as read. */
+  4: list<ConfigRawChange> appends,
 }
 
 struct CallStatusRequest {
--- a/test/loopback.py
+++ b/test/loopback.py
@@ -10,10 +10,10 @@
 from galenascale.clock import Clock
 from galenascale.configuration import Configuration
 from galenascale.engine_client import EngineClient
+from galenascale.errors import Refused
 from galenascale.generated import messages
 from galenascale.http_api import ApiContext, make_app, start_listener
 from galenascale.metrics import Metrics
-from galenascale.online_direct import DirectOnline
 from galenascale.requests import OnlineRequest
 from galenascale.tenants import Tenants, key_digest
 
@@ -21,6 +21,29 @@
 OPERATOR_KEY = "key-of-the-operator"
 
 
+class DirectOnline:
+    """Streams each request from the first server, without retries."""
+
+    def __init__(self, config, engine_client):
+        self._config = config
+        self._engine_client = engine_client
+
+    async def complete(self, request):
+        """Yield the Chunks of the answer; raise Refused without a server."""
+        config = self._config.current
+        service_name = config.models_by_name[request.model].service_name
+        for server in config.servers_by_id.values():
+            if server.service_name == service_name:
+                break
+        else:
+            raise Refused("no backend server", code="no_backend_server")
+        async with contextlib.aclosing(
+            self._engine_client.stream(server, request, attempt=1)
+        ) as chunks:
+            async for chunk in chunks:
+                yield chunk
+
+
 @contextlib.asynccontextmanager
 async def serving(handler):
     """Serve every request with a handler; yield (session, server)."""
--- a/test/test_host.py
+++ b/test/test_host.py
@@ -36,13 +36,13 @@
             called.append(sender)
             return Empty()
 
-        first.register_peer_method("record", Empty, Empty, record)
+        first.peering.server.register("record", Empty, Empty, record)
         await first.start()
         stack.push_async_callback(first.stop)
         second = make_host("h2", {"h1": first.membership.own.peer_url})
         await second.start()
         for host in (second, first):
-            await host.gossip.round()
+            await host.peering.gossip.round()
             now = host.clock.monotonic()
             infos = host.membership.live_hosts(now)
             assert [info.host_id for info in infos] == ["h1", "h2"]
