Count batch streams in the router

Cause: the worker did not tell the router about its batch streams, so load reports showed them as online work of others and withdrew their own slots. Change: the worker counts starts and ends through BatchCapacity.

--- a/galenascale/batch/capacity.py
+++ b/galenascale/batch/capacity.py
@@ -56,6 +56,16 @@
             service.batch_reserve,
         )
 
+    def started(self, service, server_id):
+        """Count a batch stream; reports would show it as online work."""
+        router = self._online.dispatcher(service).router
+        router.started(server_id, self._clock.monotonic(), batch=True)
+
+    def ended(self, service, server_id):
+        """Count the end of a batch stream."""
+        router = self._online.dispatcher(service).router
+        router.ended(server_id, self._clock.monotonic(), batch=True)
+
     def cancel(self, server_id, count):
         """Interrupt batch streams, the cheapest to resume first."""
         items_by_id = {}
--- a/galenascale/batch/worker.py
+++ b/galenascale/batch/worker.py
@@ -105,6 +105,7 @@
         if item is None:
             return False
         runs = self._runs_by_server.setdefault(server.name, {})
+        self._capacity.started(service, server.name)
         task = self._spawn(self._run(service, server, item))
         runs[item] = task
         return True
@@ -127,6 +128,7 @@
             outcome = None
         finally:
             self._runs_by_server[server.name].pop(item, None)
+            self._capacity.ended(service, server.name)
             self._wake.set()
         if outcome is None:
             self._ready.add(service, [item])
