Bring batch work to free slots at once and announce online bursts

Cause: a host asked shards one after the other and after the poll interval; a chunk of 32 items stayed with one host; slots given way were filled again at once; lagged reports of ended batch streams counted as online work.

--- a/galenascale/batch/capacity.py
+++ b/galenascale/batch/capacity.py
@@ -1,5 +1,7 @@
 """Batch slots of the servers whose slot owner this host is."""
 
+import collections
+
 from galenascale.batch.slots import BatchSlots, BatchStream, streams_to_cancel
 from galenascale.errors import PeerError
 from galenascale.generated.messages import GiveWayReply, GiveWayRequest
@@ -8,6 +10,8 @@
 log = get_logger("slots")
 
 GIVE_WAY_TIMEOUT_S = 0.5
+# Looking through all declared servers is too slow for each round of filling.
+OWNED_REFRESH_S = 0.5
 
 
 class BatchCapacity:
@@ -20,6 +24,10 @@
         self._peering = peering
         self._clock = clock
         self._slots_by_server = {}
+        self._owned_by_service = {}
+        self._owned_until = 0.0
+        # Running batch streams by service.
+        self._running = collections.Counter()
         # Set by the host once the worker exists.
         self.worker = None
 
@@ -27,63 +35,35 @@
         """Return the names of the services that have servers."""
         return list(self._config.current.services_by_name)
 
+    def running(self, service):
+        """Return the number of batch streams that this host runs."""
+        return self._running[service]
+
     def free_slots(self, service):
         """Return (server, free batch slots) of the owned servers."""
         result = []
-        declared = self._config.current.services_by_name.get(service)
-        for server in self._config.current.servers_by_id.values():
-            if server.service_name != service or not self._owns(server):
-                continue
-            free = self._allowed(server, declared) - self.worker.running(server.name)
+        for server in self._owned(service):
+            free = self._withdraw(server)
             if free > 0:
                 result.append((server, free))
-            elif free < 0:
-                self.cancel(server.name, -free)
         return result
 
-    def _owns(self, server):
-        return self._peering.slot_owner(server) == self._host_id
-
-    def _allowed(self, server, service):
-        router = self._online.dispatcher(service.name).router
-        if not router.takes_work(server.name):
-            return 0
-        slots = self._slots_by_server.setdefault(server.name, BatchSlots())
-        return slots.allowed(
-            self._clock.monotonic(),
-            server.slots,
-            router.online_load(server.name),
-            service.batch_reserve,
-        )
+    def slots(self, service):
+        """Return the batch slots of the owned servers, used and free."""
+        return sum(self._allowed(server) for server in self._owned(service))
 
     def started(self, service, server_id):
         """Count a batch stream; reports would show it as online work."""
+        self._running[service] += 1
         router = self._online.dispatcher(service).router
         router.started(server_id, self._clock.monotonic(), batch=True)
 
     def ended(self, service, server_id):
         """Count the end of a batch stream."""
+        self._running[service] -= 1
         router = self._online.dispatcher(service).router
         router.ended(server_id, self._clock.monotonic(), batch=True)
 
-    def cancel(self, server_id, count):
-        """Interrupt batch streams, the cheapest to resume first."""
-        items_by_id = {}
-        streams = []
-        for item in self.worker.running_items(server_id):
-            attempt_id = f"{item.key}"
-            items_by_id[attempt_id] = item
-            streams.append(
-                BatchStream(
-                    attempt_id,
-                    generated_tokens=item.tokens,
-                    resumable=item.chunk.grant.idempotent,
-                )
-            )
-        chosen = streams_to_cancel(streams, count)
-        items = [items_by_id[stream.attempt_id] for stream in chosen]
-        return self.worker.give_way(server_id, items)
-
     async def give_way(self, server_id, count):
         """Free batch slots of a server, possibly at a peer that owns them."""
         server = self._config.current.servers_by_id.get(server_id)
@@ -91,7 +71,8 @@
             return
         owner = self._peering.slot_owner(server)
         if owner in (None, self._host_id):
-            self.cancel(server_id, count)
+            # The request is in the own counts already.
+            self._withdraw(server)
             return
         request = GiveWayRequest(server_id, count, self._host_id)
         try:
@@ -103,4 +84,62 @@
 
     async def handle_give_way(self, request):
         """Answer a peer's GiveWayRequest."""
-        return GiveWayReply(self.cancel(request.server_id, request.slots))
+        server = self._config.current.servers_by_id.get(request.server_id)
+        if server is None:
+            return GiveWayReply(0)
+        now = self._clock.monotonic()
+        self._slots(server.name).announce(now, request.slots)
+        before = self.worker.running(server.name)
+        return GiveWayReply(min(before, max(0, -self._withdraw(server))))
+
+    def _withdraw(self, server):
+        """Return the free slots; if negative, streams were interrupted."""
+        free = self._allowed(server) - self.worker.running(server.name)
+        if free < 0:
+            self._cancel(server, -free)
+        return free
+
+    def _owned(self, service):
+        now = self._clock.monotonic()
+        if now >= self._owned_until:
+            self._owned_until = now + OWNED_REFRESH_S
+            self._owned_by_service = collections.defaultdict(list)
+            for server in self._config.current.servers_by_id.values():
+                if self._peering.slot_owner(server) == self._host_id:
+                    self._owned_by_service[server.service_name].append(server)
+        return self._owned_by_service.get(service, [])
+
+    def _slots(self, server_id):
+        return self._slots_by_server.setdefault(server_id, BatchSlots())
+
+    def _allowed(self, server):
+        service = self._config.current.services_by_name.get(server.service_name)
+        if service is None:
+            return 0
+        router = self._online.dispatcher(service.name).router
+        if not router.takes_work(server.name):
+            return 0
+        return self._slots(server.name).allowed(
+            self._clock.monotonic(),
+            server.slots,
+            router.online_load(server.name),
+            service.batch_reserve,
+        )
+
+    def _cancel(self, server, count):
+        """Interrupt batch streams, the cheapest to resume first."""
+        items_by_id = {}
+        streams = []
+        for item in self.worker.running_items(server.name):
+            attempt_id = f"{item.key}"
+            items_by_id[attempt_id] = item
+            streams.append(
+                BatchStream(
+                    attempt_id,
+                    generated_tokens=item.tokens,
+                    resumable=item.chunk.grant.idempotent,
+                )
+            )
+        chosen = streams_to_cancel(streams, count)
+        items = [items_by_id[stream.attempt_id] for stream in chosen]
+        return self.worker.give_way(server.name, items)
--- a/galenascale/dispatch.py
+++ b/galenascale/dispatch.py
@@ -88,6 +88,7 @@
             for name, tenant in config.tenants_by_id.items()
         }
         self.admission.configure(service.max_queue, limits)
+        self.router.batch_reserve = service.batch_reserve
         self.router.set_servers(servers, self.clock.monotonic())
         self.pump()
 
--- a/galenascale/files.py
+++ b/galenascale/files.py
@@ -25,6 +25,9 @@
 PURPOSES = frozenset({"batch", "user_data"})
 APPEND_ATTEMPTS = 5
 APPEND_RETRY_S = 0.2
+# Files with fewer chunks than this have smaller ones, down to the minimum.
+CHUNKS_PER_FILE = 64
+MIN_CHUNK_ITEMS = 4
 
 
 @attrs.define
@@ -36,6 +39,11 @@
     size_bytes: int = 0
 
 
+# Files up to this many chunks of the largest size have smaller chunks.
+CHUNKS_PER_FILE = 64
+MIN_CHUNK_ITEMS = 4
+
+
 class FileService:
     """Stores, reads and deletes files of tenants."""
 
@@ -84,10 +92,14 @@
 
     def _split(self, lines):
         limits = self._settings.batch
+        # A chunk stays with one host, so a small file needs small chunks to
+        # spread over all hosts. Chunks share appends, so they cost none.
+        fair = max(MIN_CHUNK_ITEMS, -(-len(lines) // CHUNKS_PER_FILE))
+        chunk_items = min(limits.chunk_items, fair)
         chunks = [_Chunk(0)]
         for number, line in enumerate(lines):
             chunk = chunks[-1]
-            full = len(chunk.lines) >= limits.chunk_items
+            full = len(chunk.lines) >= chunk_items
             if chunk.lines and (
                 full or chunk.size_bytes + len(line) > limits.chunk_bytes
             ):
--- a/galenascale/host.py
+++ b/galenascale/host.py
@@ -164,14 +164,7 @@
 
     async def _share_verdict(self, verdict):
         report = messages.PoisonReport(self.host_id, [verdict])
-        ids = [item for item in self.peering.live_ids() if item != self.host_id]
-        await asyncio.gather(
-            *(
-                self.peers.call(host_id, "poison", report, messages.Empty, 1.0)
-                for host_id in ids
-            ),
-            return_exceptions=True,
-        )
+        await self.peering.tell_peers("poison", report)
 
     async def _handle_poison(self, report):
         for verdict in report.verdicts:
@@ -218,6 +211,12 @@
                 messages.Empty,
                 self._handle_job_cancelled,
             ),
+            (
+                "job_accepted",
+                messages.JobAcceptedNotice,
+                messages.Empty,
+                self._handle_job_accepted,
+            ),
             (
                 "hand_over",
                 messages.HandOverRequest,
@@ -243,23 +242,26 @@
         self.capacity.worker = self.worker
         self._run(self.worker.run())
         self.jobs.on_cancelled = self._tell_job_cancelled
+        self.jobs.on_accepted = self._tell_job_accepted
 
     async def _tell_job_cancelled(self, job_id):
         self.worker.job_cancelled(job_id)
         notice = messages.JobCancelledNotice(job_id)
-        ids = [item for item in self.peering.live_ids() if item != self.host_id]
-        await asyncio.gather(
-            *(
-                self.peers.call(host_id, "job_cancelled", notice, messages.Empty, 1.0)
-                for host_id in ids
-            ),
-            return_exceptions=True,
-        )
+        await self.peering.tell_peers("job_cancelled", notice)
 
     async def _handle_job_cancelled(self, notice):
         self.worker.job_cancelled(notice.job_id)
         return messages.Empty()
 
+    def _tell_job_accepted(self, job_id, service_name):
+        self.worker.job_accepted(job_id, service_name)
+        notice = messages.JobAcceptedNotice(job_id, service_name)
+        self.online.spawn(self.peering.tell_peers("job_accepted", notice))
+
+    async def _handle_job_accepted(self, notice):
+        self.worker.job_accepted(notice.job_id, notice.service_name)
+        return messages.Empty()
+
     async def _start_listener(self):
         settings = self.settings
         self.context = ApiContext(
--- a/galenascale/jobs.py
+++ b/galenascale/jobs.py
@@ -98,6 +98,8 @@
         self._settings = settings
         # Coroutine function called with the id of a cancelled job.
         self.on_cancelled = None
+        # Called with the id and the service of an accepted job.
+        self.on_accepted = None
 
     async def create(self, tenant, request):
         """
@@ -123,7 +125,10 @@
             raise Refused(
                 "job cannot be accepted now", code="log_unavailable", step="jobs"
             ) from error
-        return await self._accepted(tenant, verdicts[0])
+        entry = await self._accepted(tenant, verdicts[0])
+        if self.on_accepted is not None and verdicts[0].valid:
+            self.on_accepted(created.job_id, created.service_name)
+        return entry
 
     async def _accepted(self, tenant, verdict):
         if verdict.status == VerdictStatus.CONFLICT:
--- a/galenascale/peering.py
+++ b/galenascale/peering.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from galenascale.errors import GalenascaleError
-from galenascale.generated.messages import HostInfo
+from galenascale.generated.messages import Empty, HostInfo
 from galenascale.host_list import HostList
 from galenascale.logs import get_logger
 from galenascale.membership import Membership
@@ -13,6 +13,8 @@
 
 log = get_logger("peers")
 
+TELL_TIMEOUT_S = 1.0
+
 
 class Peering:
     """What a host needs to know its peers and to be known by them."""
@@ -83,6 +85,15 @@
             self.clock.monotonic(), server.name, server.failure_domain
         )
 
+    async def tell_peers(self, method, message):
+        """Pass a message on to all live hosts; unreachable ones miss it."""
+        ids = [item for item in self.live_ids() if item != self.settings.host_id]
+        calls = (
+            self.peers.call(host_id, method, message, Empty, TELL_TIMEOUT_S)
+            for host_id in ids
+        )
+        await asyncio.gather(*calls, return_exceptions=True)
+
     async def tell_leaving(self):
         """Tell peers and the host list that this host takes no new work."""
         self.membership.update_own(state="leaving", ready=False)
--- a/galenascale/routing/load.py
+++ b/galenascale/routing/load.py
@@ -6,6 +6,8 @@
 
 # Reports and digests older than this are ignored.
 STALE_S = 3.0
+# Digests of peers are at most this much older than a load report.
+DIGEST_LAG_S = 1.0
 # Own counts are remembered for as long as a report may lag.
 HISTORY_S = 3.0
 # A server that refused as overloaded or broke a stream gets nothing for this
@@ -31,6 +33,8 @@
     peer_loads: dict = attrs.field(factory=dict)
     peer_online: int = 0
     peer_batch: int = 0
+    # (time, batch requests of peers from then on)
+    batch_history: deque = attrs.field(factory=deque)
     reserved: bool = False
     # Peers that ejected the server because of what they saw themselves.
     crashed_by: set = attrs.field(factory=set)
@@ -78,6 +82,7 @@
         )
         self.peer_online += new[1] - old[1]
         self.peer_batch += new[2] - old[2]
+        self._note_batch(now)
         if load.reserved:
             self.reserved_by.add(peer_id)
         else:
@@ -92,6 +97,7 @@
             _, online, batch = self.peer_loads.pop(peer)
             self.peer_online -= online
             self.peer_batch -= batch
+            self._note_batch(now)
             self.reserved_by.discard(peer)
             self.crashed_by.discard(peer)
         old_report = self.reported and self.reported_at < now - STALE_S
@@ -99,17 +105,27 @@
             self.reported = self.reported_own = 0
         return bool(stale or old_report)
 
+    def _note_batch(self, now):
+        self.batch_history.append((now, self.peer_batch))
+        oldest = now - DIGEST_LAG_S
+        while len(self.batch_history) > 1 and self.batch_history[1][0] < oldest:
+            self.batch_history.popleft()
+
     @property
-    def others(self):
-        """Requests of other hosts; own ones are not counted twice."""
-        return max(
-            self.peer_online + self.peer_batch, self.reported - self.reported_own
-        )
+    def unexplained(self):
+        """
+        Requests in the report that neither own counts nor digests explain.
+
+        Reports and digests have different lags, so batch streams that ended
+        lately may be in the report; they must not look like online work.
+        """
+        batch = max((count for _, count in self.batch_history), default=0)
+        return self.reported - self.reported_own - batch
 
     @property
     def online(self):
         """Online requests in flight, own and estimated ones of others."""
-        return self.own_online + max(self.peer_online, self.others - self.peer_batch)
+        return self.own_online + max(self.peer_online, self.unexplained)
 
     @property
     def batch(self):
--- a/galenascale/routing/router.py
+++ b/galenascale/routing/router.py
@@ -25,6 +25,8 @@
     def __init__(self, failure_domain, random):
         self.failure_domain = failure_domain
         self._random = random
+        # Slots on each server that are free again at once after a dispatch.
+        self.batch_reserve = 0
         self._states_by_id = {}
         self._groups_by_key = {}
         self._ejector = Ejector()
@@ -261,7 +263,8 @@
 
     def _choice(self, server_id):
         state = self._states_by_id[server_id]
-        needed = state.online + state.batch + 1 - state.declaration.slots
+        needed = state.online + state.batch + 1 + self.batch_reserve
+        needed -= state.declaration.slots
         return Choice(state.declaration, max(0, min(1, needed, state.batch)))
 
     def _load(self, server_id):
--- a/schema/galenascale.thrift
+++ b/schema/galenascale.thrift
@@ -607,6 +607,12 @@
   1: string job_id = "",
 }
 
+/** Tells peers that a shard has new work, so that free slots ask at once. */
+struct JobAcceptedNotice {
+  1: string job_id = "",
+  2: string service_name = "",
+}
+
 struct CallStatusReply {
   /** running, abandoned (never dispatched) or unknown */
   1: string state = "unknown",
