--- a/bench/loopback.py
+++ b/bench/loopback.py
@@ -194,9 +194,7 @@
             await asyncio.sleep(1.0)
             batch_alone = await _job(run, items)
             await asyncio.sleep(1.0)
-            job, together = await asyncio.gather(
-                _job(run, items), run.online(seconds)
-            )
+            job, together = await asyncio.gather(_job(run, items), run.online(seconds))
     online = {"alone": _percentiles(alone), "with_batch": _percentiles(together)}
     ratio = online["with_batch"]["p95_ms"] / online["alone"]["p95_ms"]
     return {
