Tell slot owners of online requests at once, in absolute counts

Cause: hosts knew a server's batch streams and owners knew online requests only from digests and reports, so slots were given back late, and requests that had ended still counted as online work. Cost: two small messages for each online request on a server with batch.

--- a/bench/policy.py
+++ b/bench/policy.py
@@ -63,6 +63,8 @@
     interrupted: int = 0
     tokens_lost: int = 0
     prefilled_again: int = 0
+    # Notices of online requests to slot owners.
+    notices: int = 0
 
 
 @attrs.define
@@ -199,6 +201,7 @@
         "interrupted": figures.interrupted,
         "tokens_lost": figures.tokens_lost,
         "tokens_prefilled_again": figures.prefilled_again,
+        "owner_notices": figures.notices,
         "needed_a_slot": len(given),
         "give_way_ms": percentiles(given) if len(given) > 1 else None,
     }
--- a/bench/policy_hosts.py
+++ b/bench/policy_hosts.py
@@ -98,19 +98,24 @@
         server_id = choice.server.name
         self.fleet.servers_by_id[server_id].need_slot()
         self.router.started(server_id, self.simulation.now)
-        if choice.give_way and self.fleet.gives_way:
-            _run(self.capacity.give_way(server_id, choice.give_way))
+        self._tell_owner(server_id, choice.give_way)
 
         def on_token(token):
             log.token(self.simulation.now)
             if token.final:
                 self.router.ended(server_id, self.simulation.now)
+                self._tell_owner(server_id)
                 self.admission.finish(ticket)
                 self.pump()
 
         server = self.fleet.servers_by_id[server_id]
         server.submit(ticket.request_id, work, 0, on_token, is_batch=False)
 
+    def _tell_owner(self, server_id, count=0):
+        if self.fleet.gives_way and (count or self.router.has_batch(server_id)):
+            self.fleet.figures.notices += 1
+            _run(self.capacity.give_way(server_id, count))
+
     def gossip(self):
         """Exchange loads with a few peers, in both directions."""
         others = [host for host in self.fleet.hosts if host is not self]
@@ -157,6 +162,10 @@
         """Return the items that run on a server."""
         return list(self._runs_by_server.get(server_id, ()))
 
+    def wake(self):
+        """Fill soon, as BatchWorker.wake does."""
+        self._host.simulation.after(0.0, self.fill)
+
     def fill(self):
         """Start items in the free batch slots."""
         for server, count in self._host.fleet.batch_slots(self._host):
--- a/galenascale/batch/capacity.py
+++ b/galenascale/batch/capacity.py
@@ -65,16 +65,23 @@
         router.ended(server_id, self._clock.monotonic(), batch=True)
 
     async def give_way(self, server_id, count):
-        """Free batch slots of a server, possibly at a peer that owns them."""
+        """
+        Tell the owner of a server's batch slots that online work changed.
+
+        It frees `count` slots or what its own view of the server demands.
+        """
         server = self._config.current.servers_by_id.get(server_id)
         if server is None:
             return
         owner = self._peering.slot_owner(server)
         if owner in (None, self._host_id):
-            # The request is in the own counts already.
+            # The change is in the own counts already.
             self._withdraw(server)
+            self.worker.wake()
             return
-        request = GiveWayRequest(server_id, count, self._host_id)
+        router = self._online.dispatcher(server.service_name).router
+        online = router.own_online(server_id)
+        request = GiveWayRequest(server_id, count, self._host_id, online)
         try:
             await self._peering.peers.call(
                 owner, "give_way", request, GiveWayReply, GIVE_WAY_TIMEOUT_S
@@ -87,8 +94,14 @@
         server = self._config.current.servers_by_id.get(request.server_id)
         if server is None:
             return GiveWayReply(0)
-        now = self._clock.monotonic()
-        self._slots(server.name).announce(now, request.slots)
+        if request.online_in_flight >= 0:
+            self._online.dispatcher(server.service_name).router.note_peer_online(
+                server.name,
+                request.host_id,
+                request.online_in_flight,
+                self._clock.monotonic(),
+            )
+        self.worker.wake()
         before = self.worker.running(server.name)
         return GiveWayReply(min(before, max(0, -self._withdraw(server))))
 
--- a/galenascale/batch/slots.py
+++ b/galenascale/batch/slots.py
@@ -12,9 +12,6 @@
 # Half of the second within which batch must fill idle capacity; the rest is
 # for the owner's evaluation interval and the start of the streams.
 HOLD_S = 0.5
-# Requests that a peer announced count for this long: by then its digest, sent
-# each 0.25 s and possibly relayed, shows them.
-ANNOUNCED_S = 0.75
 
 
 @attrs.frozen
@@ -37,12 +34,6 @@
     # (time, target) with rising times and targets: since that time, targets
     # were at least that high. The first entry gives the window's minimum.
     _window: deque = attrs.field(factory=deque)
-    # (end of validity, online requests that a peer announced)
-    _announced: deque = attrs.field(factory=deque)
-
-    def announce(self, now, count):
-        """Note online requests of a peer that its digest does not show yet."""
-        self._announced.append((now + ANNOUNCED_S, count))
 
     def allowed(self, now, slots, online, reserve):
         """
@@ -51,9 +42,6 @@
         `online` counts the online requests in flight, own and of peers. The
         time before the first call counts as busy, as nothing is known of it.
         """
-        while self._announced and self._announced[0][0] <= now:
-            self._announced.popleft()
-        online += sum(count for _, count in self._announced)
         target = max(0, slots - online - reserve)
         if not self._window:
             self._window.append((now, 0))
--- a/galenascale/dispatch.py
+++ b/galenascale/dispatch.py
@@ -118,6 +118,7 @@
         """Return the capacity of an attempt."""
         now = self.clock.monotonic()
         self.router.ended(server_id, now)
+        self._tell_owner(server_id)
         self._release(waiter)
         self.pump()
 
@@ -125,6 +126,7 @@
         """Return the capacity of an attempt that was cancelled."""
         now = self.clock.monotonic()
         self.router.ended(server_id, now)
+        self._tell_owner(server_id)
         if reserved is not None:
             self.router.release(reserved, now)
         self.pump()
@@ -228,10 +230,14 @@
             server_id = result.server.name
             self.router.started(server_id, now)
             self.poison.started(waiter.content, waiter.attempt_id, server_id)
-            if result.give_way:
-                self._give_way(server_id, result.give_way)
+            self._tell_owner(server_id, result.give_way)
         waiter.settle(result)
 
+    def _tell_owner(self, server_id, count=0):
+        """Tell the owner of the batch slots; digests would be too late."""
+        if count or self.router.has_batch(server_id):
+            self._give_way(server_id, count)
+
     def poison_contained(self, waiter):
         """Return True when the content of a request is not to be run."""
         standing = self.poison.standing(waiter.content, self.clock.wall_ms())
--- a/galenascale/routing/load.py
+++ b/galenascale/routing/load.py
@@ -33,8 +33,8 @@
     peer_loads: dict = attrs.field(factory=dict)
     peer_online: int = 0
     peer_batch: int = 0
-    # (time, batch requests of peers from then on)
-    batch_history: deque = attrs.field(factory=deque)
+    # (time, requests of peers, batch requests of peers) from then on
+    peer_history: deque = attrs.field(factory=deque)
     reserved: bool = False
     # Peers that ejected the server because of what they saw themselves.
     crashed_by: set = attrs.field(factory=set)
@@ -74,20 +74,24 @@
 
     def note_peer(self, peer_id, load, now):
         """Take over the load that a peer itself puts on the server."""
-        old = self.peer_loads.get(peer_id, (now, 0, 0))
-        new = self.peer_loads[peer_id] = (
-            now,
-            load.online_in_flight,
-            load.batch_in_flight,
-        )
-        self.peer_online += new[1] - old[1]
-        self.peer_batch += new[2] - old[2]
-        self._note_batch(now)
+        self._set_peer(peer_id, now, load.online_in_flight, load.batch_in_flight)
         if load.reserved:
             self.reserved_by.add(peer_id)
         else:
             self.reserved_by.discard(peer_id)
 
+    def note_peer_online(self, peer_id, online, now):
+        """Take over a peer's online requests, told ahead of its digest."""
+        _, _, batch = self.peer_loads.get(peer_id, (now, 0, 0))
+        self._set_peer(peer_id, now, online, batch)
+
+    def _set_peer(self, peer_id, now, online, batch):
+        _, old_online, old_batch = self.peer_loads.get(peer_id, (now, 0, 0))
+        self.peer_loads[peer_id] = (now, online, batch)
+        self.peer_online += online - old_online
+        self.peer_batch += batch - old_batch
+        self._note_peers(now)
+
     def drop_stale(self, now):
         """Forget what is too old; return True when something was forgotten."""
         stale = [
@@ -97,7 +101,7 @@
             _, online, batch = self.peer_loads.pop(peer)
             self.peer_online -= online
             self.peer_batch -= batch
-            self._note_batch(now)
+            self._note_peers(now)
             self.reserved_by.discard(peer)
             self.crashed_by.discard(peer)
         old_report = self.reported and self.reported_at < now - STALE_S
@@ -105,27 +109,32 @@
             self.reported = self.reported_own = 0
         return bool(stale or old_report)
 
-    def _note_batch(self, now):
-        self.batch_history.append((now, self.peer_batch))
-        oldest = now - DIGEST_LAG_S
-        while len(self.batch_history) > 1 and self.batch_history[1][0] < oldest:
-            self.batch_history.popleft()
+    def _note_peers(self, now):
+        history = self.peer_history
+        history.append((now, self.peer_online + self.peer_batch, self.peer_batch))
+        while len(history) > 1 and history[1][0] < now - DIGEST_LAG_S:
+            history.popleft()
 
     @property
     def unexplained(self):
         """
         Requests in the report that neither own counts nor digests explain.
 
-        Reports and digests have different lags, so batch streams that ended
-        lately may be in the report; they must not look like online work.
+        Reports and digests have different lags, so requests that ended lately
+        may be in the report; they must not look like those of other hosts.
         """
-        batch = max((count for _, count in self.batch_history), default=0)
-        return self.reported - self.reported_own - batch
+        known = max((count for _, count, _ in self.peer_history), default=0)
+        return max(0, self.reported - self.reported_own - known)
 
     @property
     def online(self):
         """Online requests in flight, own and estimated ones of others."""
-        return self.own_online + max(self.peer_online, self.unexplained)
+        return self.own_online + self.peer_online + self.unexplained
+
+    @property
+    def has_batch(self):
+        """Whether batch streams run here, as far as lagging digests tell."""
+        return self.own_batch > 0 or any(count for _, _, count in self.peer_history)
 
     @property
     def batch(self):
--- a/galenascale/routing/router.py
+++ b/galenascale/routing/router.py
@@ -179,6 +179,18 @@
                 state.crashed_by.discard(peer_id)
             self._update(load.server_id, now)
 
+    def note_peer_online(self, server_id, peer_id, online, now):
+        """Take over a peer's online requests, told ahead of its digest."""
+        state = self._states_by_id.get(server_id)
+        if state is not None:
+            state.note_peer_online(peer_id, online, now)
+            self._update(server_id, now)
+
+    def has_batch(self, server_id):
+        """Return whether batch streams may run on a server."""
+        state = self._states_by_id.get(server_id)
+        return state is not None and state.has_batch
+
     def digest(self):
         """Return the ServerLoads of this host's own requests for its peers."""
         return [
@@ -211,7 +223,8 @@
 
     def own_online(self, server_id):
         """Return this host's online requests on a server."""
-        return self._states_by_id[server_id].own_online
+        state = self._states_by_id.get(server_id)
+        return 0 if state is None else state.own_online
 
     def refresh(self, now):
         """Apply the passing of time to ejections, pauses and stale reports."""
--- a/schema/galenascale.thrift
+++ b/schema/galenascale.thrift
@@ -564,11 +564,16 @@
   3: string error_code = "",
 }
 
-/** Asks the owner of a server's batch slots to free some of them. */
+/**
+ * Tells the owner of a server's batch slots of an online request that starts or
+ * ends there, before the next digest does, so that slots are freed or filled.
+ */
 struct GiveWayRequest {
   1: string server_id = "",
   2: i32 slots = 0,
   3: string host_id = "",
+  /** The sender's online requests on the server now; -1 if not stated. */
+  4: i32 online_in_flight = -1,
 }
 
 struct GiveWayReply {
--- a/test/test_online.py
+++ b/test/test_online.py
@@ -191,5 +191,6 @@
         router.started("s0", 1000.0, batch=True)
     deployment.service.report(ServerReport("s0", 1_000_000, running=2, slots=2))
     await deployment.run(deployment.call(deployment.request("r")))
-    assert deployment.given_way == [("s0", 1)]
+    # The owner also hears of the end, which frees a slot for batch.
+    assert deployment.given_way == [("s0", 1), ("s0", 0)]
     await deployment.close()
