--- a/galenascale/batch/capacity.py
+++ b/galenascale/batch/capacity.py
@@ -29,6 +29,8 @@
         self._owned_until = 0.0
         # Running batch streams by service.
         self._running = collections.Counter()
+        # Called with a service and the number of interrupted streams.
+        self.on_interrupted = lambda service, count: None
         # Set by the host once the worker exists.
         self.worker = None
 
@@ -158,4 +160,5 @@
             )
         chosen = streams_to_cancel(streams, count)
         items = [items_by_id[stream.attempt_id] for stream in chosen]
-        return self.worker.give_way(server.name, items)
+        count = self.worker.give_way(server.name, items)
+        self.on_interrupted(server.service_name, count)
--- a/galenascale/batch/worker.py
+++ b/galenascale/batch/worker.py
@@ -35,6 +35,8 @@
         self.recorded = self.holdings.recorded
         self.job_cancelled = self.holdings.drop_job
         self.check = self.holdings.check
+        # Called with a service and the tokens of a dropped answer.
+        self.on_discarded = lambda service, tokens: None
         self.taking = True
 
     def wake(self):
@@ -110,6 +112,8 @@
                 self.holdings.ready.put_back(
                     service, item, server.name, self._clock.monotonic()
                 )
+            else:
+                self.on_discarded(service, item.tokens)
             raise
         except GalenascaleError as error:
             log.info("Item %d of %s waits: %s.", *reversed(item.key), error)
--- a/galenascale/dispatch.py
+++ b/galenascale/dispatch.py
@@ -66,6 +66,8 @@
         self.max_attempts = 1
         # Called at each tick with the time; the runs watch their deadlines.
         self.watchers = set()
+        # Called with the tenant and the seconds in the queue of each request.
+        self.on_started = lambda tenant, seconds: None
         self._give_way = give_way
         self._waiters_by_ticket = {}
         self._retrying = deque()
@@ -160,6 +162,7 @@
             if result is DIVERTED:
                 self._retrying.append(waiter)
             else:
+                self.on_started(ticket.tenant, now - ticket.queued_at)
                 self._dispatch(waiter, result, now)
         self._keep_ticking()
 
--- a/galenascale/host.py
+++ b/galenascale/host.py
@@ -27,6 +27,7 @@
 from galenascale.metrics import Metrics
 from galenascale.online import OnlineService
 from galenascale.peering import Peering
+from galenascale.scheduling_metrics import SchedulingMetrics
 from galenascale.shards import Shards
 from galenascale.shards.keeper import ShardKeeper
 from galenascale.stopping import GracefulStop
@@ -240,6 +241,7 @@
             self, self.grants, self.capacity, self.reporter, runner.run
         )
         self.capacity.worker = self.worker
+        SchedulingMetrics(self.metrics, self.online, self.capacity, self.worker)
         self._run(self.worker.run())
         self.jobs.on_cancelled = self._tell_job_cancelled
         self.jobs.on_accepted = self._tell_job_accepted
--- a/galenascale/online.py
+++ b/galenascale/online.py
@@ -29,6 +29,8 @@
         self._random = random
         self._failure_domain = failure_domain
         self._give_way = give_way
+        # Called with the tenant and the seconds in the queue of each request.
+        self.on_started = lambda tenant, seconds: None
         self._dispatchers_by_service = {}
         self._tasks = set()
 
@@ -62,6 +64,7 @@
                 self._random,
                 lambda server_id, slots: self.spawn(self._give_way(server_id, slots)),
             )
+            dispatcher.on_started = lambda *args: self.on_started(*args)
             self._dispatchers_by_service[service_name] = dispatcher
             dispatcher.configure(self._config)
         return dispatcher
