Cancel engine streams with the name of their attempt

Cause: the online service passed REQUEST/ATTEMPT to EngineClient.cancel, which took two arguments; each cancel of a caller that went away failed with a TypeError that was only logged, and its capacity was held until then. Both sides had tests, with fakes of their own.

Change: the client takes the attempt id.

Before: the new test fails with "Background work failed: TypeError". After: it passes.

--- a/bench/relay.py
+++ b/bench/relay.py
@@ -39,9 +39,10 @@
 PATH = "/v1/chat/completions"
 
 
-def _chunk_event(index):
+def _chunk_event(index, finish_reason=None):
     """Return one event in the shape of an engine's chunk."""
-    choice = {"index": 0, "delta": {"content": f"word{index} "}, "finish_reason": None}
+    delta = {"content": f"word{index} "}
+    choice = {"index": 0, "delta": delta, "finish_reason": finish_reason}
     value = {
         "id": "chatcmpl-0123456789abcdef0123456789abcdef",
         "object": "chat.completion.chunk",
@@ -63,9 +64,11 @@
     response = web.StreamResponse(headers={"Content-Type": "text/event-stream"})
     await response.prepare(request)
     interval_s = body["seed"] / 1000
+    last = body["max_tokens"] - 1
     for index in range(body["max_tokens"]):
         await asyncio.sleep(interval_s)
-        await response.write(_chunk_event(index))
+        finish_reason = "length" if index == last else None
+        await response.write(_chunk_event(index, finish_reason))
     await response.write(b"data: [DONE]\n\n")
     return response
 
@@ -110,7 +113,7 @@
         },
         servers_by_id={
             "e": messages.BackendServerDeclaration(
-                name="e", service_name="s", url=upstream
+                name="e", service_name="s", url=upstream, slots=1000
             )
         },
     )
--- a/galenascale/engine_client.py
+++ b/galenascale/engine_client.py
@@ -73,9 +73,9 @@
                     yield chunk
             raise _broken("stream ended without [DONE]", "stream", server)
 
-    async def cancel(self, server, request_id, attempt):
-        """Stop an attempt and return its CancelResult."""
-        body = {"request_id": f"{request_id}/{attempt}"}
+    async def cancel(self, server, attempt_id):
+        """Stop an attempt, named REQUEST/ATTEMPT; return its CancelResult."""
+        body = {"request_id": attempt_id}
         answer = await self._post(server, "/v1/cancel", "cancel", body)
         return decode_answer(answer, CancelResult, "cancel", server.name)
 
--- a/test/test_embedded.py
+++ b/test/test_embedded.py
@@ -81,3 +81,34 @@
     with pytest.raises(OSError, match="no port"):
         await embedded.start()
     assert len(started) == 9 and not any(map(_listens, started))
+
+
+async def test_caller_who_goes_away_frees_the_engine(caplog):
+    """Guards the cancel call between the online service and the engines."""
+    async with EmbeddedDeployment.from_directory(EXAMPLES / "mutara") as embedded:
+        summary = embedded.summary()
+        body = {
+            "model": "assist",
+            "stream": True,
+            "max_tokens": 5000,
+            "messages": [{"role": "user", "content": "hello"}],
+        }
+        headers = {"Authorization": f"Bearer {summary.caller_key}"}
+        url = summary.entry_hosts[0].url + "/v1/chat/completions"
+        async with (
+            aiohttp.ClientSession(headers=headers) as session,
+            session.post(url, json=body) as response,
+        ):
+            await response.content.readany()
+            response.close()
+        host = embedded.hosts_by_id[summary.entry_hosts[0].id]
+        for _ in range(500):
+            if not any(load.online_in_flight for load in host.online.loads()):
+                break
+            await asyncio.sleep(0.01)
+        assert not any(load.online_in_flight for load in host.online.loads())
+        models = [
+            getattr(item, "model", None) for item in embedded.standins_by_id.values()
+        ]
+        assert not any(model.running for model in models if model is not None)
+    assert "Background work failed" not in caplog.text
--- a/test/test_engine_client.py
+++ b/test/test_engine_client.py
@@ -167,7 +167,7 @@
 
     async with serving(handle) as (session, server):
         client = EngineClient(session, Clock())
-        assert (await client.cancel(server, "r1", 2)).tokens == 4
+        assert (await client.cancel(server, "r1/2")).tokens == 4
         report = await client.load_report(server)
         assert report.models == (("m", ""),)
         assert report.adapters_by_model == {"m": ("x",)}
