Relay tokens with one layer and one event less

Cause: each token passed an async generator that only forwarded it, and an asyncio.Event that allocates and clears for each wait.

Change: complete() returns the run's own iterator; the reader wakes its single consumer by a future.

--- a/galenascale/attempt_reader.py
+++ b/galenascale/attempt_reader.py
@@ -24,8 +24,11 @@
 
     def __init__(self, stream):
         self._events = deque()
-        self._arrived = asyncio.Event()
+        # Future of the one consumer while it waits for an event.
+        self._waiter = None
         self._drained = asyncio.Event()
+        self._is_full = False
+        self._loop = asyncio.get_running_loop()
         # True once the server broke the stream off, read already or not.
         self.is_broken = False
         self._task = asyncio.ensure_future(self._read(stream))
@@ -38,14 +41,17 @@
     def post(self, event):
         """Add a Chunk, an error, or None for the end of the stream."""
         self._events.append(event)
-        self._arrived.set()
+        waiter = self._waiter
+        if waiter is not None and not waiter.done():
+            waiter.set_result(None)
 
     async def next(self):
         """Return the next event."""
         while not self._events:
-            self._arrived.clear()
-            await self._arrived.wait()
-        self._drained.set()
+            self._waiter = self._loop.create_future()
+            await self._waiter
+        if self._is_full:
+            self._drained.set()
         return self._events.popleft()
 
     def cancel(self):
@@ -60,7 +66,9 @@
                 self.post(chunk)
                 while len(self._events) >= MAX_BUFFERED_CHUNKS:
                     self._drained.clear()
+                    self._is_full = True
                     await self._drained.wait()
+                    self._is_full = False
             self.post(None)
         except BackendError as error:
             self.is_broken = error.code == "stream_broken"
--- a/galenascale/online.py
+++ b/galenascale/online.py
@@ -1,7 +1,6 @@
 """Online requests of one entry host."""
 
 import asyncio
-import contextlib
 
 from galenascale.dispatch import Dispatcher
 from galenascale.errors import UserError
@@ -32,17 +31,15 @@
         self._dispatchers_by_service = {}
         self._tasks = set()
 
-    async def complete(self, request):
+    def complete(self, request):
         """
-        Yield the Chunks of the answer to an OnlineRequest.
+        Return an async iterator of the Chunks that answer an OnlineRequest.
 
         Raise Refused when the request was not run, UserError for a fault of
         the request and BackendError otherwise. Close the iterator to cancel.
         """
-        run = OnlineRun(self, request)
-        async with contextlib.aclosing(run.chunks()) as chunks:
-            async for chunk in chunks:
-                yield chunk
+        # The iterator itself, since one more layer costs time for each token.
+        return OnlineRun(self, request).chunks()
 
     def dispatcher(self, service_name):
         """Return the Dispatcher of a service, with the newest settings."""
