Run plain-service items with a time limit; keep items through faults

Cause: the batch runner called EngineClient.forward without its time limit, and an unexpected exception ended the run's task, so the item and with it the job never ended. Unit tests used a fake with a default for the argument.

Change: the time limit is passed; an unexpected exception counts as a failed try, or as doubt once a non-idempotent item has its intent.

--- a/galenascale/batch/runs.py
+++ b/galenascale/batch/runs.py
@@ -7,12 +7,15 @@
 
 from galenascale.batch.held import answer_body
 from galenascale.batch_lines import MODEL_ENDPOINTS
-from galenascale.errors import BackendError, Execution, Refused
+from galenascale.errors import BackendError, Execution, GalenascaleError, Refused
 from galenascale.generated.messages import ItemIntent, ItemOutcome, OutcomeStatus
 from galenascale.jobs import error_line, result_line
+from galenascale.logs import get_logger
 from galenascale.requests import OnlineRequest
 from galenascale.shards import make_record
 
+log = get_logger("batch")
+
 # Time for one item; a stuck stream must not hold a slot for ever.
 RUN_TIMEOUT_S = 300.0
 # Pause before an item that was not run is tried again.
@@ -43,6 +46,19 @@
 
         Raise GalenascaleError if it cannot run now.
         """
+        try:
+            return await self._run(server, item)
+        except GalenascaleError:
+            raise
+        except Exception:
+            # An item must not be lost to a fault of the program: it would keep
+            # its chunk, and so its job, from ever ending.
+            log.exception("Run of item %d failed.", item.number)
+            if item.number in item.chunk.intent_offsets:
+                return doubtful_outcome(item)
+            return self._failed_try(server, item, "internal_error", crashed=False)
+
+    async def _run(self, server, item):
         if item.url in MODEL_ENDPOINTS:
             return await self._run_completion(server, item)
         if item.chunk.grant.idempotent:
@@ -151,7 +167,7 @@
             "X-Call-Id": f"{item.chunk.grant.job_id}-{item.number}",
         }
         return await self._engine_client.forward(
-            server, "POST", path, headers, orjson.dumps(item.body)
+            server, "POST", path, headers, orjson.dumps(item.body), RUN_TIMEOUT_S
         )
 
     def _from_answer(self, item, answer):
--- a/test/processes.py
+++ b/test/processes.py
@@ -20,6 +20,7 @@
         text=True,
     )
     try:
+        process.log_lines = []
         process.port = _read_port(process)
         yield process
     finally:
@@ -33,11 +34,14 @@
     timer = threading.Timer(START_TIMEOUT_S, process.kill)
     timer.start()
     try:
-        lines = []
+        lines = process.log_lines
         for line in process.stderr:
             lines.append(line)
             if match := re.search(r"Listening on port (\d+)", line):
-                threading.Thread(target=process.stderr.read, daemon=True).start()
+                collect = threading.Thread(
+                    target=lines.extend, args=(process.stderr,), daemon=True
+                )
+                collect.start()
                 return int(match[1])
         raise AssertionError("".join(lines))
     finally:
