--- a/galenascale/batch/grants.py
+++ b/galenascale/batch/grants.py
@@ -20,15 +20,21 @@
 SUBMIT_TIMEOUT_S = 3.0
 # A job within this share of its time to the due time goes before others.
 LATE_SHARE = 0.25
+MAX_TAKEN_EARLY = 10_000
 
 
 class GrantService:
     """Grants chunks of the shards to the hosts that ask for work."""
 
-    def __init__(self, shards, clock, settings):
+    def __init__(self, shards, clock, settings, is_gone=None):
         self._shards = shards
         self._clock = clock
         self._settings = settings
+        # is_gone(host id, incarnation) -> True if that process was seen to end
+        self._is_gone = is_gone or (lambda host_id, incarnation: False)
+        # Chunks that were taken before their lease lapsed. Each is so only
+        # once: two partitioned hosts would take it from each other for ever.
+        self._taken_early = {}
         # Chunks with a proposed claim that is not read back yet.
         self._proposed = set()
         # Items granted by tenant, for equal shares between tenants.
@@ -86,6 +92,27 @@
                 yield chunk, -1
             elif follower.lease_lapsed(claim, margin_ms):
                 yield chunk, claim.offset
+            elif self._may_take_early(job, chunk, claim):
+                self._note_taken_early(job, chunk)
+                yield chunk, claim.offset
+
+    def _may_take_early(self, job, chunk, claim):
+        """
+        Return True if the holder of a claim seems to be gone.
+
+        Without an intent a wrong guess can cost a second run of a repeatable
+        item but nothing else: intents are valid only under the current claim.
+        """
+        return (
+            (job.created.job_id, chunk) not in self._taken_early
+            and self._is_gone(claim.holder, claim.incarnation)
+            and not _has_intent(job, chunk)
+        )
+
+    def _note_taken_early(self, job, chunk):
+        self._taken_early[job.created.job_id, chunk] = True
+        while len(self._taken_early) > MAX_TAKEN_EARLY:
+            self._taken_early.pop(next(iter(self._taken_early)))
 
     def _count(self, job, chunk):
         tenant = job.created.tenant
@@ -144,6 +171,10 @@
         )
 
 
+def _has_intent(job, chunk):
+    return any(item in job.intents_by_item for item in job.items_of(chunk))
+
+
 def is_late(created, now_ms):
     """Return True if little of the time to a job's due time is left."""
     whole = created.due_ms - created.created_ms
--- a/galenascale/batch/held.py
+++ b/galenascale/batch/held.py
@@ -1,11 +1,13 @@
 """Chunks that this host holds under a lease, and their items."""
 
 import collections
+import functools
 
 import attrs
 import orjson
 
 from galenascale.batch_lines import parse_line
+from galenascale.poison import fingerprint
 
 
 @attrs.define(eq=False)
@@ -23,7 +25,13 @@
     # Tokens of an interrupted answer and their text.
     tokens: int = 0
     text: str = ""
-    crashed_servers: set = attrs.field(factory=set)
+    # True once it has to run alone, since it may have crashed a server.
+    suspect: bool = False
+
+    @functools.cached_property
+    def content(self):
+        """Fingerprint of what the item asks for."""
+        return fingerprint(self.url, self.body)
 
     @property
     def key(self):
@@ -46,6 +54,10 @@
     current: bool = True
     # Claim under which intents of non-idempotent items were recorded.
     intent_offsets: dict = attrs.field(factory=dict)
+    # Claims under which an intent of an item was submitted, by item.
+    tried_offsets: dict = attrs.field(factory=dict)
+    # Items that were sent to a server and may have run there.
+    dispatched: set = attrs.field(factory=set)
 
     @classmethod
     def from_grant(cls, shard, grant, leased_at):
@@ -101,13 +113,19 @@
             )
 
 
-def answer_body(item, chunks):
-    """Return the JSON body of a completion out of its last chunk and text."""
-    last = orjson.loads(chunks[-1].data) if chunks else {}
+def answer_body(item, last_chunk, usage):
+    """
+    Return the JSON body of a completion out of its last chunk and text.
+
+    `usage` is the engine's, which counts the tokens of resumed answers too; an
+    engine that sends none leaves the number of prompt tokens unknown.
+    """
+    last = orjson.loads(last_chunk.data or b"{}")
+    counts = {"completion_tokens": item.tokens, **(usage or {})}
     chat = item.url.endswith("/chat/completions")
     choice = {
         "index": 0,
-        "finish_reason": chunks[-1].finish_reason if chunks else "stop",
+        "finish_reason": last_chunk.finish_reason,
         "logprobs": None,
     }
     if chat:
@@ -120,9 +138,5 @@
         "created": last.get("created", 0),
         "model": item.body.get("model", ""),
         "choices": [choice],
-        "usage": {
-            "prompt_tokens": 0,
-            "completion_tokens": item.tokens,
-            "total_tokens": item.tokens,
-        },
+        "usage": counts,
     }
--- a/galenascale/batch/reporter.py
+++ b/galenascale/batch/reporter.py
@@ -16,6 +16,9 @@
 
 SUBMIT_TIMEOUT_S = 5.0
 RETRY_PAUSE_S = 0.5
+# Largest sum of bodies in one submission, well below the limit of an append: a
+# submission above it would be refused on every try.
+MAX_SUBMIT_BYTES = 250_000
 # Outcomes of one chunk wait for others of it, so that one record holds many.
 GATHER_S = 0.3
 
@@ -29,7 +32,8 @@
         # Called with (job id, list of items) once they are in the log.
         self._on_recorded = on_recorded
         self._outcomes_by_claim = collections.defaultdict(list)
-        self._in_submit = 0
+        # Lists of (shard, Outcomes) by submission that is under way.
+        self._submissions = {}
         self._wake = asyncio.Event()
         self._hurry = asyncio.Event()
         self._drained = asyncio.Event()
@@ -39,7 +43,11 @@
     def unrecorded(self):
         """Number of outcomes that are not known to be in the log."""
         waiting = sum(len(items) for items in self._outcomes_by_claim.values())
-        return waiting + self._in_submit
+        return waiting + sum(
+            len(message.outcomes)
+            for messages in self._submissions.values()
+            for message in messages
+        )
 
     def add(self, shard, job_id, chunk, claim_offset, outcome):
         """Take an outcome; it is recorded soon."""
@@ -61,13 +69,32 @@
         return HandOverReply(count)
 
     def pending(self):
-        """Return what is unrecorded as Outcomes messages by shard."""
-        by_shard = collections.defaultdict(list)
+        """
+        Return all that is unrecorded as a list of Outcomes messages.
+
+        It includes what is being submitted, which may get into the log twice;
+        the first copy counts.
+        """
+        waiting = [message for _, messages in self._groups() for message in messages]
+        for messages in self._submissions.values():
+            waiting.extend(messages)
+        return waiting
+
+    def _groups(self):
+        """Return (shard, Outcomes messages) of bounded size."""
+        groups, sizes_by_shard, last_by_shard = [], {}, {}
         for (shard, job_id, chunk, claim), items in self._outcomes_by_claim.items():
-            by_shard[shard].append(
-                Outcomes(job_id, chunk, claim, list(items), self._clock.wall_ms())
-            )
-        return by_shard
+            for part in _split(items):
+                size = sum(len(outcome.body) for outcome in part)
+                total = sizes_by_shard.get(shard, MAX_SUBMIT_BYTES) + size
+                if total > MAX_SUBMIT_BYTES:
+                    last_by_shard[shard], total = [], size
+                    groups.append((shard, last_by_shard[shard]))
+                sizes_by_shard[shard] = total
+                last_by_shard[shard].append(
+                    Outcomes(job_id, chunk, claim, part, self._clock.wall_ms())
+                )
+        return groups
 
     async def drain(self):
         """Return once everything is recorded, without waiting for more."""
@@ -82,10 +109,12 @@
             if not self._hurry.is_set():
                 await self._clock.sleep(GATHER_S)
             self._wake.clear()
-            by_shard = self.pending()
+            groups = self._groups()
             self._outcomes_by_claim.clear()
+            for _, messages in groups:
+                self._submissions[id(messages)] = messages
             results = await asyncio.gather(
-                *(self._submit(shard, items) for shard, items in by_shard.items())
+                *(self._submit(shard, messages) for shard, messages in groups)
             )
             if not self._outcomes_by_claim:
                 self._drained.set()
@@ -94,7 +123,6 @@
 
     async def _submit(self, shard, messages):
         count = sum(len(message.outcomes) for message in messages)
-        self._in_submit += count
         try:
             verdicts = await self._shards.submit(
                 shard, [make_record(message) for message in messages], SUBMIT_TIMEOUT_S
@@ -104,7 +132,7 @@
             self._keep(shard, messages)
             return False
         finally:
-            self._in_submit -= count
+            del self._submissions[id(messages)]
         for message, verdict in zip(messages, verdicts, strict=True):
             if not verdict.valid:
                 log.info("Outcomes of %s lost: %s.", message.job_id, verdict.reason)
@@ -117,3 +145,15 @@
             key = (shard, message.job_id, message.chunk, message.claim_offset)
             self._outcomes_by_claim[key][:0] = message.outcomes
         self._wake.set()
+
+
+def _split(outcomes):
+    """Return the outcomes in lists whose bodies fit one submission."""
+    parts, size = [], MAX_SUBMIT_BYTES
+    for outcome in outcomes:
+        size += len(outcome.body)
+        if size > MAX_SUBMIT_BYTES:
+            parts.append([])
+            size = len(outcome.body)
+        parts[-1].append(outcome)
+    return parts
--- a/galenascale/batch/worker.py
+++ b/galenascale/batch/worker.py
@@ -8,6 +8,7 @@
 
 from galenascale.batch.held import HeldChunk, ReadyItems
 from galenascale.batch.runs import doubtful_outcome
+from galenascale.batch.suspects import SuspectQueue
 from galenascale.errors import GalenascaleError, PeerError
 from galenascale.files import read_chunk
 from galenascale.generated.messages import (
@@ -45,6 +46,7 @@
         self._reporter = reporter
         self._run_item = run_item
         self._ready = ReadyItems()
+        self._suspects = SuspectQueue()
         self._chunks_by_key = {}
         # Tasks by item, by server id.
         self._runs_by_server = {}
@@ -86,6 +88,7 @@
         for service in self._capacity.services():
             slots = self._capacity.free_slots(service)
             free = sum(count for _, count in slots)
+            self._suspects.offer(service, [server.name for server, _ in slots])
             for server, count in slots:
                 for _ in range(count):
                     if not self._start_next(service, server):
@@ -101,7 +104,11 @@
     def _start_next(self, service, server):
         if not self._may_take():
             return False
-        item = self._ready.take(service)
+        if self._suspects.keeps(service, server.name):
+            running = self.running(server.name)
+            item = self._suspects.take(service, server.name, running)
+        else:
+            item = self._ready.take(service)
         if item is None:
             return False
         runs = self._runs_by_server.setdefault(server.name, {})
@@ -127,12 +134,21 @@
             outcome = None
         finally:
             self._runs_by_server[server.name].pop(item, None)
+            self._suspects.ended(service, item)
             self._wake.set()
         if outcome is None:
-            self._ready.add(service, [item])
+            self._wait_again(service, item)
         else:
             self._report(item, outcome)
 
+    def _wait_again(self, service, item):
+        if item.number not in item.chunk.open_items:
+            return
+        if item.suspect:
+            self._suspects.add(service, item)
+        else:
+            self._ready.add(service, [item])
+
     def _report(self, item, outcome):
         chunk = item.chunk
         if item.number not in chunk.open_items:
@@ -203,6 +219,10 @@
         except GalenascaleError as error:
             log.warning("Cannot read a chunk of %s: %s.", grant.job_id, error)
             return 0
+        earlier = self._chunks_by_key.get((grant.job_id, grant.chunk))
+        if earlier is not None:
+            # The lease of this host's own claim had lapsed.
+            self._drop(earlier)
         self._chunks_by_key[grant.job_id, grant.chunk] = held
         doubtful = set(grant.doubtful)
         items = held.items(content)
@@ -233,8 +253,19 @@
                 job = state.jobs_by_id.get(held.grant.job_id)
                 if job is None or job.ended:
                     self._drop(held)
+                else:
+                    self._adopt_renewal(held, job)
             await self._renew(shard)
 
+    def _adopt_renewal(self, held, job):
+        """Take over a renewal whose verdict did not arrive here."""
+        claim = job.claims_by_chunk.get(held.grant.chunk)
+        if claim is None or claim.offset <= held.claim_offset:
+            return
+        if (claim.holder, claim.incarnation) == (self._host_id, self._incarnation):
+            # The lease still counts from the last known renewal.
+            held.claim_offset = claim.offset
+
     def _held(self, shard):
         return [held for held in self._chunks_by_key.values() if held.shard == shard]
 
@@ -243,6 +274,7 @@
         held.current = False
         self._chunks_by_key.pop((held.grant.job_id, held.grant.chunk), None)
         self._ready.drop(lambda item: item.chunk is held)
+        self._suspects.drop(lambda item: item.chunk is held)
         for runs in self._runs_by_server.values():
             for item, task in list(runs.items()):
                 if item.chunk is held:
@@ -260,7 +292,8 @@
         short = [
             held
             for held in self._held(shard)
-            if held.open_items and held.lease_left_s(now) < lease_s * RENEW_AT_SHARE
+            # Chunks stay held until their outcomes are recorded.
+            if held.lease_left_s(now) < lease_s * RENEW_AT_SHARE
         ]
         if not short:
             return
--- a/galenascale/calls.py
+++ b/galenascale/calls.py
@@ -14,6 +14,7 @@
 from galenascale.errors import (
     AppendUnknown,
     BackendError,
+    DecodeError,
     Execution,
     GalenascaleError,
     LogUnavailable,
@@ -32,7 +33,7 @@
 from galenascale.ledger import VerdictStatus
 from galenascale.logs import get_logger
 from galenascale.shards import make_id, make_record
-from galenascale.shards.bodies import read_body
+from galenascale.shards.bodies import BodyLost, read_body
 
 log = get_logger("calls")
 
@@ -117,16 +118,24 @@
     async def _call_with_retry(self, call):
         call_id = uuid.uuid4().hex
         excluded = set()
-        for attempt in range(MAX_IDEMPOTENT_TRIES):
-            server = self._server(call, excluded)
+        may_have_run = False
+        while True:
             try:
+                server = self._server(call, excluded)
                 return await self._forward(server, call, call_id)
-            except BackendError as error:
-                excluded.add(server.name)
-                if attempt + 1 == MAX_IDEMPOTENT_TRIES:
+            except (BackendError, Refused) as error:
+                # The caller hears about all tries, not only the last one.
+                may_have_run |= error.execution != Execution.NOT_RUN
+                refused = isinstance(error, Refused)
+                if not refused:
+                    excluded.add(server.name)
+                if refused or len(excluded) == MAX_IDEMPOTENT_TRIES:
+                    if may_have_run and error.execution == Execution.NOT_RUN:
+                        raise MayHaveRun(
+                            "an earlier try may have run", step="dispatch"
+                        ) from error
                     raise
                 log.info("Call is tried again: %s.", error)
-        raise AssertionError("unreachable")
 
     def _server(self, call, excluded=frozenset()):
         server = self._choose_server(call.service, excluded)
@@ -141,6 +150,10 @@
     async def _forward(self, server, call, call_id):
         headers = {"Content-Type": call.content_type, "X-Call-Id": call_id}
         left_s = call.deadline - self._clock.monotonic()
+        if left_s <= 0:
+            raise Refused(
+                "deadline has passed", code="deadline_exceeded", step="dispatch"
+            )
         answer = await self._engine_client.forward(
             server, call.method, call.path, headers, call.body, timeout_s=left_s
         )
@@ -177,7 +190,14 @@
                 )
             if verdict.valid:
                 return await self._run(call, shard, intent, verdict.offset)
-            answer = await self._first_answer(call, shard, call_id)
+            try:
+                answer = await self._first_answer(call, shard, call_id)
+            except (LogUnavailable, AppendUnknown, BodyLost, DecodeError) as error:
+                # Such errors say by themselves that nothing was run, which is
+                # not known of the first call.
+                raise MayHaveRun(
+                    f"first answer cannot be read: {error.message}", step="wait"
+                ) from error
             if answer is not None:
                 return answer
 
--- a/galenascale/host.py
+++ b/galenascale/host.py
@@ -229,14 +229,23 @@
 
     def _start_batch(self):
         settings = self.settings
-        self.grants = GrantService(self.shards, self.clock, settings.batch)
+        self.grants = GrantService(
+            self.shards, self.clock, settings.batch, self.peering.is_gone
+        )
         self.reporter = OutcomeReporter(
             self.shards,
             self.clock,
             lambda *args: self.worker.recorded(*args),
         )
         self._run(self.reporter.run())
-        runner = ItemRunner(self.engine_client, self.shards, self.clock, settings.batch)
+        runner = ItemRunner(
+            self.engine_client,
+            self.shards,
+            self.clock,
+            settings.batch,
+            lambda service: self.online.dispatcher(service).poison,
+            lambda verdict: self.online.spawn(self._share_verdict(verdict)),
+        )
         self.worker = BatchWorker(
             self, self.grants, self.capacity, self.reporter, runner.run
         )
--- a/galenascale/jobs.py
+++ b/galenascale/jobs.py
@@ -7,7 +7,7 @@
 
 from galenascale import codec
 from galenascale.batch_lines import MODEL_ENDPOINTS, SERVICE_PREFIX, parse_line
-from galenascale.errors import LogUnavailable, Refused, UserError
+from galenascale.errors import AppendUnknown, LogUnavailable, Refused, UserError
 from galenascale.files import read_chunk
 from galenascale.generated.messages import (
     JobCancelled,
@@ -123,7 +123,10 @@
             raise Refused(
                 "job cannot be accepted now", code="log_unavailable", step="jobs"
             ) from error
-        return await self._accepted(tenant, verdicts[0])
+        try:
+            return await self._accepted(tenant, verdicts[0])
+        except LogUnavailable as error:
+            raise _unread(error) from error
 
     async def _accepted(self, tenant, verdict):
         if verdict.status == VerdictStatus.CONFLICT:
@@ -237,7 +240,10 @@
             ) from error
         if self.on_cancelled is not None:
             await self.on_cancelled(job_id)
-        return await self.get(tenant, job_id)
+        try:
+            return await self.get(tenant, job_id)
+        except LogUnavailable as error:
+            raise _unread(error) from error
 
     async def results(self, tenant, job_id, failed):
         """
@@ -252,9 +258,19 @@
     async def _lines(self, job, failed):
         for winner, position in enumerate(job.outcome_positions):
             _, body = await read_body(self._log_client, position)
+            taken = set()
             for outcome in codec.decode(Outcomes, body).outcomes:
+                # A record may hold further outcomes of an item; the fold took
+                # the first one with the status in force.
+                if (
+                    job.winners[outcome.item] != winner
+                    or outcome.status != job.statuses[outcome.item]
+                    or outcome.item in taken
+                ):
+                    continue
+                taken.add(outcome.item)
                 succeeded = outcome.status == OutcomeStatus.SUCCEEDED
-                if job.winners[outcome.item] == winner and succeeded != failed:
+                if succeeded != failed:
                     yield outcome.body
         if failed and job.ended:
             async for line in self._lines_without_outcome(job):
@@ -275,6 +291,14 @@
                 )
 
 
+def _unread(error):
+    """Return the error for a record that stands while it cannot be read."""
+    return AppendUnknown(
+        f"request was recorded, but its state cannot be read: {error.message}",
+        step="jobs",
+    )
+
+
 def _body_digest(request, file):
     # The file's digest, not its id: a caller that sends a job again uploads
     # its file again and gets another file id.
--- a/galenascale/peering.py
+++ b/galenascale/peering.py
@@ -73,6 +73,14 @@
         hosts = self.membership.live_hosts(self.clock.monotonic(), domain)
         return [host.host_id for host in hosts if host.state == "live"]
 
+    def is_gone(self, host_id, incarnation):
+        """Return True if a known process is dead or was replaced."""
+        known = self.membership.known_info(host_id)
+        if known is None:
+            return False
+        view = self.membership.view(self.clock.monotonic())
+        return known.incarnation != incarnation or host_id not in view.by_id
+
     def shard_owner(self, shard):
         """Return the host id of a shard's owner in this host's view."""
         return self.membership.owner_of_shard(self.clock.monotonic(), shard)
--- a/galenascale/shards/keeper.py
+++ b/galenascale/shards/keeper.py
@@ -19,7 +19,7 @@
 )
 from galenascale.ledger.expiry import MAX_MARK_STEP_MS
 from galenascale.logs import get_logger
-from galenascale.shards.bodies import read_body
+from galenascale.shards.bodies import BodyLost, read_body
 from galenascale.shards.ids import data_stream, work_stream
 from galenascale.shards.records import make_record
 from galenascale.shards.snapshots import split_snapshot
@@ -48,6 +48,8 @@
         self._log_client = log_client
         self._clock = clock
         self._settings = settings
+        # Positions of bodies that the log does not hold any more.
+        self._lost = set()
 
     async def run(self, interval_s=1.0):
         """Do a round over the owned shards until cancelled."""
@@ -65,7 +67,12 @@
         state = await follower.refresh()
         follower.forget_claims()
         await self._mark_time(shard, state)
-        await self._carry(shard, state)
+        try:
+            await self._carry(shard, state)
+        except GalenascaleError as error:
+            # A snapshot is due all the same: without one a trimmed log cannot
+            # be read at all.
+            log.warning("Cannot carry bodies of shard %d: %s.", shard, error)
         if state.through_offset - follower.snapshot_through >= (
             self._settings.snapshot_records
         ):
@@ -108,7 +115,18 @@
             for body in bodies_in_use(state)
             if body.position.offset < horizons[body.position.stream]
         ]
-        records = [await self._copy(shard, body) for body in old[:MAX_CARRIED_IN_ROUND]]
+        records = []
+        for body in old:
+            if len(records) == MAX_CARRIED_IN_ROUND:
+                break
+            if _key(body.position) in self._lost:
+                continue
+            try:
+                records.append(await self._copy(shard, body))
+            except BodyLost as error:
+                # One lost body must not keep the others from being carried.
+                self._lost.add(_key(body.position))
+                log.error("Body of %s is lost: %s.", body.entity_id, error)
         if records:
             await self._shards.submit(shard, records)
             log.info("Carried %d bodies of shard %d forward.", len(records), shard)
@@ -127,6 +145,10 @@
         return make_record(carried)
 
 
+def _key(position):
+    return (position.stream, position.offset, position.index)
+
+
 def bodies_in_use(state):
     """Yield each body that a reader of the shard may still need."""
     for job_id, job in state.jobs_by_id.items():
--- a/galenascale/shards/writer.py
+++ b/galenascale/shards/writer.py
@@ -92,7 +92,7 @@
             await self._follower.refresh()
         except GalenascaleError as error:
             log.warning("Append to %s failed: %s.", self._follower.stream, error)
-            with contextlib.suppress(LogUnavailable):
+            with contextlib.suppress(GalenascaleError):
                 await self._follower.refresh()
         self._settle(group)
         if any(not pending.future.done() for pending in group):
--- a/galenascale/stopping.py
+++ b/galenascale/stopping.py
@@ -85,9 +85,7 @@
     async def _hand_over(self):
         """Give unrecorded outcomes to a peer of this failure domain."""
         host = self._host
-        outcomes = [
-            item for items in host.reporter.pending().values() for item in items
-        ]
+        outcomes = host.reporter.pending()
         domain = host.settings.failure_domain
         for host_id in host.peering.live_ids(domain):
             if host_id == host.host_id or not outcomes:
