--- a/galenascale/host.py
+++ b/galenascale/host.py
@@ -189,7 +189,13 @@
             self.peers,
         )
         self._stack.push_async_callback(self.shards.close)
-        keeper = ShardKeeper(self.shards, self.log_client, self.clock, settings.log)
+        keeper = ShardKeeper(
+            self.shards,
+            self.log_client,
+            self.clock,
+            settings.log,
+            self.peering.clock_agrees,
+        )
         self._run(keeper.run())
         self.files = FileService(self.shards, self.log_client, self.clock, settings)
         self.jobs = JobService(
--- a/galenascale/peering.py
+++ b/galenascale/peering.py
@@ -3,7 +3,11 @@
 import asyncio
 
 from galenascale.errors import GalenascaleError
-from galenascale.generated.messages import HostInfo
+from galenascale.generated.messages import (
+    CallStatusReply,
+    CallStatusRequest,
+    HostInfo,
+)
 from galenascale.host_list import HostList
 from galenascale.logs import get_logger
 from galenascale.membership import Membership
@@ -13,6 +17,10 @@
 
 log = get_logger("peers")
 
+# Peers asked whether this host's time is right, before it counts as wrong.
+MAX_TIME_WITNESSES = 3
+TIME_WITNESS_TIMEOUT_S = 1.0
+
 
 class Peering:
     """What a host needs to know its peers and to be known by them."""
@@ -73,6 +81,33 @@
         hosts = self.membership.live_hosts(self.clock.monotonic(), domain)
         return [host.host_id for host in hosts if host.state == "live"]
 
+    async def clock_agrees(self):
+        """
+        Return True if a peer accepts this host's time, or none is known.
+
+        Peers refuse calls whose time differs from theirs by more than the
+        limit in `peers.auth`, so any answer confirms the time.
+        """
+        now, own = self.clock.monotonic(), self.settings.host_id
+        ids = [item for item in self.live_ids() if item != own]
+        # A host whose clock is wrong finds all its peers silent.
+        ids += self.membership.contact_candidates(now, self.settings.failure_domain)
+        ids = [item for item in ids if item != own][:MAX_TIME_WITNESSES]
+        for host_id in ids:
+            try:
+                await self.peers.call(
+                    host_id,
+                    "call_status",
+                    CallStatusRequest(),
+                    CallStatusReply,
+                    TIME_WITNESS_TIMEOUT_S,
+                )
+            except GalenascaleError as error:
+                log.info("Peer %s does not confirm the time: %s.", host_id, error)
+            else:
+                return True
+        return not ids
+
     def is_gone(self, host_id, incarnation):
         """Return True if a known process is dead or was replaced."""
         known = self.membership.known_info(host_id)
--- a/galenascale/shards/client.py
+++ b/galenascale/shards/client.py
@@ -11,7 +11,6 @@
     AppendUnknown,
     GalenascaleError,
     LogUnavailable,
-    PeerError,
 )
 from galenascale.generated.messages import SubmitReply, SubmitRequest, VerdictMessage
 from galenascale.ledger import Verdict, VerdictStatus
@@ -93,7 +92,9 @@
             return await self._writer(shard).submit(records, timeout_s, urgent)
         try:
             return await self._submit_to(owner, shard, records, timeout_s, urgent)
-        except PeerError as error:
+        except (LogUnavailable, AppendUnknown):
+            raise
+        except GalenascaleError as error:
             log.warning("Owner %s of shard %d is away: %s.", owner, shard, error)
         try:
             return await self._writer(shard).submit(records, timeout_s, urgent)
--- a/galenascale/shards/keeper.py
+++ b/galenascale/shards/keeper.py
@@ -43,11 +43,13 @@
 class ShardKeeper:
     """Does the upkeep round of one host."""
 
-    def __init__(self, shards, log_client, clock, settings):
+    def __init__(self, shards, log_client, clock, settings, clock_agrees=None):
         self._shards = shards
         self._log_client = log_client
         self._clock = clock
         self._settings = settings
+        # Coroutine function that tells whether this host's time may be trusted.
+        self._clock_agrees = clock_agrees
         # Positions of bodies that the log does not hold any more.
         self._lost = set()
 
@@ -100,8 +102,13 @@
         at_ms = now_ms
         if state.time_ms:
             at_ms = min(now_ms, state.time_ms + MAX_MARK_STEP_MS)
-        if at_ms > state.time_ms:
-            await self._shards.submit(shard, [make_record(TimeMark(at_ms))])
+        if at_ms <= state.time_ms:
+            return
+        if self._clock_agrees is not None and not await self._clock_agrees():
+            # A clock ahead would end jobs and drop results before their time.
+            log.warning("No peer confirms the time; shard %d gets no mark.", shard)
+            return
+        await self._shards.submit(shard, [make_record(TimeMark(at_ms))])
 
     async def _carry(self, shard, state):
         margin = int(self._settings.retention_records * CARRY_AFTER)
