--- a/galenascale/shards/keeper.py
+++ b/galenascale/shards/keeper.py
@@ -48,7 +48,7 @@
         self._log_client = log_client
         self._clock = clock
         self._settings = settings
-        # Coroutine function that tells whether this host's time may be trusted.
+        # Coroutine function: may this host's time be trusted?
         self._clock_agrees = clock_agrees
         # Positions of bodies that the log does not hold any more.
         self._lost = set()
