--- a/galenascale/standins/engine_requests.py
+++ b/galenascale/standins/engine_requests.py
@@ -168,6 +168,10 @@
         if finish_reason:
             self.end(finish_reason)
 
+    def break_off(self, transport):
+        """Reset the connection before the answer is written."""
+        transport.abort()
+
     def end(self, finish_reason):
         """End the answer."""
         if not self.finished.done():
@@ -204,6 +208,7 @@
         )
         self._waiting = []
         self._transport = None
+        self._broken_off = False
         self.started = asyncio.Event()
 
     def event(self, index, text, finish_reason):
@@ -218,6 +223,8 @@
 
     def add(self, stream, index, finish_reason):
         """Write one token, or keep it until the headers are out."""
+        if self._broken_off:
+            return
         data = self.event(index, token_text(stream.digest, index), finish_reason)
         if self._transport is None:
             self._waiting.append(data)
@@ -227,6 +234,18 @@
         if finish_reason:
             self.end(finish_reason)
 
+    def break_off(self, transport):
+        """
+        Close the connection once the tokens so far are written.
+
+        A reset would drop those that the caller has not read yet, so that the
+        place of the break would depend on the load of the machine.
+        """
+        self._broken_off = True
+        self.started.set()
+        if self._transport is not None:
+            self._transport.close()
+
     def end(self, finish_reason):
         """End the answer."""
         self.started.set()
@@ -240,6 +259,8 @@
             data, self._waiting = b"".join(self._waiting), []
             await response.write(data)
         self._transport = transport
+        if self._broken_off:
+            transport.close()
         return await self.finished
 
 
