Split the entry host into construction, peer methods and lifecycle

No behaviour changes; peer methods are registered before the first await after the peer listener opens.

--- /dev/null
+++ b/galenascale/host_methods.py
@@ -0,0 +1,120 @@
+"""What an entry host says to its peers and answers them."""
+
+import asyncio
+
+from galenascale.generated import messages
+
+CONFIG_FETCH_TIMEOUT_S = 2.0
+NOTICE_TIMEOUT_S = 1.0
+
+
+def register_methods(host):
+    """Serve the peers' methods with the parts of the host."""
+    register = host.peering.register
+
+    async def config_fetch(request):
+        return host.config.handle_fetch(request)
+
+    async def poison(report):
+        for verdict in report.verdicts:
+            host.online.merge_verdict(verdict)
+        return messages.Empty()
+
+    async def job_cancelled(notice):
+        host.worker.job_cancelled(notice.job_id)
+        return messages.Empty()
+
+    for name, request_type, reply_type, handler in (
+        (
+            "config_fetch",
+            messages.ConfigFetchRequest,
+            messages.ConfigFetchReply,
+            config_fetch,
+        ),
+        (
+            "give_way",
+            messages.GiveWayRequest,
+            messages.GiveWayReply,
+            host.capacity.handle_give_way,
+        ),
+        ("poison", messages.PoisonReport, messages.Empty, poison),
+        (
+            "submit",
+            messages.SubmitRequest,
+            messages.SubmitReply,
+            host.shards.handle_submit,
+        ),
+        ("work", messages.WorkRequest, messages.WorkReply, host.grants.grant),
+        (
+            "call_status",
+            messages.CallStatusRequest,
+            messages.CallStatusReply,
+            host.calls.handle_status,
+        ),
+        ("job_cancelled", messages.JobCancelledNotice, messages.Empty, job_cancelled),
+        (
+            "hand_over",
+            messages.HandOverRequest,
+            messages.HandOverReply,
+            host.reporter.handle_hand_over,
+        ),
+    ):
+        register(name, request_type, reply_type, handler)
+
+
+async def fetch_config(host, host_id, request):
+    """Return the ConfigFetchReply of a peer."""
+    return await host.peers.call(
+        host_id,
+        "config_fetch",
+        request,
+        messages.ConfigFetchReply,
+        CONFIG_FETCH_TIMEOUT_S,
+    )
+
+
+async def _notify(host, method, message):
+    """Send a message to all live peers; one that fails is left out."""
+    ids = [item for item in host.peering.live_ids() if item != host.host_id]
+    await asyncio.gather(
+        *(
+            host.peers.call(host_id, method, message, messages.Empty, NOTICE_TIMEOUT_S)
+            for host_id in ids
+        ),
+        return_exceptions=True,
+    )
+
+
+async def share_verdict(host, verdict):
+    """Tell the peers a PoisonVerdict."""
+    await _notify(host, "poison", messages.PoisonReport(host.host_id, [verdict]))
+
+
+async def tell_job_cancelled(host, job_id):
+    """Stop the items of a cancelled job here and at the peers."""
+    host.worker.job_cancelled(job_id)
+    await _notify(host, "job_cancelled", messages.JobCancelledNotice(job_id))
+
+
+def connect_gossip(host):
+    """Let gossip carry the configuration's version and the servers' loads."""
+    exchange = host.peering.exchange
+    exchange.config_version = lambda: host.config.current.version
+    exchange.config_age_s = lambda: _config_age_s(host)
+    exchange.loads = host.online.loads
+    exchange.on_message = lambda now, message: _on_gossip(host, message)
+
+
+def _config_age_s(host):
+    """Return the configuration's age for gossip; -1 before any read."""
+    age_s = host.config.age_s()
+    return -1.0 if age_s is None else age_s
+
+
+def _on_gossip(host, message):
+    sender = message.sender.host_id
+    host.online.peer_loads(sender, message.loads)
+    for server_id in message.leaving_servers:
+        host.online.leaving(server_id)
+    if message.config_version >= 0:
+        host.config.notice(sender, message.config_version, message.config_age_s)
