--- a/galenascale/batch/reporter.py
+++ b/galenascale/batch/reporter.py
@@ -29,7 +29,8 @@
         # Called with (job id, list of items) once they are in the log.
         self._on_recorded = on_recorded
         self._outcomes_by_claim = collections.defaultdict(list)
-        self._in_submit = 0
+        # Messages of the submissions that are not answered, by shard.
+        self._in_submit = {}
         self._wake = asyncio.Event()
         self._hurry = asyncio.Event()
         self._drained = asyncio.Event()
@@ -39,7 +40,9 @@
     def unrecorded(self):
         """Number of outcomes that are not known to be in the log."""
         waiting = sum(len(items) for items in self._outcomes_by_claim.values())
-        return waiting + self._in_submit
+        return waiting + sum(
+            len(item.outcomes) for items in self._in_submit.values() for item in items
+        )
 
     def add(self, shard, job_id, chunk, claim_offset, outcome):
         """Take an outcome; it is recorded soon."""
@@ -61,7 +64,18 @@
         return HandOverReply(count)
 
     def pending(self):
-        """Return what is unrecorded as Outcomes messages by shard."""
+        """
+        Return what is unrecorded as Outcomes messages by shard.
+
+        That includes submissions that are not answered: a second record of an
+        outcome has no effect.
+        """
+        by_shard = self._waiting()
+        for shard, items in self._in_submit.items():
+            by_shard[shard].extend(items)
+        return by_shard
+
+    def _waiting(self):
         by_shard = collections.defaultdict(list)
         for (shard, job_id, chunk, claim), items in self._outcomes_by_claim.items():
             by_shard[shard].append(
@@ -82,8 +96,9 @@
             if not self._hurry.is_set():
                 await self._clock.sleep(GATHER_S)
             self._wake.clear()
-            by_shard = self.pending()
+            by_shard = self._waiting()
             self._outcomes_by_claim.clear()
+            self._in_submit = dict(by_shard)
             results = await asyncio.gather(
                 *(self._submit(shard, items) for shard, items in by_shard.items())
             )
@@ -94,7 +109,6 @@
 
     async def _submit(self, shard, messages):
         count = sum(len(message.outcomes) for message in messages)
-        self._in_submit += count
         try:
             verdicts = await self._shards.submit(
                 shard, [make_record(message) for message in messages], SUBMIT_TIMEOUT_S
@@ -104,7 +118,7 @@
             self._keep(shard, messages)
             return False
         finally:
-            self._in_submit -= count
+            del self._in_submit[shard]
         for message, verdict in zip(messages, verdicts, strict=True):
             if not verdict.valid:
                 log.info("Outcomes of %s lost: %s.", message.job_id, verdict.reason)
--- a/galenascale/batch/worker.py
+++ b/galenascale/batch/worker.py
@@ -295,8 +295,8 @@
                 count += 1
         return count
 
-    async def stop(self):
-        """Interrupt all items, record what is done and release the chunks."""
+    async def interrupt(self):
+        """Interrupt idempotent items, let the others end; take no more."""
         self.taking = False
         tasks = []
         for runs in self._runs_by_server.values():
@@ -306,6 +306,12 @@
                     task.cancel()
                 tasks.append(task)
         await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def release(self):
+        """Record what is done and release the chunks that are held."""
+        # Claims that are on their way must be released too.
+        while self._asking:
+            await self._clock.wait_any(list(self._tasks), CHECK_INTERVAL_S)
         await self._reporter.drain()
         for shard in {held.shard for held in self._chunks_by_key.values()}:
             records = [
--- a/galenascale/calls.py
+++ b/galenascale/calls.py
@@ -31,7 +31,7 @@
 from galenascale.hashing import content_digest, shard_of
 from galenascale.ledger import VerdictStatus
 from galenascale.logs import get_logger
-from galenascale.shards import make_id, make_record
+from galenascale.shards import make_id, make_record, shard_from_id
 from galenascale.shards.bodies import read_body
 
 log = get_logger("calls")
@@ -104,6 +104,9 @@
         self._running = set()
         # Ids of intents with unknown outcome that are never dispatched.
         self._abandoned = {}
+        # Outcomes that are not read back from the log, by intent id, or by
+        # call id if a peer handed them over.
+        self._unrecorded = {}
         self._tasks = set()
 
     async def call(self, call):
@@ -245,18 +248,24 @@
 
     def _start_record(self, shard, intent, outcome):
         """Record an outcome in a task; return a bounded wait for it."""
-        task = asyncio.create_task(self._record(shard, intent, outcome))
+        task = self._spawn_record(shard, intent.intent_id, outcome)
+        return asyncio.ensure_future(self._clock.wait_any([task], ANSWER_AFTER_S))
+
+    def _spawn_record(self, shard, intent_id, outcome):
+        self._unrecorded[intent_id] = outcome
+        task = asyncio.create_task(self._record(shard, intent_id, outcome))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
-        return asyncio.ensure_future(self._clock.wait_any([task], ANSWER_AFTER_S))
+        return task
 
-    async def _record(self, shard, intent, outcome):
+    async def _record(self, shard, intent_id, outcome):
         try:
             while True:
                 try:
                     await self._shards.submit(
                         shard, [make_record(outcome)], OUTCOME_TIMEOUT_S, urgent=True
                     )
+                    self._unrecorded.pop(intent_id, None)
                     return
                 except GalenascaleError as error:
                     log.warning(
@@ -264,13 +273,29 @@
                     )
                     await self._clock.sleep(RECORD_RETRY_S)
         finally:
-            self._running.discard(intent.intent_id)
+            self._running.discard(intent_id)
+
+    async def finish_running(self):
+        """Return once no call runs; outcomes may be unrecorded."""
+        while self._running - self._unrecorded.keys():
+            await self._clock.sleep(POLL_S)
 
     async def drain(self):
         """Return once no call runs and all outcomes are recorded."""
         while self._running or self._tasks:
             await self._clock.sleep(POLL_S)
 
+    def pending(self):
+        """Return the CallOutcomes that are not recorded."""
+        return list(self._unrecorded.values())
+
+    def take_over(self, outcomes):
+        """Record the CallOutcomes of a peer that stops; return their count."""
+        for outcome in outcomes:
+            shard = shard_from_id(outcome.call_id, self._shards.count)
+            self._spawn_record(shard, outcome.call_id, outcome)
+        return len(outcomes)
+
     async def close(self):
         """Stop recording; calls without recorded outcome stay in doubt."""
         for task in self._tasks:
--- a/galenascale/commands/serve.py
+++ b/galenascale/commands/serve.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from galenascale.commands.signals import wait_for_stop
+from galenascale.commands.signals import on_stop_signals
 from galenascale.host import Host
 from galenascale.logs import setup_logging
 from galenascale.settings import load_settings
@@ -12,6 +12,8 @@
     """
     Run one entry host until SIGTERM or SIGINT.
 
+    A second signal ends the graceful stop at once.
+
     Parameters
     ----------
     settings
@@ -24,8 +26,10 @@
 
 async def _serve(settings):
     host = Host.from_config(settings)
-    await host.start()
+    stopped = asyncio.Event()
+    on_stop_signals(stopped.set, host.stopping.hurry)
     try:
-        await wait_for_stop()
+        await host.start()
+        await stopped.wait()
     finally:
         await host.stop()
--- a/galenascale/commands/signals.py
+++ b/galenascale/commands/signals.py
@@ -1,13 +1,23 @@
-"""Waiting for the signals that stop a process."""
+"""The signals that stop a process."""
 
 import asyncio
 import signal
 
 
+def on_stop_signals(first, again):
+    """Call `first` at the first SIGTERM or SIGINT, `again` at each later."""
+    pending = [first]
+
+    def handle():
+        (pending.pop() if pending else again)()
+
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, handle)
+
+
 async def wait_for_stop():
     """Return after SIGTERM or SIGINT."""
-    loop = asyncio.get_running_loop()
     stopped = asyncio.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stopped.set)
+    on_stop_signals(stopped.set, stopped.set)
     await stopped.wait()
--- a/galenascale/embedded.py
+++ b/galenascale/embedded.py
@@ -111,7 +111,7 @@
             )
             await self._publish()
             await self._start_hosts()
-            await self._wait_until_ready()
+            await self._wait_until_ready(self.hosts_by_id)
         except BaseException:
             await self.stop()
             raise
@@ -120,6 +120,14 @@
         """Stop the hosts, then the stand-ins."""
         await self._stack.aclose()
 
+    async def restart(self, host_id, graceful=True):
+        """Replace a host; return once the new one is ready."""
+        host = self.hosts_by_id[host_id]
+        await host.stop(graceful)
+        self.hosts_by_id[host_id] = replacement = Host.from_config(host.settings)
+        await replacement.start()
+        await self._wait_until_ready([host_id])
+
     def summary(self):
         """Return the Summary of the running deployment."""
         settings = self.deployment.settings
@@ -236,9 +244,9 @@
             check_host_settings(host_settings, place.host_id)
             yield host_settings
 
-    async def _wait_until_ready(self):
+    async def _wait_until_ready(self, host_ids):
         deadline = self.clock.monotonic() + READY_TIMEOUT_S
-        waiting = dict.fromkeys(self.hosts_by_id)
+        waiting = dict.fromkeys(host_ids)
         while waiting:
             for host_id in list(waiting):
                 if await self._is_ready(self.hosts_by_id[host_id].settings.url):
--- a/galenascale/host_methods.py
+++ b/galenascale/host_methods.py
@@ -24,6 +24,11 @@
         host.worker.job_cancelled(notice.job_id)
         return messages.Empty()
 
+    async def hand_over(request):
+        reply = await host.reporter.handle_hand_over(request)
+        reply.accepted += host.calls.take_over(request.calls)
+        return reply
+
     for name, request_type, reply_type, handler in (
         (
             "config_fetch",
@@ -56,7 +61,7 @@
             "hand_over",
             messages.HandOverRequest,
             messages.HandOverReply,
-            host.reporter.handle_hand_over,
+            hand_over,
         ),
     ):
         register(name, request_type, reply_type, handler)
--- a/galenascale/host_parts.py
+++ b/galenascale/host_parts.py
@@ -140,6 +140,7 @@
             settings.port,
             settings.limits,
             tls_context,
+            lambda server: setattr(host, "stop_accepting", server.close),
         )
     )
     if not settings.url:
--- a/galenascale/http_api/listener.py
+++ b/galenascale/http_api/listener.py
@@ -32,12 +32,16 @@
 
 
 @contextlib.asynccontextmanager
-async def start_listener(app, address, port, limits, tls_context=None):
+async def start_listener(
+    app, address, port, limits, tls_context=None, opened=lambda server: None
+):
     """
     Listen for callers and yield the port until the block ends.
 
     A connection is closed if the headers of its first request do not arrive
     within `body_timeout_s`, and later after `idle_timeout_s` without one.
+    `opened` is called with the asyncio.Server; its close() refuses further
+    connections and leaves the open ones alone.
     """
     without_request = set()
 
@@ -78,6 +82,7 @@
         server = await loop.create_server(
             make_protocol, address, port, ssl=tls_context, backlog=1024
         )
+        opened(server)
         try:
             yield server.sockets[0].getsockname()[1]
         finally:
--- a/galenascale/shards/client.py
+++ b/galenascale/shards/client.py
@@ -23,6 +23,7 @@
 
 # Time for the owner's answer beyond the time that it may take itself.
 OWNER_ANSWER_MARGIN_S = 0.5
+DRAIN_POLL_S = 0.02
 ERRORS_BY_CODE = {
     LogUnavailable.code: LogUnavailable,
     AppendUnknown.code: AppendUnknown,
@@ -46,6 +47,7 @@
         self._followers_by_shard = {}
         self._writers_by_shard = {}
         self._tasks = []
+        self._closed = False
 
     def owner(self, shard):
         """Return the host id of the owner in this host's view."""
@@ -115,6 +117,9 @@
         """Answer another host's SubmitRequest with a SubmitReply."""
         if not 0 <= request.shard < self.count:
             return SubmitReply(error_code="unknown_shard")
+        if self._closed:
+            # The sender then appends by itself.
+            raise PeerError("owner has stopped", step="submit")
         try:
             verdicts = await self._writer(request.shard).submit(
                 request.records, request.timeout_s, request.urgent
@@ -127,8 +132,14 @@
         """Return the number of appends that this host made."""
         return sum(writer.appends for writer in self._writers_by_shard.values())
 
+    async def drain(self):
+        """Return once no submitted records wait for their verdicts."""
+        while any(writer.waiting for writer in self._writers_by_shard.values()):
+            await self._clock.sleep(DRAIN_POLL_S)
+
     async def close(self):
         """Stop the writers; what still waits gets its error."""
+        self._closed = True
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
--- a/galenascale/shards/writer.py
+++ b/galenascale/shards/writer.py
@@ -64,6 +64,11 @@
             self._urgent.set()
         return await pending.future
 
+    @property
+    def waiting(self):
+        """Whether records wait for their verdicts."""
+        return bool(self._queue)
+
     async def run(self):
         """Append groups until cancelled; then answer what still waits."""
         try:
--- a/schema/galenascale.thrift
+++ b/schema/galenascale.thrift
@@ -615,6 +615,8 @@
 struct HandOverRequest {
   1: string host_id = "",
   2: list<Outcomes> outcomes,
+  /** Outcomes of non-idempotent calls. */
+  3: list<CallOutcome> calls,
 }
 
 struct HandOverReply {
