--- a/test/processes.py
+++ b/test/processes.py
@@ -12,36 +12,40 @@
 
 @contextlib.contextmanager
 def running(*arguments):
-    """Run a galenascale command; yield the process once it listens."""
+    """
+    Run a galenascale command; yield the process once it listens.
+
+    `lines` of the process holds its log; all of it once it has ended.
+    """
     process = subprocess.Popen(
         [sys.executable, "-m", "galenascale", *arguments],
         stderr=subprocess.PIPE,
         stdout=subprocess.PIPE,
         text=True,
     )
+    process.lines = []
+    listening = threading.Event()
+    reader = threading.Thread(target=_read_log, args=(process, listening))
+    reader.start()
     try:
-        process.port = _read_port(process)
+        assert listening.wait(START_TIMEOUT_S) and process.port, process.lines
         yield process
     finally:
         process.terminate()
         process.wait(timeout=START_TIMEOUT_S)
+        reader.join()
         process.stdout.close()
         process.stderr.close()
 
 
-def _read_port(process):
-    timer = threading.Timer(START_TIMEOUT_S, process.kill)
-    timer.start()
-    try:
-        lines = []
-        for line in process.stderr:
-            lines.append(line)
-            if match := re.search(r"Listening on port (\d+)", line):
-                threading.Thread(target=process.stderr.read, daemon=True).start()
-                return int(match[1])
-        raise AssertionError("".join(lines))
-    finally:
-        timer.cancel()
+def _read_log(process, listening):
+    process.port = None
+    for line in process.stderr:
+        process.lines.append(line)
+        if match := re.search(r"Listening on port (\d+)", line):
+            process.port = int(match[1])
+            listening.set()
+    listening.set()
 
 
 def write_json(path, value):
