--- a/galenascale/commands/status.py
+++ b/galenascale/commands/status.py
@@ -23,7 +23,10 @@
     if json:
         print(orjson.dumps(answer, option=orjson.OPT_INDENT_2).decode())
         return
-    print(f"seen by {answer['host_id']} in {answer['failure_domain']}")
+    state = "stopping" if answer["stopping"] else "not ready"
+    state = "ready" if answer["ready"] else state
+    print(f"seen by {answer['host_id']} in {answer['failure_domain']}, {state}")
+    print(_table([answer["members"]]))
     print(_table([answer["config"]]))
     for name in ("hosts", "servers"):
         print(f"\n{name}")
--- a/galenascale/host.py
+++ b/galenascale/host.py
@@ -9,6 +9,7 @@
 from galenascale import host_methods, host_parts
 from galenascale.clock import Clock
 from galenascale.engine_client import EngineClient
+from galenascale.host_metrics import register_gauges
 from galenascale.log_client import LogClient
 from galenascale.logs import get_logger
 from galenascale.metrics import Metrics
@@ -54,6 +55,7 @@
         host_parts.start_outcomes(self)
         host_parts.start_batch(self)
         host_methods.register_methods(self)
+        register_gauges(self)
         await host_parts.start_listener(self)
         self._start_gossip()
         log.info("Listening on port %d.", self.port)
--- a/galenascale/http_api/operator.py
+++ b/galenascale/http_api/operator.py
@@ -17,6 +17,7 @@
 from galenascale.config_state import ChangeStatus
 from galenascale.errors import UserError
 from galenascale.generated.messages import ConfigEntry
+from galenascale.host_metrics import membership_counts
 from galenascale.settings import structure
 
 MAX_BODY_BYTES = 8_000_000
@@ -216,6 +217,9 @@
         {
             "host_id": host.settings.host_id,
             "failure_domain": host.settings.failure_domain,
+            "ready": host.is_ready(),
+            "stopping": host.stopping.started,
+            "members": attrs.asdict(membership_counts(host)),
             "config": {
                 "version": config.current.version,
                 "age_s": config.age_s(),
--- a/test/commands/test_operators.py
+++ b/test/commands/test_operators.py
@@ -48,6 +48,8 @@
         config=ConfigFollower(link, StepClock()),
         clock=StepClock(),
         membership=Membership(HostInfo("host-1", failure_domain="kigali-a")),
+        is_ready=lambda: True,
+        stopping=types.SimpleNamespace(started=False),
         online=types.SimpleNamespace(loads=lambda: [ServerLoad("s1", 4)]),
         link=link,
         log=log,
@@ -116,11 +118,12 @@
     shown = capsys.readouterr().out
     answer = json.loads(shown)
     assert answer["config"]["version"] == 1
+    assert answer["ready"] and answer["members"]["live_hosts"] == 1
     assert answer["servers"][0]["online_in_flight"] == 4
     assert answer["servers"][0]["usable"] is True
     assert await host.cli("status") == 0
     shown += capsys.readouterr().out
-    assert "online_in_flight" in shown
+    assert "online_in_flight" in shown and ", ready\n" in shown
     assert KEY not in shown and SECRET not in shown and DIGEST not in shown
 
 
