--- a/galenascale/host_methods.py
+++ b/galenascale/host_methods.py
@@ -1,11 +1,8 @@
 """What an entry host says to its peers and answers them."""
 
-import asyncio
-
 from galenascale.generated import messages
 
 CONFIG_FETCH_TIMEOUT_S = 2.0
-NOTICE_TIMEOUT_S = 1.0
 
 
 def register_methods(host):
@@ -24,6 +21,10 @@
         host.worker.job_cancelled(notice.job_id)
         return messages.Empty()
 
+    async def job_accepted(notice):
+        host.worker.job_accepted(notice.job_id, notice.service_name)
+        return messages.Empty()
+
     async def hand_over(request):
         reply = await host.reporter.handle_hand_over(request)
         reply.accepted += host.calls.take_over(request.calls)
@@ -57,6 +58,7 @@
             host.calls.handle_status,
         ),
         ("job_cancelled", messages.JobCancelledNotice, messages.Empty, job_cancelled),
+        ("job_accepted", messages.JobAcceptedNotice, messages.Empty, job_accepted),
         (
             "hand_over",
             messages.HandOverRequest,
@@ -78,27 +80,24 @@
     )
 
 
-async def _notify(host, method, message):
-    """Send a message to all live peers; one that fails is left out."""
-    ids = [item for item in host.peering.live_ids() if item != host.host_id]
-    await asyncio.gather(
-        *(
-            host.peers.call(host_id, method, message, messages.Empty, NOTICE_TIMEOUT_S)
-            for host_id in ids
-        ),
-        return_exceptions=True,
-    )
-
-
 async def share_verdict(host, verdict):
     """Tell the peers a PoisonVerdict."""
-    await _notify(host, "poison", messages.PoisonReport(host.host_id, [verdict]))
+    report = messages.PoisonReport(host.host_id, [verdict])
+    await host.peering.tell_peers("poison", report)
 
 
 async def tell_job_cancelled(host, job_id):
     """Stop the items of a cancelled job here and at the peers."""
     host.worker.job_cancelled(job_id)
-    await _notify(host, "job_cancelled", messages.JobCancelledNotice(job_id))
+    notice = messages.JobCancelledNotice(job_id)
+    await host.peering.tell_peers("job_cancelled", notice)
+
+
+def tell_job_accepted(host, job_id, service_name):
+    """Let this host and the peers ask for work of a new job."""
+    host.worker.job_accepted(job_id, service_name)
+    notice = messages.JobAcceptedNotice(job_id, service_name)
+    host.online.spawn(host.peering.tell_peers("job_accepted", notice))
 
 
 def connect_gossip(host):
--- a/galenascale/host_parts.py
+++ b/galenascale/host_parts.py
@@ -10,7 +10,12 @@
 from galenascale.config_follower import ConfigFollower
 from galenascale.config_keeper import ConfigPeers
 from galenascale.files import FileService
-from galenascale.host_methods import fetch_config, share_verdict, tell_job_cancelled
+from galenascale.host_methods import (
+    fetch_config,
+    share_verdict,
+    tell_job_accepted,
+    tell_job_cancelled,
+)
 from galenascale.http_api import ApiContext, listener, make_app
 from galenascale.http_api.operator import operator_routes
 from galenascale.jobs import JobService
@@ -108,6 +113,7 @@
     host.capacity.worker = host.worker
     host.run(host.worker.run())
     host.jobs.on_cancelled = lambda job_id: tell_job_cancelled(host, job_id)
+    host.jobs.on_accepted = lambda *args: tell_job_accepted(host, *args)
 
 
 async def start_listener(host):
--- a/test/processes.py
+++ b/test/processes.py
@@ -15,7 +15,7 @@
     """
     Run a galenascale command; yield the process once it listens.
 
-    `lines` of the process holds its log; all of it once it has ended.
+    `log_lines` of the process holds its log; all of it once it has ended.
     """
     process = subprocess.Popen(
         [sys.executable, "-m", "galenascale", *arguments],
@@ -23,12 +23,12 @@
         stdout=subprocess.PIPE,
         text=True,
     )
-    process.lines = []
+    process.log_lines = []
     listening = threading.Event()
     reader = threading.Thread(target=_read_log, args=(process, listening))
     reader.start()
     try:
-        assert listening.wait(START_TIMEOUT_S) and process.port, process.lines
+        assert listening.wait(START_TIMEOUT_S) and process.port, process.log_lines
         yield process
     finally:
         process.terminate()
@@ -41,7 +41,7 @@
 def _read_log(process, listening):
     process.port = None
     for line in process.stderr:
-        process.lines.append(line)
+        process.log_lines.append(line)
         if match := re.search(r"Listening on port (\d+)", line):
             process.port = int(match[1])
             listening.set()
--- a/test/test_stopping.py
+++ b/test/test_stopping.py
@@ -102,7 +102,7 @@
     with fleet_of_processes(tmp_path, stop) as (platform, engine, host):
         content = asyncio.run(stop_during_stream(platform, engine, host, signals))
         assert host.wait(timeout=30) == 0
-    log = "".join(host.lines)
+    log = "".join(host.log_lines)
     assert content.endswith(b"data: [DONE]\n\n") != cut
     assert (content.count(b"data: ") == TOKENS + 1) != cut
     assert ("Cut off 1 requests, 0 calls and 0 unrecorded outcomes" in log) == cut
