--- a/galenascale/batch/worker.py
+++ b/galenascale/batch/worker.py
@@ -163,8 +163,8 @@
                 count += 1
         return count
 
-    async def stop(self):
-        """Interrupt all items, record what is done and release the chunks."""
+    async def interrupt(self):
+        """Interrupt idempotent items, let the others end; take no more."""
         self.taking = False
         tasks = []
         for runs in self._runs_by_server.values():
@@ -174,5 +174,10 @@
                     task.cancel()
                 tasks.append(task)
         await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def release(self):
+        """Record what is done and release the chunks that are held."""
+        # Claims that requests for work still bring must be released too.
+        await asyncio.gather(*self._tasks, return_exceptions=True)
         await self._reporter.drain()
         await self.holdings.release()
