--- a/galenascale/batch/worker.py
+++ b/galenascale/batch/worker.py
@@ -4,7 +4,6 @@
 
 from galenascale.batch.asking import WorkAsker
 from galenascale.batch.holdings import Holdings
-from galenascale.errors import GalenascaleError
 from galenascale.logs import get_logger
 from galenascale.shards import shard_from_id
 
@@ -73,7 +72,9 @@
     def _fill(self):
         for service in self._capacity.services():
             left = 0
-            for server, count in self._capacity.free_slots(service):
+            slots = self._capacity.free_slots(service)
+            self.holdings.suspects.offer(service, [server.name for server, _ in slots])
+            for server, count in slots:
                 started = 0
                 while started < count and self._start_next(service, server):
                     started += 1
@@ -89,13 +90,21 @@
     def _start_next(self, service, server):
         if not self._may_take():
             return False
-        item = self.holdings.ready.take(service, server.name, self._clock.monotonic())
+        if self.holdings.suspects.keeps(service, server.name):
+            running = self.running(server.name)
+            item = self.holdings.suspects.take(service, server.name, running)
+        else:
+            now = self._clock.monotonic()
+            item = self.holdings.ready.take(service, server.name, now)
         if item is None:
             return False
         runs = self._runs_by_server.setdefault(server.name, {})
         self._capacity.started(service, server.name)
-        task = self._spawn(self._run(service, server, item))
-        runs[item] = task
+        item.chunk.started(self._clock.monotonic())
+        task = runs[item] = self._spawn(self._run_item(server, item))
+        # A task that is cancelled before its first step runs no code of its
+        # own, so the end is handled outside of it.
+        task.add_done_callback(lambda task: self._ended(service, server, item, task))
         return True
 
     def _spawn(self, coroutine):
@@ -104,28 +113,28 @@
         task.add_done_callback(self._tasks.discard)
         return task
 
-    async def _run(self, service, server, item):
-        try:
-            outcome = await self._run_item(server, item)
-        except asyncio.CancelledError:
+    def _ended(self, service, server, item, task):
+        """Take over what a run left; it may have been interrupted."""
+        now = self._clock.monotonic()
+        self._runs_by_server[server.name].pop(item, None)
+        self._capacity.ended(service, server.name)
+        item.chunk.ended(now)
+        self.holdings.suspects.ended(service, item)
+        self._wake.set()
+        if task.cancelled():
             if item.number in item.chunk.open_items and self.taking:
-                self.holdings.ready.put_back(
-                    service, item, server.name, self._clock.monotonic()
-                )
+                self.holdings.ready.put_back(service, item, server.name, now)
             else:
                 self.on_discarded(service, item.tokens)
-            raise
-        except GalenascaleError as error:
-            log.info("Item %d of %s waits: %s.", *reversed(item.key), error)
-            outcome = None
-        finally:
-            self._runs_by_server[server.name].pop(item, None)
-            self._capacity.ended(service, server.name)
-            self._wake.set()
-        if outcome is None:
-            self.holdings.ready.add(service, [item])
+            return
+        error = task.exception()
+        if error is not None:
+            log.warning("Item %d of %s waits: %r.", *reversed(item.key), error)
+            self.holdings.wait_again(service, item)
+        elif task.result() is None:
+            self.holdings.wait_again(service, item)
         else:
-            self.holdings.report(item, outcome)
+            self.holdings.report(item, task.result())
 
     def _ask_if_short(self, service, free):
         """Ask for the free slots and for one more round of the running."""
@@ -160,8 +169,8 @@
                 count += 1
         return count
 
-    async def stop(self):
-        """Interrupt all items, record what is done and release the chunks."""
+    async def interrupt(self):
+        """Interrupt idempotent items, let the others end; take no more."""
         self.taking = False
         tasks = []
         for runs in self._runs_by_server.values():
@@ -171,5 +180,10 @@
                     task.cancel()
                 tasks.append(task)
         await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def release(self):
+        """Record what is done and release the chunks that are held."""
+        # Claims that requests for work still bring must be released too.
+        await asyncio.gather(*self._tasks, return_exceptions=True)
         await self._reporter.drain()
         await self.holdings.release()
--- a/galenascale/calls.py
+++ b/galenascale/calls.py
@@ -14,6 +14,7 @@
 from galenascale.errors import (
     AppendUnknown,
     BackendError,
+    DecodeError,
     Execution,
     GalenascaleError,
     LogUnavailable,
@@ -31,8 +32,8 @@
 from galenascale.hashing import content_digest, shard_of
 from galenascale.ledger import VerdictStatus
 from galenascale.logs import get_logger
-from galenascale.shards import make_id, make_record
-from galenascale.shards.bodies import read_body
+from galenascale.shards import make_id, make_record, shard_from_id
+from galenascale.shards.bodies import BodyLost, read_body
 
 log = get_logger("calls")
 
@@ -104,6 +105,9 @@
         self._running = set()
         # Ids of intents with unknown outcome that are never dispatched.
         self._abandoned = {}
+        # Outcomes that are not read back from the log, by intent id, or by
+        # call id if a peer handed them over.
+        self._unrecorded = {}
         self._tasks = set()
 
     async def call(self, call):
@@ -117,16 +121,24 @@
     async def _call_with_retry(self, call):
         call_id = uuid.uuid4().hex
         excluded = set()
-        for attempt in range(MAX_IDEMPOTENT_TRIES):
-            server = self._server(call, excluded)
+        may_have_run = False
+        while True:
             try:
+                server = self._server(call, excluded)
                 return await self._forward(server, call, call_id)
-            except BackendError as error:
-                excluded.add(server.name)
-                if attempt + 1 == MAX_IDEMPOTENT_TRIES:
+            except (BackendError, Refused) as error:
+                # The caller hears about all tries, not only the last one.
+                may_have_run |= error.execution != Execution.NOT_RUN
+                refused = isinstance(error, Refused)
+                if not refused:
+                    excluded.add(server.name)
+                if refused or len(excluded) == MAX_IDEMPOTENT_TRIES:
+                    if may_have_run and error.execution == Execution.NOT_RUN:
+                        raise MayHaveRun(
+                            "an earlier try may have run", step="dispatch"
+                        ) from error
                     raise
                 log.info("Call is tried again: %s.", error)
-        raise AssertionError("unreachable")
 
     def _server(self, call, excluded=frozenset()):
         server = self._choose_server(call.service, excluded)
@@ -141,6 +153,10 @@
     async def _forward(self, server, call, call_id):
         headers = {"Content-Type": call.content_type, "X-Call-Id": call_id}
         left_s = call.deadline - self._clock.monotonic()
+        if left_s <= 0:
+            raise Refused(
+                "deadline has passed", code="deadline_exceeded", step="dispatch"
+            )
         answer = await self._engine_client.forward(
             server, call.method, call.path, headers, call.body, timeout_s=left_s
         )
@@ -177,7 +193,14 @@
                 )
             if verdict.valid:
                 return await self._run(call, shard, intent, verdict.offset)
-            answer = await self._first_answer(call, shard, call_id)
+            try:
+                answer = await self._first_answer(call, shard, call_id)
+            except (LogUnavailable, AppendUnknown, BodyLost, DecodeError) as error:
+                # Such errors say by themselves that nothing was run, which is
+                # not known of the first call.
+                raise MayHaveRun(
+                    f"first answer cannot be read: {error.message}", step="wait"
+                ) from error
             if answer is not None:
                 return answer
 
@@ -245,18 +268,24 @@
 
     def _start_record(self, shard, intent, outcome):
         """Record an outcome in a task; return a bounded wait for it."""
-        task = asyncio.create_task(self._record(shard, intent, outcome))
+        task = self._spawn_record(shard, intent.intent_id, outcome)
+        return asyncio.ensure_future(self._clock.wait_any([task], ANSWER_AFTER_S))
+
+    def _spawn_record(self, shard, intent_id, outcome):
+        self._unrecorded[intent_id] = outcome
+        task = asyncio.create_task(self._record(shard, intent_id, outcome))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
-        return asyncio.ensure_future(self._clock.wait_any([task], ANSWER_AFTER_S))
+        return task
 
-    async def _record(self, shard, intent, outcome):
+    async def _record(self, shard, intent_id, outcome):
         try:
             while True:
                 try:
                     await self._shards.submit(
                         shard, [make_record(outcome)], OUTCOME_TIMEOUT_S, urgent=True
                     )
+                    self._unrecorded.pop(intent_id, None)
                     return
                 except GalenascaleError as error:
                     log.warning(
@@ -264,13 +293,29 @@
                     )
                     await self._clock.sleep(RECORD_RETRY_S)
         finally:
-            self._running.discard(intent.intent_id)
+            self._running.discard(intent_id)
+
+    async def finish_running(self):
+        """Return once no call runs; outcomes may be unrecorded."""
+        while self._running - self._unrecorded.keys():
+            await self._clock.sleep(POLL_S)
 
     async def drain(self):
         """Return once no call runs and all outcomes are recorded."""
         while self._running or self._tasks:
             await self._clock.sleep(POLL_S)
 
+    def pending(self):
+        """Return the CallOutcomes that are not recorded."""
+        return list(self._unrecorded.values())
+
+    def take_over(self, outcomes):
+        """Record the CallOutcomes of a peer that stops; return their count."""
+        for outcome in outcomes:
+            shard = shard_from_id(outcome.call_id, self._shards.count)
+            self._spawn_record(shard, outcome.call_id, outcome)
+        return len(outcomes)
+
     async def close(self):
         """Stop recording; calls without recorded outcome stay in doubt."""
         for task in self._tasks:
