Interrupt each batch stream once

Cause: a stream whose engine had not confirmed its cancel still counted as running, so the next check cancelled it again, which broke off the first cancel.

--- a/galenascale/batch/worker.py
+++ b/galenascale/batch/worker.py
@@ -27,6 +27,8 @@
         self._run_item = run_item
         # Tasks by item, by server id.
         self._runs_by_server = {}
+        # Items that gave way and whose engine has not confirmed it yet.
+        self._stopping = set()
         self._tasks = set()
         self._wake = asyncio.Event()
         self.holdings = Holdings(host, reporter, self._stop_runs)
@@ -49,11 +51,12 @@
 
     def running(self, server_id):
         """Return the number of batch streams on a server."""
-        return len(self._runs_by_server.get(server_id, ()))
+        return len(self.running_items(server_id))
 
     def running_items(self, server_id):
-        """Return the items that run on a server."""
-        return list(self._runs_by_server.get(server_id, ()))
+        """Return the items that run on a server and were not told to stop."""
+        runs = self._runs_by_server.get(server_id, ())
+        return [item for item in runs if item not in self._stopping]
 
     async def run(self):
         """Fill free slots until cancelled."""
@@ -91,7 +94,7 @@
         if not self._may_take():
             return False
         if self.holdings.suspects.keeps(service, server.name):
-            running = self.running(server.name)
+            running = len(self._runs_by_server.get(server.name, ()))
             item = self.holdings.suspects.take(service, server.name, running)
         else:
             now = self._clock.monotonic()
@@ -117,6 +120,7 @@
         """Take over what a run left; it may have been interrupted."""
         now = self._clock.monotonic()
         self._runs_by_server[server.name].pop(item, None)
+        self._stopping.discard(item)
         self._capacity.ended(service, server.name)
         item.chunk.ended(now)
         self.holdings.suspects.ended(service, item)
@@ -157,15 +161,22 @@
         for runs in self._runs_by_server.values():
             for item, task in list(runs.items()):
                 if item.chunk is held:
-                    task.cancel()
+                    self._stop(item, task)
+
+    def _stop(self, item, task):
+        # A second cancel would break off the one under way.
+        if item not in self._stopping:
+            self._stopping.add(item)
+            task.cancel()
 
     def give_way(self, server_id, items):
         """Interrupt items on a server; they wait with the tokens they have."""
         runs = self._runs_by_server.get(server_id, {})
         count = 0
         for item in items:
-            if item in runs and item.chunk.grant.idempotent:
-                runs[item].cancel()
+            stoppable = item.chunk.grant.idempotent and item not in self._stopping
+            if item in runs and stoppable:
+                self._stop(item, runs[item])
                 count += 1
         return count
 
@@ -177,7 +188,7 @@
             for item, task in runs.items():
                 # A non-idempotent item cannot be run again: let it finish.
                 if item.chunk.grant.idempotent:
-                    task.cancel()
+                    self._stop(item, task)
                 tasks.append(task)
         await asyncio.gather(*tasks, return_exceptions=True)
 
