--- a/test/routing/test_router.py
+++ b/test/routing/test_router.py
@@ -206,6 +206,27 @@
     assert chosen == expected
 
 
+def test_batch_streams_do_not_count_as_online_work():
+    """Guards against lagged reports that show batch or ended requests."""
+    owner, other = make_router(1, slots=8), make_router(1, slots=8)
+    for _ in range(5):
+        owner.started("s0", 1.0, batch=True)
+    seen = report("s0", 1.2, running=6)
+    for router in (owner, other):
+        load = ServerLoad("s0", online_in_flight=1, batch_in_flight=0)
+        router.peer_loads("h2", [load], 1.2)
+    other.peer_loads("h1", owner.digest(), 1.3)
+    for _ in range(5):
+        owner.ended("s0", 1.4, batch=True)
+    other.peer_loads("h1", owner.digest(), 1.5)
+    for router in (owner, other):
+        router.report(seen, 1.7, 1700)
+        assert router.online_load("s0") == 1
+        router.note_peer_online("s0", "h2", 3, 1.8)
+        assert router.online_load("s0") == 3
+    assert other.has_batch("s0")
+
+
 def test_batch_on_the_last_free_slots_gives_way():
     router = make_router(1, slots=3)
     for _ in range(2):
--- a/test/test_metrics.py
+++ b/test/test_metrics.py
@@ -1,9 +1,12 @@
 """Tests of the metrics of one host."""
 
+import types
+
 from hypothesis import given
 from hypothesis import strategies as st
 
 from galenascale.metrics import OTHER, Metrics, TenantLabels
+from galenascale.scheduling_metrics import SchedulingMetrics
 
 
 def samples(metrics):
@@ -95,3 +98,31 @@
         assert named - now_named == set(dropped)
         named = now_named
         dropped.clear()
+
+
+def test_scheduling_metrics_show_queue_slots_streams_and_losses():
+    """Guards against metrics that nothing fills."""
+    metrics = Metrics()
+    admission = types.SimpleNamespace(waiting=lambda: 3)
+    online = types.SimpleNamespace(
+        dispatcher=lambda service: types.SimpleNamespace(admission=admission)
+    )
+    capacity = types.SimpleNamespace(
+        services=lambda: ["svc"], slots=lambda _: 7, running=lambda _: 5
+    )
+    worker = types.SimpleNamespace()
+    SchedulingMetrics(metrics, online, capacity, worker)
+    metrics.tenants.count("t")
+    online.on_started("t", 0.2)
+    capacity.on_interrupted("svc", 2)
+    worker.on_discarded("svc", 11)
+    text = metrics.render().decode()
+    for line in (
+        'queue_length{service="svc"} 3.0',
+        'batch_slots{service="svc"} 7.0',
+        'batch_streams{service="svc"} 5.0',
+        'batch_interrupted_streams_total{service="svc"} 2.0',
+        'batch_discarded_tokens_total{service="svc"} 11.0',
+        'queueing_seconds_count{class="online",tenant="t"} 1.0',
+    ):
+        assert f"galenascale_{line}\n" in text
