--- a/test/batch/test_worker.py
+++ b/test/batch/test_worker.py
@@ -104,7 +104,8 @@
                 await gate.wait()
             except asyncio.CancelledError:
                 try:
-                    await asyncio.sleep(0)
+                    for _ in range(4):
+                        await asyncio.sleep(0)
                 except asyncio.CancelledError:
                     broken.append(item)
                 raise
@@ -116,7 +117,7 @@
         task = asyncio.create_task(worker.run())
 
         async def settle():
-            for _ in range(8):
+            for _ in range(12):
                 await asyncio.sleep(0)
 
         for operation, count in operations:
@@ -127,6 +128,7 @@
                 await asyncio.sleep(0)
             elif operation == "give_way":
                 worker.give_way("s0", worker.running_items("s0")[:count])
+                await asyncio.sleep(0)
             elif operation == "finish":
                 for gate in list(gates.values())[:count]:
                     gate.set()
