--- a/galenascale/declarations.py
+++ b/galenascale/declarations.py
@@ -19,6 +19,7 @@
 DIGEST = re.compile(r"[0-9a-f]{64}")
 NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._:/-]{0,199}")
 READS_DECLARATION_VERSION = 1
+SERVER_ROLES = ("mixed", "prefill", "decode")
 MAX_I32 = 2**31 - 1
 MAX_I64 = 2**63 - 1
 # Fields that must be at least 1; other numbers must not be negative.
@@ -179,6 +180,8 @@
         yield "url", "must have no credentials, query or fragment"
     if not value.failure_domain:
         yield "failure_domain", "must not be empty"
+    if value.role not in SERVER_ROLES:
+        yield "role", f"must be one of {', '.join(SERVER_ROLES)}"
 
 
 CHECKS_BY_KIND = {
--- a/galenascale/engine_answers.py
+++ b/galenascale/engine_answers.py
@@ -113,8 +113,16 @@
     fields = attrs.asdict(load, recurse=False)
     fencing = fields.pop("fencing")
     fields["models"] = tuple((model.name, model.version) for model in load.models)
-    adapters = {model.name: tuple(model.adapters) for model in load.models}
-    return ServerState(ServerReport(**fields, adapters_by_model=adapters), fencing)
+    by_version = {
+        (model.name, model.version): tuple(model.adapters) for model in load.models
+    }
+    by_model = {}
+    for (name, _), adapters in by_version.items():
+        by_model[name] = tuple(dict.fromkeys((*by_model.get(name, ()), *adapters)))
+    report = ServerReport(
+        **fields, adapters_by_model=by_model, adapters_by_version=by_version
+    )
+    return ServerState(report, fencing)
 
 
 def decode_chunk(data, next_index):
--- a/galenascale/engine_client.py
+++ b/galenascale/engine_client.py
@@ -89,7 +89,7 @@
         body = await self._get(server, "/state", "state")
         return decode_state(body, "state", server.name)
 
-    async def order(self, server, fencing, action, target="", version=""):
+    async def order(self, server, fencing, action, target="", version="", size_bytes=0):
         """Give an order; raise BackendError stale_fencing for an old one."""
         body = {
             "fencing": fencing,
@@ -97,6 +97,8 @@
             "target": target,
             "version": version,
         }
+        if size_bytes:
+            body["bytes"] = size_bytes
         await self._post(server, "/orders", "order", body, ORDER_TIMEOUT_S)
 
     async def kv_export(self, server, request_id, attempt):
--- a/galenascale/requests.py
+++ b/galenascale/requests.py
@@ -47,3 +47,5 @@
     # Tuples of (model, version); adapters by model.
     models: tuple = ()
     adapters_by_model: dict = attrs.field(factory=dict)
+    # Adapters by (model, version), as servers report them.
+    adapters_by_version: dict = attrs.field(factory=dict)
--- a/galenascale/routing/load.py
+++ b/galenascale/routing/load.py
@@ -122,6 +122,7 @@
     keys = set()
     for model, version in report.models:
         keys.add((model, version))
-        for adapter in report.adapters_by_model.get(model, ()):
+        by_model = report.adapters_by_model.get(model, ())
+        for adapter in report.adapters_by_version.get((model, version), by_model):
             keys.add((model, version, adapter))
     return frozenset(keys)
--- a/galenascale/shards/client.py
+++ b/galenascale/shards/client.py
@@ -17,6 +17,7 @@
 from galenascale.ledger import Verdict, VerdictStatus
 from galenascale.logs import get_logger
 from galenascale.shards.follower import ShardFollower
+from galenascale.shards.ids import FLEET
 from galenascale.shards.writer import ShardWriter
 
 log = get_logger("shard")
@@ -57,6 +58,11 @@
             shard for shard in range(self.count) if self.owner(shard) == self._host_id
         ]
 
+    def kept(self):
+        """Return the owned shards, with the fleet stream if it is owned."""
+        owned = self.owned()
+        return [*owned, FLEET] if self.owner(FLEET) == self._host_id else owned
+
     def follower(self, shard):
         """Return the follower of a shard; it reads nothing by itself."""
         if shard not in self._followers_by_shard:
@@ -113,7 +119,7 @@
 
     async def handle_submit(self, request):
         """Answer another host's SubmitRequest with a SubmitReply."""
-        if not 0 <= request.shard < self.count:
+        if request.shard != FLEET and not 0 <= request.shard < self.count:
             return SubmitReply(error_code="unknown_shard")
         try:
             verdicts = await self._writer(request.shard).submit(
--- a/galenascale/shards/ids.py
+++ b/galenascale/shards/ids.py
@@ -4,10 +4,14 @@
 
 from galenascale.errors import UserError
 
+# Number under which Shards knows the stream of leases and poison verdicts.
+FLEET = -1
+FLEET_STREAM = "fleet"
+
 
 def work_stream(shard):
     """Return the name of the stream with the records of a shard."""
-    return f"work.{shard}"
+    return FLEET_STREAM if shard == FLEET else f"work.{shard}"
 
 
 def data_stream(shard):
--- a/galenascale/shards/keeper.py
+++ b/galenascale/shards/keeper.py
@@ -53,7 +53,7 @@
         """Do a round over the owned shards until cancelled."""
         while True:
             await self._clock.sleep(interval_s)
-            for shard in self._shards.owned():
+            for shard in self._shards.kept():
                 try:
                     await self.keep(shard)
                 except GalenascaleError as error:
--- a/galenascale/standins/engine.py
+++ b/galenascale/standins/engine.py
@@ -252,7 +252,7 @@
         try:
             self.fencing.admit(order.fencing)
         except StaleFencing as error:
-            return json_response({"code": error.code, "current": error.current}, 409)
+            return _stale(error)
         if order.action == "set_role":
             self.role = order.target
         elif order.action == "drain":
@@ -261,6 +261,11 @@
             self.loaded.check(order)
             if order.action.startswith("load"):
                 await self._fetch_weights(order)
+                # A newer holder may have given orders during the fetch.
+                try:
+                    self.fencing.admit(order.fencing)
+                except StaleFencing as error:
+                    return _stale(error)
             self.loaded.apply(order)
         return json_response({"applied": True})
 
@@ -275,3 +280,7 @@
             ) as response:
                 response.raise_for_status()
         await self.clock.sleep(self.settings.weight_load_s * self.faults.slow)
+
+
+def _stale(error):
+    return json_response({"code": error.code, "current": error.current}, 409)
--- a/schema/galenascale.thrift
+++ b/schema/galenascale.thrift
@@ -204,6 +204,8 @@
   3: string incarnation = "",
   4: i64 lease_ms = 0,
   5: i64 supersedes = -1,
+  /** Offset of the first claim of a lease that this one renews; -1 if new. */
+  6: i64 first_offset = -1,
 }
 
 struct ServerRelease {
@@ -455,7 +457,10 @@
   7: i32 slots = 8,
   /** False for servers that ignore fencing numbers in orders. */
   8: bool checks_fencing = true,
+  /** Memory for weights and adapters, without the KV cache. */
   9: i64 memory_bytes = 80000000000,
+  /** mixed, prefill or decode */
+  10: string role = "mixed",
 }
 
 // --- Peer messages ---------------------------------------------------------
@@ -700,6 +705,38 @@
   2: double drain_announce_s = 0.5,
 }
 
+struct PlacementSettings {
+  /** False for hosts that give backend servers no orders. */
+  1: bool enabled = true,
+  /** Time between two plans. */
+  2: double plan_s = 1.0,
+  3: i64 lease_ms = 60000,
+  /**
+   * Orders end this long before the lease, and another holder starts this long
+   * after it. It covers a connection set-up of 2 s and pauses of a process.
+   */
+  4: i64 lease_margin_ms = 5000,
+  /** Loads of weights at a time over the whole fleet. */
+  5: i32 max_loads = 8,
+  /** A load waits while the weight store's queue is longer than this. */
+  6: double max_weight_backlog_s = 30.0,
+  /** Times for which a need must last before the order is given. */
+  7: double load_after_s = 2.0,
+  8: double unload_after_s = 120.0,
+  /** Silence after which a server does not count as a holder. */
+  9: double lost_after_s = 30.0,
+  /** Interval at which a host reads the fleet stream. */
+  10: double fleet_poll_s = 5.0,
+  /** Pause after a failed order before the next try. */
+  11: double retry_s = 10.0,
+  /** Streams of a leaving server that end within this time are not moved. */
+  12: double finish_s = 5.0,
+  /** Declared costs, used until they are measured. */
+  13: double prefill_tokens_per_s = 8000.0,
+  14: double kv_tokens_per_s = 200000.0,
+  15: double kv_setup_s = 0.05,
+}
+
 /** Settings of one entry host. */
 struct HostSettings {
   1: i32 schema_version = 1,
@@ -728,6 +765,7 @@
   20: string log_level = "info",
   /** text or json */
   21: string log_format = "text",
+  22: PlacementSettings placement,
 }
 
 /** Settings of the platform stand-in. */
