Wire placement and the verdicts of the fleet stream into the host

Hosts now plan, order under leases, read verdicts of earlier hosts before they take requests and add containment verdicts to the fleet stream.

--- a/galenascale/fleet.py
+++ b/galenascale/fleet.py
@@ -1,5 +1,7 @@
 """Poison verdicts in the `fleet` stream, which outlive the hosts."""
 
+import asyncio
+
 from galenascale.errors import GalenascaleError
 from galenascale.logs import get_logger
 from galenascale.shards import FLEET, make_record
@@ -9,8 +11,12 @@
 SUBMIT_TIMEOUT_S = 10.0
 # Pause before a verdict is submitted again while the log is away.
 RETRY_S = 5.0
-# Verdicts submitted again at a time; peers know the others.
+# Verdicts submitted at a time; peers know the others.
 MAX_WAITING = 1024
+# A host that starts waits this long for the log before it takes requests.
+LOG_WAIT_S = 3.0
+# Time for verdicts on their way at a planned stop.
+STOP_WAIT_S = 3.0
 
 
 class FleetVerdicts:
@@ -23,13 +29,19 @@
     def __init__(self, shards, clock, poll_s, merge):
         # True once the verdicts of earlier hosts were read.
         self.loaded = False
+        self._started_at = clock.monotonic()
         self._shards = shards
         self._clock = clock
         self._poll_s = poll_s
         self._merge = merge
         # Verdicts merged, by fingerprint; told apart by their raw body.
         self._merged = {}
-        self._waiting = 0
+        self._tasks = set()
+
+    def is_settled(self):
+        """Return True once verdicts were read, or the log is taken as away."""
+        waited_s = self._clock.monotonic() - self._started_at
+        return self.loaded or waited_s >= LOG_WAIT_S
 
     async def run(self):
         """Follow the stream until cancelled."""
@@ -51,19 +63,29 @@
                 self._merged[fingerprint] = raw
         self.loaded = True
 
-    async def keep(self, verdict):
+    def add(self, verdict):
         """Add a containment verdict to the stream, however long that takes."""
-        if not verdict.contained or self._waiting >= MAX_WAITING:
-            return
+        if verdict.contained and len(self._tasks) < MAX_WAITING:
+            task = asyncio.ensure_future(self._add(verdict))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def _add(self, verdict):
         record = make_record(verdict)
-        self._waiting += 1
-        try:
-            while self._clock.wall_ms() < verdict.expires_ms:
-                try:
-                    await self._shards.submit(FLEET, [record], SUBMIT_TIMEOUT_S)
-                    return
-                except GalenascaleError as error:
-                    log.warning("Verdict is not in the log yet: %s.", error)
-                await self._clock.sleep(RETRY_S)
-        finally:
-            self._waiting -= 1
+        while self._clock.wall_ms() < verdict.expires_ms:
+            try:
+                await self._shards.submit(FLEET, [record], SUBMIT_TIMEOUT_S)
+                return
+            except GalenascaleError as error:
+                log.warning("Verdict is not in the log yet: %s.", error)
+            await self._clock.sleep(RETRY_S)
+
+    async def close(self):
+        """Stop adding; peers still hold what is not in the log."""
+        tasks = list(self._tasks)
+        if tasks:
+            done = asyncio.gather(*tasks, return_exceptions=True)
+            await self._clock.wait_any([done], STOP_WAIT_S)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
--- a/galenascale/host.py
+++ b/galenascale/host.py
@@ -17,6 +17,7 @@
 from galenascale.config_keeper import ConfigPeers
 from galenascale.engine_client import EngineClient
 from galenascale.files import FileService
+from galenascale.fleet import FleetVerdicts
 from galenascale.generated import messages
 from galenascale.http_api import ApiContext, make_app, start_listener
 from galenascale.http_api.operator import operator_routes
@@ -27,11 +28,13 @@
 from galenascale.metrics import Metrics
 from galenascale.online import OnlineService
 from galenascale.peering import Peering
+from galenascale.placement import Leases, PlacementService
 from galenascale.shards import Shards
 from galenascale.shards.keeper import ShardKeeper
 from galenascale.stopping import GracefulStop
 from galenascale.tenants import Tenants
 from galenascale.tls import ServerTls
+from galenascale.weight_store import WeightStore
 
 log = get_logger("host")
 
@@ -78,6 +81,7 @@
         self._start_config()
         self._start_online()
         self._start_outcomes()
+        self._start_placement()
         await self._start_listener()
         self._start_gossip()
         log.info("Listening on port %d.", self.port)
@@ -89,7 +93,11 @@
 
     def is_ready(self):
         """Return whether requests are taken: a configuration is in force."""
-        return not self.stopping.started and self.config.is_ready()
+        return (
+            not self.stopping.started
+            and self.config.is_ready()
+            and self.fleet_verdicts.is_settled()
+        )
 
     def _start_config(self):
         peering, settings = self.peering, self.settings
@@ -172,6 +180,7 @@
             ),
             return_exceptions=True,
         )
+        self.fleet_verdicts.add(verdict)
 
     async def _handle_poison(self, report):
         for verdict in report.verdicts:
@@ -244,6 +253,30 @@
         self._run(self.worker.run())
         self.jobs.on_cancelled = self._tell_job_cancelled
 
+    def _start_placement(self):
+        settings = self.settings.placement or messages.PlacementSettings()
+        self.fleet_verdicts = FleetVerdicts(
+            self.shards, self.clock, settings.fleet_poll_s, self.online.merge_verdict
+        )
+        self._run(self.fleet_verdicts.run())
+        self._stack.push_async_callback(self.fleet_verdicts.close)
+        self.placement = PlacementService(
+            self.host_id,
+            self.config,
+            Leases(self.shards, self.clock, settings, self.host_id, self.incarnation),
+            self.engine_client,
+            WeightStore(self._platform_session, self.settings.platform_url, self.clock),
+            self.clock,
+            settings,
+            self.peering.placing_host,
+            self.online.online_load,
+            self.membership.servers.is_leaving,
+        )
+        self.load_poller.on_report = self.placement.observe
+        self.online.on_request = self.placement.note_request
+        self._run(self.placement.run())
+        self._stack.push_async_callback(self.placement.close)
+
     async def _tell_job_cancelled(self, job_id):
         self.worker.job_cancelled(job_id)
         notice = messages.JobCancelledNotice(job_id)
--- a/galenascale/load_poller.py
+++ b/galenascale/load_poller.py
@@ -25,6 +25,8 @@
         self._domain = settings.failure_domain
         self._interval_s = settings.membership.load_poll_s
         self._round = 0
+        # Called with each ServerReport.
+        self.on_report = lambda report: None
 
     async def run(self):
         """Poll until cancelled."""
@@ -60,6 +62,7 @@
         else:
             signs.answered(now, server.name, started_at)
         self._online.report(report)
+        self.on_report(report)
 
     def _note_leaving(self, server_id, now):
         self._membership.servers.leaving(now, server_id)
--- a/galenascale/online.py
+++ b/galenascale/online.py
@@ -31,6 +31,8 @@
         self._give_way = give_way
         self._dispatchers_by_service = {}
         self._tasks = set()
+        # Called with the model and the time of each request.
+        self.on_request = lambda model, now: None
 
     async def complete(self, request):
         """
@@ -40,6 +42,7 @@
         the request and BackendError otherwise. Close the iterator to cancel.
         """
         run = OnlineRun(self, request)
+        self.on_request(request.model, self.clock.monotonic())
         async with contextlib.aclosing(run.chunks()) as chunks:
             async for chunk in chunks:
                 yield chunk
@@ -107,6 +110,10 @@
             for load in dispatcher.router.digest()
         ]
 
+    def online_load(self, service_name, server_id):
+        """Return the online requests on a server, own and of peers."""
+        return self.dispatcher(service_name).router.online_load(server_id)
+
     def choose_plain(self, service_name, excluded):
         """Return a server of a plain service, or None if none is usable."""
         router = self.dispatcher(service_name).router
@@ -117,11 +124,17 @@
         return choice.server
 
     def merge_verdict(self, verdict):
-        """Apply a PoisonVerdict of a peer or of the log."""
-        if verdict.service_name in self.refresh_config().services_by_name:
-            dispatcher = self.dispatcher(verdict.service_name)
-            dispatcher.poison.merge(verdict, self.clock.wall_ms())
-            dispatcher.pump()
+        """
+        Apply a PoisonVerdict of a peer or of the log.
+
+        Return False for a service that is not declared.
+        """
+        if verdict.service_name not in self.refresh_config().services_by_name:
+            return False
+        dispatcher = self.dispatcher(verdict.service_name)
+        dispatcher.poison.merge(verdict, self.clock.wall_ms())
+        dispatcher.pump()
+        return True
 
     def spawn(self, awaitable):
         """Run an awaitable in the background; its failure is logged."""
--- a/galenascale/peering.py
+++ b/galenascale/peering.py
@@ -4,6 +4,7 @@
 
 from galenascale.errors import GalenascaleError
 from galenascale.generated.messages import HostInfo
+from galenascale.hashing import rendezvous_owner
 from galenascale.host_list import HostList
 from galenascale.logs import get_logger
 from galenascale.membership import Membership
@@ -83,6 +84,17 @@
             self.clock.monotonic(), server.name, server.failure_domain
         )
 
+    def placing_host(self, server):
+        """
+        Return the host id that gives a server orders in this host's view.
+
+        It is one of the server's failure domain, or of any other domain while
+        that one has no live host.
+        """
+        return self.slot_owner(server) or rendezvous_owner(
+            f"place\0{server.name}", self.live_ids()
+        )
+
     async def tell_leaving(self):
         """Tell peers and the host list that this host takes no new work."""
         self.membership.update_own(state="leaving", ready=False)
--- a/galenascale/placement/service.py
+++ b/galenascale/placement/service.py
@@ -68,6 +68,10 @@
         """Take over a ServerReport received now."""
         self.observations.note(report, self._clock.monotonic())
 
+    def note_request(self, model, now):
+        """Count a request that this host took."""
+        self.mix.note(model, now)
+
     async def run(self):
         """Plan and order until cancelled."""
         while self._settings.enabled:
