--- a/galenascale/host_parts.py
+++ b/galenascale/host_parts.py
@@ -10,6 +10,8 @@
 from galenascale.config_follower import ConfigFollower
 from galenascale.config_keeper import ConfigPeers
 from galenascale.files import FileService
+from galenascale.fleet import FleetVerdicts
+from galenascale.generated import messages
 from galenascale.host_methods import (
     fetch_config,
     share_verdict,
@@ -21,10 +23,12 @@
 from galenascale.jobs import JobService
 from galenascale.load_poller import LoadPoller
 from galenascale.online import OnlineService
+from galenascale.placement import Leases, PlacementService
 from galenascale.shards import Shards
 from galenascale.shards.keeper import ShardKeeper
 from galenascale.tenants import Tenants
 from galenascale.tls import ServerTls
+from galenascale.weight_store import WeightStore
 
 
 def start_config(host):
@@ -131,6 +135,32 @@
     host.jobs.on_accepted = lambda *args: tell_job_accepted(host, *args)
 
 
+def start_placement(host):
+    """Build what gives servers orders, and the verdicts that outlive hosts."""
+    settings = host.settings.placement or messages.PlacementSettings()
+    host.fleet_verdicts = FleetVerdicts(
+        host.shards, host.clock, settings.fleet_poll_s, host.online.merge_verdict
+    )
+    host.run(host.fleet_verdicts.run())
+    host.stack.push_async_callback(host.fleet_verdicts.close)
+    host.placement = PlacementService(
+        host.host_id,
+        host.config,
+        Leases(host.shards, host.clock, settings, host.host_id, host.incarnation),
+        host.engine_client,
+        WeightStore(host.platform_session, host.settings.platform_url, host.clock),
+        host.clock,
+        settings,
+        host.peering.placing_host,
+        host.online.online_load,
+        host.membership.servers.is_leaving,
+    )
+    host.load_poller.on_report = host.placement.observe
+    host.online.on_request = host.placement.note_request
+    host.run(host.placement.run())
+    host.stack.push_async_callback(host.placement.close)
+
+
 async def start_listener(host):
     """Listen for callers and operators; `port` is set from then on."""
     settings = host.settings
