Ship the product as one binary that unpacks to memory

Hosts are diskless and a process starts no other process, so the product is a zipapp that shiv builds from pinned runtime requirements. openai, tqdm and cryptography are needed only by the demo and tests. The examples are package data, so that the binary finds them.

--- a/galenascale/commands/demo.py
+++ b/galenascale/commands/demo.py
@@ -9,7 +9,6 @@
 import aiohttp
 import attrs
 import orjson
-from tqdm import tqdm
 
 from galenascale.commands.dev import DEFAULT_DEPLOYMENT
 from galenascale.embedded import EmbeddedDeployment
@@ -56,12 +55,13 @@
     setup_logging(log_level)
     try:
         import openai
+        import tqdm
     except ImportError as error:
-        raise UserError("demo needs the package openai") from error
-    sys.exit(asyncio.run(_demo(openai, deployment)))
+        raise UserError("demo needs the packages openai and tqdm") from error
+    sys.exit(asyncio.run(_demo(openai, tqdm.tqdm, deployment)))
 
 
-async def _demo(openai, path):
+async def _demo(openai, tqdm, path):
     async with EmbeddedDeployment.from_directory(path) as embedded:
         summary = embedded.summary()
         deployment = embedded.deployment
@@ -76,7 +76,7 @@
         await _chat(clients[0], model)
         await _call_service(deployment, summary)
         online = asyncio.create_task(_online(clients, model, report))
-        await _batch(clients, items, report)
+        await _batch(clients, items, report, tqdm)
         await online
         return _print_report(report)
 
@@ -141,7 +141,7 @@
         await asyncio.sleep(ONLINE_PAUSE_S)
 
 
-async def _batch(clients, items, report):
+async def _batch(clients, items, report, tqdm):
     started = time.perf_counter()
     client = clients[0]
     uploaded = await client.files.create(
@@ -153,7 +153,7 @@
         completion_window="24h",
     )
     report.items = job.request_counts.total
-    job = await _wait(clients[-1], job, report.items)
+    job = await _wait(clients[-1], job, report.items, tqdm)
     report.batch_s = time.perf_counter() - started
     for file_id in (job.output_file_id, job.error_file_id):
         if file_id is None:
@@ -164,7 +164,7 @@
             report.lines_by_id[orjson.loads(line)["custom_id"]] += 1
 
 
-async def _wait(client, job, items):
+async def _wait(client, job, items, tqdm):
     deadline = time.perf_counter() + JOB_TIMEOUT_S
     with tqdm(total=items, unit="item") as progress:
         while time.perf_counter() < deadline:
--- a/galenascale/deployments.py
+++ b/galenascale/deployments.py
@@ -16,8 +16,8 @@
 DEPLOYMENT_FILE = "deployment.json"
 DECLARATIONS_DIRECTORY = "declarations"
 KINDS = ("service", "model", "tenant", "backend_server", "operator")
-# Examples of the source tree, found from any working directory.
-EXAMPLES = Path(__file__).resolve().parent.parent / "examples"
+# Package data, found from any working directory and from the binary.
+EXAMPLES = Path(__file__).resolve().parent / "examples"
 
 
 @attrs.frozen
--- a/test/processes.py
+++ b/test/processes.py
@@ -8,16 +8,18 @@
 import threading
 
 START_TIMEOUT_S = 30
+MODULE = (sys.executable, "-m", "galenascale")
 
 
 @contextlib.contextmanager
-def running(*arguments):
+def running(*arguments, command=MODULE, **options):
     """Run a galenascale command; yield the process once it listens."""
     process = subprocess.Popen(
-        [sys.executable, "-m", "galenascale", *arguments],
+        [*command, *arguments],
         stderr=subprocess.PIPE,
         stdout=subprocess.PIPE,
         text=True,
+        **options,
     )
     try:
         process.port = _read_port(process)
