--- a/Makefile
+++ b/Makefile
@@ -37,6 +37,7 @@
 
 generate: $(INSTALLED)
 	$(PYTHON) tools/generate.py
+	$(PYTHON) tools/generate_docs.py
 
 format: $(INSTALLED)
 	$(VENV)/bin/ruff format .
@@ -46,3 +47,4 @@
 	$(VENV)/bin/ruff format --check .
 	$(VENV)/bin/ruff check .
 	$(PYTHON) tools/generate.py --check
+	$(PYTHON) tools/generate_docs.py --check
--- a/schema/galenascale.thrift
+++ b/schema/galenascale.thrift
@@ -394,8 +394,11 @@
 // --- Declarations ----------------------------------------------------------
 
 struct ServiceDeclaration {
+  /** Version of the format. */
   1: i32 schema_version = 1,
+  /** Always service. */
   2: string kind = "service",
+  /** Name of the service. */
   3: string name = "",
   /** engine or plain */
   4: string type = "engine",
@@ -408,33 +411,46 @@
   6: i32 max_queue = 256,
   /** Retries allowed as a share of requests. */
   7: double retry_budget = 0.2,
+  /** Attempts for one online request. */
   8: i32 max_attempts = 3,
   /** Path prefixes of a plain service whose calls may not be repeated. */
   9: list<string> non_idempotent_paths,
+  /** Deadline of a request that names none. */
   10: double default_deadline_s = 120.0,
 }
 
 struct ModelVersion {
+  /** Name of the version. */
   1: string name = "",
   /** Share of the traffic, relative to the other versions. */
   2: i32 weight = 100,
 }
 
 struct ModelDeclaration {
+  /** Version of the format. */
   1: i32 schema_version = 1,
+  /** Always model. */
   2: string kind = "model",
+  /** Name under which callers ask for the model. */
   3: string name = "",
+  /** Service that serves the model. */
   4: string service_name = "",
+  /** Versions that share the traffic. */
   5: list<ModelVersion> versions,
+  /** Adapters that callers may name. */
   6: list<string> adapters,
+  /** Bytes of the weights of a version. */
   7: i64 weight_bytes = 1000000000,
   /** Servers that should hold the model; 0 for all servers of the service. */
   8: i32 replicas = 0,
 }
 
 struct TenantDeclaration {
+  /** Version of the format. */
   1: i32 schema_version = 1,
+  /** Always tenant. */
   2: string kind = "tenant",
+  /** Name of the tenant. */
   3: string name = "",
   /** SHA-256 hex digests of the tenant's keys. */
   4: list<string> key_digests,
@@ -442,19 +458,28 @@
   5: double share = 1.0,
   /** 0 for no limit. */
   6: i32 max_concurrency = 0,
+  /** Requests a second on one host; 0 for no limit. */
   7: double requests_per_s = 0.0,
 }
 
 struct BackendServerDeclaration {
+  /** Version of the format. */
   1: i32 schema_version = 1,
+  /** Always backend_server. */
   2: string kind = "backend_server",
+  /** Name of the server. */
   3: string name = "",
+  /** Service of the server. */
   4: string service_name = "",
+  /** Failure domain of the server. */
   5: string failure_domain = "",
+  /** URL under which hosts reach the server. */
   6: string url = "",
+  /** Requests that the server runs at a time. */
   7: i32 slots = 8,
   /** False for servers that ignore fencing numbers in orders. */
   8: bool checks_fencing = true,
+  /** Memory for weights. */
   9: i64 memory_bytes = 80000000000,
 }
 
@@ -634,58 +659,83 @@
 struct TlsSettings {
   /** Path of a PEM file, or the PEM text itself. */
   1: string certificate = "",
+  /** Path of a PEM file, or the PEM text itself. */
   2: string private_key = "",
   /** CA certificates that peers must be signed by. */
   3: string ca = "",
 }
 
 struct LimitSettings {
+  /** Bytes of a request body other than an uploaded file. */
   1: i64 max_body_bytes = 8388608,
+  /** Bytes of an uploaded file. */
   2: i64 max_file_bytes = 268435456,
+  /** Bytes of all headers of a request. */
   3: i32 max_header_bytes = 16384,
+  /** Open connections of callers to one host. */
   4: i32 max_connections = 4096,
   /** Time for a caller to send the whole request body. */
   5: double body_timeout_s = 30.0,
+  /** Time after which an idle connection is closed. */
   6: double idle_timeout_s = 75.0,
+  /** Deadline of requests that no service gives one. */
   7: double default_deadline_s = 120.0,
+  /** Longest deadline that a caller may ask for. */
   8: double max_deadline_s = 600.0,
+  /** Items of one batch job. */
   9: i32 max_job_items = 100000,
 }
 
 struct BatchSettings {
+  /** Items of an input file that are claimed together. */
   1: i32 chunk_items = 32,
+  /** Bytes above which a chunk holds fewer items. */
   2: i64 chunk_bytes = 262144,
+  /** Lease on a claimed chunk. */
   3: i64 lease_ms = 15000,
   /** Added to a lease before another host takes it over. */
   4: i64 lease_margin_ms = 500,
   /** Outcomes kept in memory while the log is away. */
   5: i32 max_unrecorded_outcomes = 512,
+  /** Runs of an idempotent item that reached a backend server. */
   6: i32 max_item_attempts = 3,
+  /** Time for which files, jobs and results stay readable. */
   7: double result_retention_s = 2592000.0,
+  /** Interval at which a host without work asks for some. */
   8: double idle_poll_s = 0.5,
 }
 
 struct LogSettings {
+  /** Number of shards; the same on all hosts, fixed for a log. */
   1: i32 shards = 4,
   /** Time for which the writer gathers records before an append. */
   2: double linger_s = 0.2,
+  /** The same for records that a caller waits for. */
   3: double urgent_linger_s = 0.003,
+  /** Time for the log service to answer. */
   4: double request_timeout_s = 2.0,
+  /** Interval at which shard streams are read. */
   5: double poll_s = 0.5,
+  /** Interval at which the fast pollers read the config stream. */
   6: double config_poll_s = 0.25,
   /** Records after which a new snapshot is written. */
   7: i32 snapshot_records = 500,
   /** Records that the log keeps for sure; older bodies are carried forward. */
   8: i64 retention_records = 100000,
+  /** Bytes of one append. */
   9: i64 max_append_bytes = 1000000,
 }
 
 struct MembershipSettings {
+  /** Interval of gossip rounds. */
   1: double gossip_s = 0.25,
+  /** Peers contacted in a round. */
   2: i32 gossip_fanout = 3,
   /** Silence after which a peer is taken as dead. */
   3: double dead_after_s = 2.0,
+  /** Interval of announcements to and reads of the host list. */
   4: double host_list_poll_s = 1.0,
+  /** Interval at which load reports are read. */
   5: double load_poll_s = 0.25,
   /**
    * Bytes, sent and received, that gossip may cost a host; above it rounds
@@ -695,6 +745,7 @@
 }
 
 struct StopSettings {
+  /** Time for running requests to finish in a graceful shutdown. */
   1: double grace_s = 60.0,
   /** Time between not ready and the close of listeners. */
   2: double drain_announce_s = 0.5,
@@ -702,21 +753,31 @@
 
 /** Settings of one entry host. */
 struct HostSettings {
+  /** Version of the settings format. */
   1: i32 schema_version = 1,
+  /** Unique name of the host; required. */
   2: string host_id = "",
+  /** Failure domain of the host; required. */
   3: string failure_domain = "",
+  /** Address of both listeners. */
   4: string listen_address = "127.0.0.1",
+  /** Port of the caller API; 0 for a free one. */
   5: i32 port = 0,
+  /** Port for other hosts; 0 for a free one. */
   6: i32 peer_port = 0,
   /** URL under which callers reach this host. */
   7: string url = "",
+  /** URL under which other hosts reach this host. */
   8: string peer_url = "",
+  /** URL of the platform: log service, host list, weight store; required. */
   9: string platform_url = "",
   /** Shared secret of the hosts; at least 16 characters. */
   10: string peer_secret = "",
   /** Digests (SHA-256, hex) of operator keys. */
   11: list<string> operator_key_digests,
+  /** TLS of the caller API; plain HTTP without a certificate. */
   12: TlsSettings tls,
+  /** TLS between hosts. */
   13: TlsSettings peer_tls,
   14: LimitSettings limits,
   15: BatchSettings batch,
@@ -725,6 +786,7 @@
   18: StopSettings stop,
   /** Peers known at start: peer URLs by host id. */
   19: map<string, string> seed_peers,
+  /** Lowest level of log lines on stderr. */
   20: string log_level = "info",
   /** text or json */
   21: string log_format = "text",
@@ -732,11 +794,17 @@
 
 /** Settings of the platform stand-in. */
 struct PlatformStandinSettings {
+  /** Address of the listener. */
   1: string listen_address = "127.0.0.1",
+  /** Port; 0 for a free one. */
   2: i32 port = 0,
+  /** Appends that all clients together may make. */
   3: i32 appends_per_s = 400,
+  /** Records that each stream keeps. */
   4: i64 retention_records = 100000,
+  /** Age of what the host list shows. */
   5: double host_list_lag_s = 1.0,
+  /** Rate of the weight store. */
   6: i64 weight_bytes_per_s = 10000000000,
   /** Time without renewal after which an entry host leaves the list. */
   7: double host_ttl_s = 5.0,
@@ -744,30 +812,47 @@
 
 /** Settings of one engine or plain service stand-in and its model of time. */
 struct EngineStandinSettings {
+  /** Address of the listener. */
   1: string listen_address = "127.0.0.1",
+  /** Port; 0 for a free one. */
   2: i32 port = 0,
+  /** Name of the backend server. */
   3: string server_id = "",
+  /** Failure domain of the server. */
   4: string failure_domain = "",
+  /** Service of the server. */
   5: string service_name = "",
+  /** Models held at start, as NAME, NAME@VERSION or NAME@VERSION:ADAPTER. */
   6: list<string> models,
   /** engine or plain */
   7: string kind = "engine",
+  /** Requests that run at a time. */
   8: i32 slots = 8,
+  /** Rate at which prompts are read. */
   9: double prefill_tokens_per_s = 8000.0,
+  /** Time of a decode step with one stream. */
   10: double decode_step_ms = 10.0,
   /** Added to a decode step for each further running stream. */
   11: double decode_step_per_stream_ms = 0.5,
+  /** Tokens in the KV cache. */
   12: i64 kv_tokens = 65536,
+  /** Tokens of cached prompt prefixes. */
   13: i64 prefix_cache_tokens = 32768,
+  /** Age of load reports. */
   14: double load_report_lag_s = 0.5,
+  /** Whether orders with a stale fencing number are refused. */
   15: bool checks_fencing = true,
+  /** URL of the platform, for the weight store. */
   16: string platform_url = "",
+  /** Seed of the answers and of lost cache events. */
   17: i64 seed = 1,
+  /** Time to load weights besides their transfer. */
   18: double weight_load_s = 0.5,
   /** Queued requests beyond which an engine answers 429. */
   19: i32 max_queue = 1024,
   /** Time that a plain service takes for one call. */
   20: double service_time_ms = 20.0,
+  /** Time after which a cache event is visible. */
   21: double cache_event_lag_s = 0.5,
   /** One of this many cache events is lost; 0 for none. */
   22: i32 cache_event_gap = 16,
@@ -776,28 +861,39 @@
 // --- Deployment directories ------------------------------------------------
 
 struct LatencySettings {
+  /** Between failure domains. */
   1: double between_domains_ms = 0.0,
+  /** To callers. */
   2: double to_clients_ms = 0.0,
 }
 
 struct HostPlace {
+  /** Unique name of the host. */
   1: string host_id = "",
+  /** Failure domain of the host. */
   2: string failure_domain = "",
 }
 
 /** deployment.json of a deployment directory. */
 struct DeploymentSettings {
+  /** Version of the format. */
   1: i32 schema_version = 1,
+  /** Name of the deployment. */
   2: string name = "",
+  /** Seed of the stand-ins. */
   3: i64 seed = 1,
   /** One-way latencies of the real sites; the embedded form adds none. */
   4: LatencySettings latency,
+  /** Entry hosts. */
   5: list<HostPlace> hosts,
+  /** The platform stand-in. */
   6: PlatformStandinSettings platform,
+  /** The stand-ins of backend servers. */
   7: list<EngineStandinSettings> backend_servers,
   /** Settings that all hosts share; names, addresses and peers are set. */
   8: HostSettings host,
   /** Keys for stand-ins only. */
   9: string caller_key = "",
+  /** Key of an operator. */
   10: string operator_key = "",
 }
