--- a/bench/relay.py
+++ b/bench/relay.py
@@ -35,13 +35,18 @@
 KEY = "key-of-the-relay-bench"
 START_TIMEOUT_S = 20
 RUN_TIMEOUT_S = 120
+# Slots of the source; with fewer the host queues streams, the bare relay none.
+MAX_STREAMS = 1024
 MODEL = "bench"
 PATH = "/v1/chat/completions"
 
 
-def _chunk_event(index):
+def _chunk_event(index, tokens):
     """Return one event in the shape of an engine's chunk."""
-    choice = {"index": 0, "delta": {"content": f"word{index} "}, "finish_reason": None}
+    # An answer without a reason in its last chunk counts as broken.
+    reason = "length" if index + 1 == tokens else None
+    delta = {"content": f"word{index} "}
+    choice = {"index": 0, "delta": delta, "finish_reason": reason}
     value = {
         "id": "chatcmpl-0123456789abcdef0123456789abcdef",
         "object": "chat.completion.chunk",
@@ -63,9 +68,10 @@
     response = web.StreamResponse(headers={"Content-Type": "text/event-stream"})
     await response.prepare(request)
     interval_s = body["seed"] / 1000
-    for index in range(body["max_tokens"]):
+    tokens = body["max_tokens"]
+    for index in range(tokens):
         await asyncio.sleep(interval_s)
-        await response.write(_chunk_event(index))
+        await response.write(_chunk_event(index, tokens))
     await response.write(b"data: [DONE]\n\n")
     return response
 
@@ -110,7 +116,7 @@
         },
         servers_by_id={
             "e": messages.BackendServerDeclaration(
-                name="e", service_name="s", url=upstream
+                name="e", service_name="s", url=upstream, slots=MAX_STREAMS
             )
         },
     )
