End every command with one line and exit code 2 for bad input

The stand-ins and hosts also close what they had started. Private keys are written to the memory file system for the ssl module.

--- a/galenascale/__main__.py
+++ b/galenascale/__main__.py
@@ -2,17 +2,28 @@
 
 import sys
 
+import cyclopts
+
 from galenascale.commands import make_cli
 from galenascale.errors import GalenascaleError
 
+EXIT_BAD_INPUT = 2
+
 
 def main(argv=None):
     """Run the command line; user errors end with one line and exit code 2."""
     try:
-        return make_cli()(argv)
+        return make_cli()(argv, exit_on_error=False, print_error=False)
     except GalenascaleError as error:
-        print(f"galenascale: {error.message}", file=sys.stderr)
-        return sys.exit(2)
+        return _fail(error.message)
+    except cyclopts.CycloptsError as error:
+        return _fail(str(error))
+
+
+def _fail(message):
+    line = " ".join(message.split())
+    print(f"galenascale: {line}", file=sys.stderr)
+    return sys.exit(EXIT_BAD_INPUT)
 
 
 if __name__ == "__main__":
--- a/galenascale/commands/dev.py
+++ b/galenascale/commands/dev.py
@@ -6,6 +6,7 @@
 import attrs
 import orjson
 
+from galenascale.commands.listening import listen_errors
 from galenascale.commands.signals import wait_for_stop
 from galenascale.embedded import EmbeddedDeployment
 from galenascale.logs import setup_logging
@@ -43,8 +44,12 @@
 async def _run(embedded):
     # Signals count from now on, so a stop during the start is orderly too.
     stopped = asyncio.create_task(wait_for_stop())
-    async with embedded:
+    try:
+        with listen_errors():
+            await embedded.start()
         line = orjson.dumps(attrs.asdict(embedded.summary()))
         sys.stdout.write(line.decode() + "\n")
         sys.stdout.flush()
         await stopped
+    finally:
+        await embedded.stop()
--- /dev/null
+++ b/galenascale/commands/listening.py
@@ -0,0 +1,15 @@
+"""Errors of listeners, as users see them."""
+
+import contextlib
+
+from galenascale.errors import UserError
+
+
+@contextlib.contextmanager
+def listen_errors():
+    """Raise UserError for an address or port that cannot be used."""
+    try:
+        yield
+    except (OSError, OverflowError) as error:
+        reason = getattr(error, "strerror", None) or error
+        raise UserError(f"cannot listen: {reason}", step="start") from error
--- a/galenascale/commands/serve.py
+++ b/galenascale/commands/serve.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from galenascale.commands.listening import listen_errors
 from galenascale.commands.signals import wait_for_stop
 from galenascale.host import Host
 from galenascale.logs import setup_logging
@@ -24,8 +25,9 @@
 
 async def _serve(settings):
     host = Host.from_config(settings)
-    await host.start()
     try:
+        with listen_errors():
+            await host.start()
         await wait_for_stop()
     finally:
         await host.stop()
--- a/galenascale/commands/standin.py
+++ b/galenascale/commands/standin.py
@@ -4,6 +4,7 @@
 
 import cyclopts
 
+from galenascale.commands.listening import listen_errors
 from galenascale.commands.signals import wait_for_stop
 from galenascale.generated.messages import (
     EngineStandinSettings,
@@ -66,8 +67,9 @@
 
 async def _serve(kind, settings):
     standin = kind.from_config(settings)
-    await standin.start()
     try:
+        with listen_errors():
+            await standin.start()
         log.info("Listening on port %d.", standin.port)
         await wait_for_stop()
     finally:
--- a/galenascale/peers/auth.py
+++ b/galenascale/peers/auth.py
@@ -9,13 +9,12 @@
 import hashlib
 import hmac
 import secrets
-import tempfile
-from pathlib import Path
 from ssl import CERT_REQUIRED, PROTOCOL_TLS_CLIENT, PROTOCOL_TLS_SERVER, SSLContext
 
 import attrs
 
 from galenascale.errors import GalenascaleError
+from galenascale.tls import load_ca, load_pair, read_pem
 
 # Accepted difference between the clocks of two hosts. Nonces are remembered
 # for twice this long, the time in which a message stays acceptable.
@@ -119,27 +118,10 @@
     if not tls.certificate:
         return None, None
     contexts = SSLContext(PROTOCOL_TLS_SERVER), SSLContext(PROTOCOL_TLS_CLIENT)
-    with tempfile.TemporaryDirectory() as directory:
-        paths = [
-            _pem_path(value, Path(directory) / name)
-            for value, name in (
-                (tls.certificate, "certificate.pem"),
-                (tls.private_key, "key.pem"),
-                (tls.ca, "ca.pem"),
-            )
-        ]
-        for context in contexts:
-            context.check_hostname = False
-            context.verify_mode = CERT_REQUIRED
-            context.load_cert_chain(paths[0], paths[1])
-            context.load_verify_locations(paths[2])
+    certificate, private_key = read_pem(tls.certificate), read_pem(tls.private_key)
+    for context in contexts:
+        context.check_hostname = False
+        context.verify_mode = CERT_REQUIRED
+        load_pair(context, certificate, private_key)
+        load_ca(context, tls.ca)
     return contexts
-
-
-def _pem_path(value, path):
-    """Return the path of a PEM file, writing PEM text to `path`."""
-    if "-----BEGIN" not in value:
-        return value
-    path.touch(mode=0o600)
-    path.write_text(value)
-    return str(path)
--- a/galenascale/tls.py
+++ b/galenascale/tls.py
@@ -13,6 +13,8 @@
 PEM_MARK = "-----BEGIN"
 # Certificates are replaced days before they expire.
 RELOAD_INTERVAL_S = 30.0
+# Private keys never reach a disk where there is a memory file system.
+MEMORY_DIRECTORY = "/dev/shm"
 
 
 def read_pem(value):
@@ -30,9 +32,10 @@
     with contextlib.ExitStack() as stack:
         # The ssl module reads certificates and keys only from files; these
         # are readable by the owner alone and removed at once.
+        directory = MEMORY_DIRECTORY if Path(MEMORY_DIRECTORY).is_dir() else None
         paths = []
         for text in (certificate, private_key):
-            file = stack.enter_context(tempfile.NamedTemporaryFile("w"))
+            file = stack.enter_context(tempfile.NamedTemporaryFile("w", dir=directory))
             file.write(text)
             file.flush()
             paths.append(file.name)
@@ -50,7 +53,7 @@
     context.minimum_version = ssl.TLSVersion.TLSv1_2
     load_pair(context, read_pem(tls.certificate), read_pem(tls.private_key))
     if tls.ca:
-        _load_ca(context, tls.ca)
+        load_ca(context, tls.ca)
         context.verify_mode = ssl.CERT_REQUIRED
     return context
 
@@ -59,13 +62,14 @@
     """Return an SSLContext that trusts `ca` and presents the certificate."""
     context = ssl.create_default_context()
     if tls.ca:
-        _load_ca(context, tls.ca)
+        load_ca(context, tls.ca)
     if tls.certificate:
         load_pair(context, read_pem(tls.certificate), read_pem(tls.private_key))
     return context
 
 
-def _load_ca(context, ca):
+def load_ca(context, ca):
+    """Load the CA of a setting; raise UserError if it cannot be used."""
     try:
         context.load_verify_locations(cadata=read_pem(ca))
     except ssl.SSLError as error:
