--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -19,7 +19,7 @@
 import aiohttp
 import orjson
 
-from bench import config, gossip, relay, slope_cases
+from bench import config, gossip, relay, slope_cases, slot_cases
 from bench.timing import mean_us_async
 from galenascale.clock import Clock
 from galenascale.engine_client import EngineClient
@@ -148,6 +148,7 @@
 CASES = {
     "gossip": (measure_gossip, HOSTS_PER_DOMAIN),
     "routing": (slope_cases.routing, SERVERS_PER_DOMAIN),
+    "slot_pass": (slot_cases.slot_pass, SERVERS_PER_DOMAIN),
     "load_polls": (measure_load_polls, POLLS),
     "tenants": (slope_cases.tenants, TENANTS),
     "configuration": (config.measure, TENANTS),
--- a/test/test_reference.py
+++ b/test/test_reference.py
@@ -84,3 +84,12 @@
         (name, kind, tuple(re.findall(r"`(\w+)`", labels)))
         for name, kind, labels in rows
     } == expected
+
+
+def test_readme_names_tests_that_exist():
+    """Guards the proof of each promise against renamed tests."""
+    text = (ROOT / "README.md").read_text()
+    named = re.findall(r"`(test/[\w/]+\.py)::(\w+)`", text)
+    assert len(named) >= len(re.findall(r"^\| P\d ", text, re.M)) == 9
+    for path, name in named:
+        assert re.search(rf"(def|class) {name}\b", (ROOT / path).read_text()), name
