--- a/galenascale/batch/capacity.py
+++ b/galenascale/batch/capacity.py
@@ -1,5 +1,7 @@
 """Batch slots of the servers whose slot owner this host is."""
 
+import collections
+
 from galenascale.batch.slots import BatchSlots, BatchStream, streams_to_cancel
 from galenascale.errors import PeerError
 from galenascale.generated.messages import GiveWayReply, GiveWayRequest
@@ -8,6 +10,8 @@
 log = get_logger("slots")
 
 GIVE_WAY_TIMEOUT_S = 0.5
+# Looking through all declared servers is too slow for each round of filling.
+OWNED_REFRESH_S = 0.5
 
 
 class BatchCapacity:
@@ -20,6 +24,10 @@
         self._peering = peering
         self._clock = clock
         self._slots_by_server = {}
+        self._owned_by_service = {}
+        self._owned_until = 0.0
+        # Running batch streams by service.
+        self._running = collections.Counter()
         # Set by the host once the worker exists.
         self.worker = None
 
@@ -27,40 +35,115 @@
         """Return the names of the services that have servers."""
         return list(self._config.current.services_by_name)
 
+    def running(self, service):
+        """Return the number of batch streams that this host runs."""
+        return self._running[service]
+
     def free_slots(self, service):
         """Return (server, free batch slots) of the owned servers."""
         result = []
-        declared = self._config.current.services_by_name.get(service)
-        for server in self._config.current.servers_by_id.values():
-            if server.service_name != service or not self._owns(server):
-                continue
-            free = self._allowed(server, declared) - self.worker.running(server.name)
+        for server in self._owned(service):
+            free = self._withdraw(server)
             if free > 0:
                 result.append((server, free))
-            elif free < 0:
-                self.cancel(server.name, -free)
         return result
 
-    def _owns(self, server):
-        return self._peering.slot_owner(server) == self._host_id
+    def slots(self, service):
+        """Return the batch slots of the owned servers, used and free."""
+        return sum(self._allowed(server) for server in self._owned(service))
+
+    def started(self, service, server_id):
+        """Count a batch stream; reports would show it as online work."""
+        self._running[service] += 1
+        router = self._online.dispatcher(service).router
+        router.started(server_id, self._clock.monotonic(), batch=True)
+
+    def ended(self, service, server_id):
+        """Count the end of a batch stream."""
+        self._running[service] -= 1
+        router = self._online.dispatcher(service).router
+        router.ended(server_id, self._clock.monotonic(), batch=True)
+
+    async def give_way(self, server_id, count):
+        """
+        Tell the owner of a server's batch slots that online work changed.
 
-    def _allowed(self, server, service):
+        It frees `count` slots or what its own view of the server demands.
+        """
+        server = self._config.current.servers_by_id.get(server_id)
+        if server is None:
+            return
+        owner = self._peering.slot_owner(server)
+        if owner in (None, self._host_id):
+            # The change is in the own counts already.
+            self._withdraw(server)
+            self.worker.wake()
+            return
+        router = self._online.dispatcher(server.service_name).router
+        online = router.own_online(server_id)
+        request = GiveWayRequest(server_id, count, self._host_id, online)
+        try:
+            await self._peering.peers.call(
+                owner, "give_way", request, GiveWayReply, GIVE_WAY_TIMEOUT_S
+            )
+        except PeerError as error:
+            log.warning("Owner %s of %s did not give way: %s.", owner, server_id, error)
+
+    async def handle_give_way(self, request):
+        """Answer a peer's GiveWayRequest."""
+        server = self._config.current.servers_by_id.get(request.server_id)
+        if server is None:
+            return GiveWayReply(0)
+        if request.online_in_flight >= 0:
+            self._online.dispatcher(server.service_name).router.note_peer_online(
+                server.name,
+                request.host_id,
+                request.online_in_flight,
+                self._clock.monotonic(),
+            )
+        self.worker.wake()
+        before = self.worker.running(server.name)
+        return GiveWayReply(min(before, max(0, -self._withdraw(server))))
+
+    def _withdraw(self, server):
+        """Return the free slots; if negative, streams were interrupted."""
+        free = self._allowed(server) - self.worker.running(server.name)
+        if free < 0:
+            self._cancel(server, -free)
+        return free
+
+    def _owned(self, service):
+        now = self._clock.monotonic()
+        if now >= self._owned_until:
+            self._owned_until = now + OWNED_REFRESH_S
+            self._owned_by_service = collections.defaultdict(list)
+            for server in self._config.current.servers_by_id.values():
+                if self._peering.slot_owner(server) == self._host_id:
+                    self._owned_by_service[server.service_name].append(server)
+        return self._owned_by_service.get(service, [])
+
+    def _slots(self, server_id):
+        return self._slots_by_server.setdefault(server_id, BatchSlots())
+
+    def _allowed(self, server):
+        service = self._config.current.services_by_name.get(server.service_name)
+        if service is None:
+            return 0
         router = self._online.dispatcher(service.name).router
         if not router.takes_work(server.name):
             return 0
-        slots = self._slots_by_server.setdefault(server.name, BatchSlots())
-        return slots.allowed(
+        return self._slots(server.name).allowed(
             self._clock.monotonic(),
             server.slots,
             router.online_load(server.name),
             service.batch_reserve,
         )
 
-    def cancel(self, server_id, count):
+    def _cancel(self, server, count):
         """Interrupt batch streams, the cheapest to resume first."""
         items_by_id = {}
         streams = []
-        for item in self.worker.running_items(server_id):
+        for item in self.worker.running_items(server.name):
             attempt_id = f"{item.key}"
             items_by_id[attempt_id] = item
             streams.append(
@@ -72,25 +155,4 @@
             )
         chosen = streams_to_cancel(streams, count)
         items = [items_by_id[stream.attempt_id] for stream in chosen]
-        return self.worker.give_way(server_id, items)
-
-    async def give_way(self, server_id, count):
-        """Free batch slots of a server, possibly at a peer that owns them."""
-        server = self._config.current.servers_by_id.get(server_id)
-        if server is None:
-            return
-        owner = self._peering.slot_owner(server)
-        if owner in (None, self._host_id):
-            self.cancel(server_id, count)
-            return
-        request = GiveWayRequest(server_id, count, self._host_id)
-        try:
-            await self._peering.peers.call(
-                owner, "give_way", request, GiveWayReply, GIVE_WAY_TIMEOUT_S
-            )
-        except PeerError as error:
-            log.warning("Owner %s of %s did not give way: %s.", owner, server_id, error)
-
-    async def handle_give_way(self, request):
-        """Answer a peer's GiveWayRequest."""
-        return GiveWayReply(self.cancel(request.server_id, request.slots))
+        return self.worker.give_way(server.name, items)
