--- a/galenascale/batch/holdings.py
+++ b/galenascale/batch/holdings.py
@@ -6,6 +6,7 @@
 
 from galenascale.batch.held import HeldChunk, ReadyItems
 from galenascale.batch.runs import doubtful_outcome
+from galenascale.batch.suspects import SuspectQueue
 from galenascale.errors import GalenascaleError
 from galenascale.files import read_chunk
 from galenascale.generated.messages import ChunkClaim, ChunkRelease
@@ -32,6 +33,7 @@
         # Called with a HeldChunk whose runs are to be cancelled.
         self._stop_runs = stop_runs
         self.ready = ReadyItems()
+        self.suspects = SuspectQueue()
         self._chunks_by_key = {}
 
     async def hold(self, shard, service, grant, leased_at):
@@ -42,6 +44,10 @@
         except GalenascaleError as error:
             log.warning("Cannot read a chunk of %s: %s.", grant.job_id, error)
             return 0
+        earlier = self._chunks_by_key.get((grant.job_id, grant.chunk))
+        if earlier is not None:
+            # The lease of this host's own claim had lapsed.
+            self.drop(earlier)
         self._chunks_by_key[grant.job_id, grant.chunk] = held
         doubtful = set(grant.doubtful)
         items = held.items(content)
@@ -51,6 +57,15 @@
         self.ready.add(service, [item for item in items if item.number not in doubtful])
         return len(items)
 
+    def wait_again(self, service, item):
+        """Queue an item whose run ended without an outcome."""
+        if item.number not in item.chunk.open_items:
+            return
+        if item.suspect:
+            self.suspects.add(service, item)
+        else:
+            self.ready.add(service, [item])
+
     def report(self, item, outcome):
         """Hand an outcome to the reporter, the first one of an item only."""
         chunk = item.chunk
@@ -84,8 +99,19 @@
                 job = state.jobs_by_id.get(held.grant.job_id)
                 if job is None or job.ended:
                     self.drop(held)
+                else:
+                    self._adopt_renewal(held, job)
             await self._renew(shard)
 
+    def _adopt_renewal(self, held, job):
+        """Take over a renewal whose verdict did not arrive here."""
+        claim = job.claims_by_chunk.get(held.grant.chunk)
+        if claim is None or claim.offset <= held.claim_offset:
+            return
+        if (claim.holder, claim.incarnation) == (self._host_id, self._incarnation):
+            # The lease still counts from the last known renewal.
+            held.claim_offset = claim.offset
+
     def drop_job(self, job_id):
         """Stop everything of a job at once."""
         for held in list(self._chunks_by_key.values()):
@@ -98,19 +124,24 @@
         held.current = False
         self._chunks_by_key.pop((held.grant.job_id, held.grant.chunk), None)
         self.ready.drop(lambda item: item.chunk is held)
+        self.suspects.drop(lambda item: item.chunk is held)
         self._stop_runs(held)
 
     async def release(self):
         """Release all chunks, so that other hosts need not wait."""
         for shard in self._used_shards():
-            records = [
-                make_record(
-                    ChunkRelease(held.grant.job_id, held.grant.chunk, held.claim_offset)
-                )
-                for held in self._of_shard(shard)
-            ]
-            await self._shards.submit(shard, records, urgent=True)
-        self._chunks_by_key.clear()
+            await self._release(shard, self._of_shard(shard))
+
+    async def _release(self, shard, chunks):
+        records = [
+            make_record(
+                ChunkRelease(held.grant.job_id, held.grant.chunk, held.claim_offset)
+            )
+            for held in chunks
+        ]
+        for held in chunks:
+            self.drop(held)
+        await self._shards.submit(shard, records, urgent=True)
 
     def _used_shards(self):
         return {held.shard for held in self._chunks_by_key.values()}
@@ -124,8 +155,15 @@
         short = [
             held
             for held in self._of_shard(shard)
-            if held.open_items and held.lease_left_s(now) < least_s
+            # Chunks stay held until their outcomes are recorded.
+            if held.lease_left_s(now) < least_s
         ]
+        # This host has had no free slot for them, for example because its
+        # servers died; another host may have one.
+        idle = [held for held in short if held.is_idle()]
+        short = [held for held in short if held not in idle]
+        if idle:
+            await self._release(shard, idle)
         if not short:
             return
         records = [make_record(self._renewal(held)) for held in short]
--- a/galenascale/host.py
+++ b/galenascale/host.py
@@ -182,7 +182,13 @@
             self.peers,
         )
         self._stack.push_async_callback(self.shards.close)
-        keeper = ShardKeeper(self.shards, self.log_client, self.clock, settings.log)
+        keeper = ShardKeeper(
+            self.shards,
+            self.log_client,
+            self.clock,
+            settings.log,
+            self.peering.clock_agrees,
+        )
         self._run(keeper.run())
         self.files = FileService(self.shards, self.log_client, self.clock, settings)
         self.jobs = JobService(
@@ -228,14 +234,23 @@
 
     def _start_batch(self):
         settings = self.settings
-        self.grants = GrantService(self.shards, self.clock, settings.batch)
+        self.grants = GrantService(
+            self.shards, self.clock, settings.batch, self.peering.is_gone
+        )
         self.reporter = OutcomeReporter(
             self.shards,
             self.clock,
             lambda *args: self.worker.recorded(*args),
         )
         self._run(self.reporter.run())
-        runner = ItemRunner(self.engine_client, self.shards, self.clock, settings.batch)
+        runner = ItemRunner(
+            self.engine_client,
+            self.shards,
+            self.clock,
+            settings.batch,
+            lambda service: self.online.dispatcher(service).poison,
+            lambda verdict: self.online.spawn(self._share_verdict(verdict)),
+        )
         self.worker = BatchWorker(
             self, self.grants, self.capacity, self.reporter, runner.run
         )
--- a/galenascale/standins/engine.py
+++ b/galenascale/standins/engine.py
@@ -128,7 +128,7 @@
                 self.crash()
                 return
             if sink.drops_at == token.index:
-                sink.transport.abort()
+                sink.answer.break_off(sink.transport)
             sink.answer.add(stream, token.index, "length" if token.final else None)
         for event in model.prefix_cache.take_events():
             self.cache_events.add(now, event)
