--- a/test/processes.py
+++ b/test/processes.py
@@ -8,20 +8,22 @@
 import threading
 
 START_TIMEOUT_S = 30
+MODULE = (sys.executable, "-m", "galenascale")
 
 
 @contextlib.contextmanager
-def running(*arguments):
+def running(*arguments, command=MODULE, **options):
     """
     Run a galenascale command; yield the process once it listens.
 
     `log_lines` of the process holds its log; all of it once it has ended.
     """
     process = subprocess.Popen(
-        [sys.executable, "-m", "galenascale", *arguments],
+        [*command, *arguments],
         stderr=subprocess.PIPE,
         stdout=subprocess.PIPE,
         text=True,
+        **options,
     )
     process.log_lines = []
     listening = threading.Event()
