--- a/bench/policy.py
+++ b/bench/policy.py
@@ -210,7 +210,9 @@
         "tokens_prefilled_again": figures.prefilled_again,
         "owner_notices": figures.notices,
         "needed_a_slot": len(given),
-        "give_way_ms": percentiles(given) if len(given) > 1 else None,
+        "give_way_ms": {**percentiles(given), "max": round(max(given) * 1000, 2)}
+        if len(given) > 1
+        else None,
     }
 
 
@@ -229,7 +231,7 @@
         "first_token": row["p95_ratio"] <= FIRST_TOKEN_GOAL,
         "batch": row["allowed_share_used"] >= BATCH_GOAL,
         "give_way": row["give_way_ms"] is not None
-        and row["give_way_ms"]["p99"] <= GIVE_WAY_GOAL_S * 1000,
+        and row["give_way_ms"]["max"] <= GIVE_WAY_GOAL_S * 1000,
     }
     return [name for name, value in held.items() if not value]
 
@@ -239,7 +241,7 @@
     lines = [
         "| policy | reserve | first token p50/p95/p99 ms | ratio | between tokens "
         "p50/p95/p99 ms | items/s | tokens/s | idle used | allowed used | "
-        "interrupted | lost | prefilled again | give way p50/p95/p99 ms |",
+        "interrupted | lost | prefilled again | give way p50/p95/p99/max ms |",
         "|---" * 13 + "|",
     ]
     for row in rows:
--- a/bench/policy_hosts.py
+++ b/bench/policy_hosts.py
@@ -114,7 +114,9 @@
         server.submit(ticket.request_id, work, 0, on_token, is_batch=False)
 
     def _tell_owner(self, server_id, count=0):
-        if self.fleet.gives_way and (count or self.router.has_batch(server_id)):
+        if self.fleet.gives_way and (
+            count or self.router.has_batch(server_id, self.simulation.now)
+        ):
             self.fleet.figures.notices += 1
             _run(self.capacity.give_way(server_id, count))
 
--- a/galenascale/commands/serve.py
+++ b/galenascale/commands/serve.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from galenascale.commands.listening import listen_errors
 from galenascale.commands.signals import on_stop_signals
 from galenascale.host import Host
 from galenascale.logs import setup_logging
@@ -29,7 +30,8 @@
     stopped = asyncio.Event()
     on_stop_signals(stopped.set, host.stopping.hurry)
     try:
-        await host.start()
+        with listen_errors():
+            await host.start()
         await stopped.wait()
     finally:
         await host.stop()
--- a/galenascale/dispatch.py
+++ b/galenascale/dispatch.py
@@ -238,7 +238,7 @@
 
     def _tell_owner(self, server_id, count=0):
         """Tell the owner of the batch slots; digests would be too late."""
-        if count or self.router.has_batch(server_id):
+        if count or self.router.has_batch(server_id, self.clock.monotonic()):
             self._give_way(server_id, count)
 
     def poison_contained(self, waiter):
--- a/galenascale/routing/router.py
+++ b/galenascale/routing/router.py
@@ -8,6 +8,7 @@
 from galenascale.routing.choice import Choice
 from galenascale.routing.ejection import Ejector, Health
 from galenascale.routing.load import (
+    BATCH_MEMORY_S,
     LEAVING_HOLD_S,
     PAUSE_S,
     ServerState,
@@ -186,10 +187,12 @@
             state.note_peer_online(peer_id, online, now)
             self._update(server_id, now)
 
-    def has_batch(self, server_id):
+    def has_batch(self, server_id, now):
         """Return whether batch streams may run on a server."""
         state = self._states_by_id.get(server_id)
-        return state is not None and state.has_batch
+        if state is None:
+            return False
+        return state.own_batch > 0 or now - state.batch_seen_at < BATCH_MEMORY_S
 
     def digest(self):
         """Return the ServerLoads of this host's own requests for its peers."""
--- a/test/routing/test_router.py
+++ b/test/routing/test_router.py
@@ -224,7 +224,8 @@
         assert router.online_load("s0") == 1
         router.note_peer_online("s0", "h2", 3, 1.8)
         assert router.online_load("s0") == 3
-    assert other.has_batch("s0")
+    # Batch may have started again before a digest tells so.
+    assert other.has_batch("s0", 9.0) and not other.has_batch("s0", 60.0)
 
 
 def test_batch_on_the_last_free_slots_gives_way():
