--- a/Makefile
+++ b/Makefile
@@ -20,6 +20,8 @@
 
 bench: $(INSTALLED)
 	$(PYTHON) -m bench.relay
+	$(PYTHON) -m bench.loopback
+	$(PYTHON) -m bench.policy
 
 slopes: $(INSTALLED)
 	$(PYTHON) -m bench.slopes
