--- a/galenascale/batch/slots.py
+++ b/galenascale/batch/slots.py
@@ -8,8 +8,8 @@
 
 import attrs
 
-# 0.5 cost 14 to 24 % of the batch tokens and did not shorten the online times to
-# first token (docs/benchmarks.md): an interrupted stream resumes cheaply.
+# 0.5 cost 14 to 24 % of the batch tokens and did not shorten the online times
+# to first token (docs/benchmarks.md): an interrupted stream resumes cheaply.
 HOLD_S = 0.0
 
 
--- a/galenascale/batch/worker.py
+++ b/galenascale/batch/worker.py
@@ -9,8 +9,8 @@
 
 log = get_logger("batch")
 
-# Free slots are looked at this often even if nothing tells of a change: digests
-# and load reports change what online work leaves.
+# Free slots are looked at this often even if nothing tells of a change, since
+# digests and load reports change what online work leaves.
 FILL_INTERVAL_S = 0.1
 
 
