Tell peers only the servers that carry own load

Change: the digest names servers with own load or signs, and a server whose load ended for its next 40 digests, so that peers hear the zero before it expires.

The routing, online and batch tests pass.

--- a/galenascale/routing/router.py
+++ b/galenascale/routing/router.py
@@ -18,6 +18,8 @@
 
 # Interval at which stale reports and digests are dropped.
 REFRESH_S = 1.0
+# Digests that name a server without load; a message holds only some of them.
+TELLS_OF_NO_LOAD = 40
 
 
 class Router:
@@ -32,6 +34,8 @@
         self._groups_by_key = {}
         self._ejector = Ejector()
         self._refresh_at = 0.0
+        # Digests that still name a server, by id.
+        self._tells_left = {}
         # Ends of pauses by server id.
         self._paused = {}
 
@@ -85,6 +89,7 @@
         )
         if server_id is not None:
             self._states_by_id[server_id].reserved = True
+            self._tell(server_id)
             self._update(server_id, now)
         return server_id
 
@@ -108,6 +113,7 @@
         """End a reservation."""
         if server_id in self._states_by_id:
             self._states_by_id[server_id].reserved = False
+            self._tell(server_id)
             self._update(server_id, now)
 
     def started(self, server_id, now, batch=False):
@@ -126,6 +132,7 @@
     def failed(self, server_id, now, decisive=False):
         """Note a failure; `decisive` for a server that cannot be reached."""
         self._ejector.failure(server_id, now, decisive)
+        self._tell(server_id)
         self._update(server_id, now)
 
     def pause(self, server_id, now):
@@ -139,6 +146,7 @@
         state = self._states_by_id.get(server_id)
         if state is not None and state.leaving_since is None:
             state.leaving_since = now
+            self._tell(server_id)
             self._update(server_id, now)
 
     def report(self, report, now, wall_ms):
@@ -195,18 +203,35 @@
         return state.own_batch > 0 or now - state.batch_seen_at < BATCH_MEMORY_S
 
     def digest(self):
-        """Return the ServerLoads of this host's own requests for its peers."""
-        return [
-            ServerLoad(
-                server_id=server_id,
-                online_in_flight=state.own_online,
-                batch_in_flight=state.own_batch,
-                leaving=state.leaving_since is not None,
-                crashed=self._ejector.is_failing(server_id),
-                reserved=state.reserved,
-            )
-            for server_id, state in self._states_by_id.items()
-        ]
+        """
+        Return the ServerLoads of this host's own requests for its peers.
+
+        A server is left out once the end of all load has been told often.
+        """
+        loads = []
+        for server_id, left in list(self._tells_left.items()):
+            state = self._states_by_id.get(server_id)
+            if state is None or left == 0:
+                del self._tells_left[server_id]
+                continue
+            load = self._own_load(server_id, state)
+            loads.append(load)
+            if load == ServerLoad(server_id):
+                self._tells_left[server_id] = left - 1
+        return loads
+
+    def _own_load(self, server_id, state):
+        return ServerLoad(
+            server_id=server_id,
+            online_in_flight=state.own_online,
+            batch_in_flight=state.own_batch,
+            leaving=state.leaving_since is not None,
+            crashed=self._ejector.is_failing(server_id),
+            reserved=state.reserved,
+        )
+
+    def _tell(self, server_id):
+        self._tells_left[server_id] = TELLS_OF_NO_LOAD
 
     def takes_work(self, server_id):
         """Return True if new work may be sent to a server."""
@@ -294,6 +319,7 @@
             state.note_own(now, batch=change)
         else:
             state.note_own(now, online=change)
+        self._tell(server_id)
         self._update(server_id, now)
 
     def _is_free(self, server_id, state, now):
