--- a/galenascale/commands/serve.py
+++ b/galenascale/commands/serve.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from galenascale.commands.listening import listen_errors
-from galenascale.commands.signals import wait_for_stop
+from galenascale.commands.signals import on_stop_signals
 from galenascale.host import Host
 from galenascale.logs import setup_logging
 from galenascale.settings import load_settings
@@ -13,6 +13,8 @@
     """
     Run one entry host until SIGTERM or SIGINT.
 
+    A second signal ends the graceful stop at once.
+
     Parameters
     ----------
     settings
@@ -25,9 +27,11 @@
 
 async def _serve(settings):
     host = Host.from_config(settings)
+    stopped = asyncio.Event()
+    on_stop_signals(stopped.set, host.stopping.hurry)
     try:
         with listen_errors():
             await host.start()
-        await wait_for_stop()
+        await stopped.wait()
     finally:
         await host.stop()
--- a/galenascale/shards/client.py
+++ b/galenascale/shards/client.py
@@ -11,17 +11,20 @@
     AppendUnknown,
     GalenascaleError,
     LogUnavailable,
+    PeerError,
 )
 from galenascale.generated.messages import SubmitReply, SubmitRequest, VerdictMessage
 from galenascale.ledger import Verdict, VerdictStatus
 from galenascale.logs import get_logger
 from galenascale.shards.follower import ShardFollower
+from galenascale.shards.ids import FLEET
 from galenascale.shards.writer import ShardWriter
 
 log = get_logger("shard")
 
 # Time for the owner's answer beyond the time that it may take itself.
 OWNER_ANSWER_MARGIN_S = 0.5
+DRAIN_POLL_S = 0.02
 ERRORS_BY_CODE = {
     LogUnavailable.code: LogUnavailable,
     AppendUnknown.code: AppendUnknown,
@@ -45,6 +48,7 @@
         self._followers_by_shard = {}
         self._writers_by_shard = {}
         self._tasks = []
+        self._closed = False
 
     def owner(self, shard):
         """Return the host id of the owner in this host's view."""
@@ -56,6 +60,11 @@
             shard for shard in range(self.count) if self.owner(shard) == self._host_id
         ]
 
+    def kept(self):
+        """Return the owned shards, with the fleet stream if it is owned."""
+        owned = self.owned()
+        return [*owned, FLEET] if self.owner(FLEET) == self._host_id else owned
+
     def follower(self, shard):
         """Return the follower of a shard; it reads nothing by itself."""
         if shard not in self._followers_by_shard:
@@ -114,8 +123,11 @@
 
     async def handle_submit(self, request):
         """Answer another host's SubmitRequest with a SubmitReply."""
-        if not 0 <= request.shard < self.count:
+        if request.shard != FLEET and not 0 <= request.shard < self.count:
             return SubmitReply(error_code="unknown_shard")
+        if self._closed:
+            # The sender then appends by itself.
+            raise PeerError("owner has stopped", step="submit")
         try:
             verdicts = await self._writer(request.shard).submit(
                 request.records, request.timeout_s, request.urgent
@@ -128,8 +140,14 @@
         """Return the number of appends that this host made."""
         return sum(writer.appends for writer in self._writers_by_shard.values())
 
+    async def drain(self):
+        """Return once no submitted records wait for their verdicts."""
+        while any(writer.waiting for writer in self._writers_by_shard.values()):
+            await self._clock.sleep(DRAIN_POLL_S)
+
     async def close(self):
         """Stop the writers; what still waits gets its error."""
+        self._closed = True
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
