--- a/test/test_layering.py
+++ b/test/test_layering.py
@@ -30,7 +30,6 @@
 LONGER_MODULES = {
     "galenascale.calls",
     "galenascale.config_follower",
-    "galenascale.host",
     "galenascale.jobs",
     "galenascale.routing.router",
 }
--- a/test/test_reference.py
+++ b/test/test_reference.py
@@ -3,10 +3,12 @@
 import ast
 import re
 from pathlib import Path
+from unittest.mock import MagicMock
 
 import prometheus_client
 
 from galenascale.engine_client import _STATUS_BY_CODE as ENGINE_CODES
+from galenascale.host_metrics import register_gauges
 from galenascale.http_api.errors import _CODE_BY_STATUS as HTTP_CODES
 from galenascale.jobs import CODES_BY_STATUS
 from galenascale.metrics import Metrics
@@ -63,6 +65,8 @@
 def test_metrics_page_names_every_metric_and_label():
     """Guards dashboards against names that the page does not have."""
     metrics = Metrics()
+    # The gauges call the host when they are read; their values don't matter.
+    register_gauges(MagicMock(metrics=metrics))
     collectors = [
         collector
         for collector in metrics.registry._collector_to_names
