--- a/test/batch/world.py
+++ b/test/batch/world.py
@@ -229,7 +229,7 @@
     async def kill(self):
         """End the process; nothing that it still does has an effect."""
         self.clock.dead = True
-        self.clock.silent_since = float("-inf")
+        self.clock.silent_since = self.clock.monotonic()
         for task in self.tasks:
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
--- a/test/shards/test_shards.py
+++ b/test/shards/test_shards.py
@@ -8,7 +8,7 @@
 
 from galenascale import ledger
 from galenascale.clock import FakeClock
-from galenascale.errors import AppendUnknown, LogUnavailable, PeerError
+from galenascale.errors import AppendUnknown, DecodeError, LogUnavailable, PeerError
 from galenascale.generated import messages
 from galenascale.ledger import VerdictStatus
 from galenascale.shards import Shards, make_record
@@ -160,6 +160,62 @@
     await host.shards.close()
 
 
+async def test_lost_body_blocks_neither_other_bodies_nor_snapshots():
+    """Guards results and the restore when one body was trimmed too early."""
+    log, clock = FakeLog(), FakeClock()
+    host = Host(log, clock)
+    await host.submit(job(due_ms=10**15, expires_ms=2 * 10**15))
+    for item in (0, 1):
+        await host.submit(messages.Outcomes("job", 0, -1, [outcome(item)]))
+    entry = (await host.shards.view(0)).jobs_by_id["job"]
+    lost, kept = entry.outcome_positions
+    lost.offset = 10**6
+    lost.stream = "data.9"
+    for number in range(40):
+        await host.submit(messages.ChunkRelease("none", number, 0))
+        await host.keep()
+    assert entry.outcome_positions[1] != kept
+    assert host.shards.follower(0).snapshot_through > 20
+    await host.shards.close()
+
+
+async def test_time_marks_need_a_witness():
+    """Guards due times against one host whose clock is ahead."""
+    log, clock = FakeLog(), FakeClock()
+    host = Host(log, clock)
+    await host.submit(job(due_ms=clock.wall_ms() + 1))
+    await clock.advance(1)
+
+    async def disagrees():
+        return False
+
+    host.keeper._clock_agrees = disagrees
+    await host.keep()
+    assert not (await host.shards.view(0)).jobs_by_id["job"].ended
+    host.keeper._clock_agrees = None
+    await host.keep()
+    assert (await host.shards.view(0)).jobs_by_id["job"].ended
+    await host.shards.close()
+
+
+async def test_writer_outlives_a_snapshot_that_cannot_be_decoded(monkeypatch):
+    """Guards against submits that wait for ever behind a dead writer."""
+    log, clock = FakeLog(), FakeClock()
+    host = Host(log, clock)
+    follower = host.shards.follower(0)
+    refresh, fail = follower.refresh, [True] * 4
+
+    async def broken(max_age_s=0.0):
+        if fail:
+            fail.pop()
+            raise DecodeError("broken")
+        return await refresh(max_age_s)
+
+    monkeypatch.setattr(follower, "refresh", broken)
+    assert (await host.submit(job()))[0].valid
+    await host.shards.close()
+
+
 async def test_trimmed_log_without_snapshot_is_not_readable():
     """Guards against a host that serves from an incomplete state."""
     log, clock = FakeLog(), FakeClock()
--- a/test/test_calls.py
+++ b/test/test_calls.py
@@ -172,6 +172,53 @@
     await world.close()
 
 
+@pytest.mark.parametrize(
+    ("faults", "answer"),
+    [
+        (["lost", "connect_failed", "connect_failed"], Execution.MAY_HAVE_RUN),
+        (["connect_failed"] * 3, Execution.NOT_RUN),
+        (["lost", "connect_failed"], Execution.MAY_HAVE_RUN),
+        (["connect_failed"], b"run 1"),
+    ],
+)
+async def test_error_of_a_repeated_call_tells_about_all_tries(faults, answer):
+    """Guards a `not_run` that is true of the last try only."""
+    world = World()
+    world.backend.faults = list(faults)
+    call = world.make_call(idempotent=True)
+    assert await world.run(world.services[0], call) == answer
+    await world.close()
+
+
+@pytest.mark.parametrize("lost_body", [False, True])
+async def test_unreadable_first_answer_is_not_called_not_run(lost_body):
+    """Guards a resend's error while the first call may have run."""
+    world = World()
+    await world.run(world.services[0], world.make_call())
+    own = FakeLog(world.log.store)
+    own.read_down = not lost_body
+    world.hosts[1].shards._log_client = own
+    world.services[1]._log_client = own
+    if lost_body:
+        shards = world.services[1]._shards = world.hosts[0].shards
+        for shard in range(shards.count):
+            for entry in (await shards.view(shard)).calls_by_id.values():
+                entry.outcome_position.offset += 1000
+    answer = await world.run(world.services[1], world.make_call())
+    assert answer == Execution.MAY_HAVE_RUN
+    await world.close()
+
+
+async def test_call_past_its_deadline_is_not_dispatched():
+    """Guards against a call that runs after its caller has gone."""
+    world = World()
+    call = attrs.evolve(world.make_call(), deadline=world.clock.monotonic() + 0.5)
+    world.log.append_faults = ["down"] * 8
+    assert await world.run(world.services[0], call) == Execution.NOT_RUN
+    assert not world.backend.runs
+    await world.close()
+
+
 async def test_other_body_under_the_key_is_refused():
     """Guards against an answer that belongs to another request."""
     world = World()
