--- a/bench/outcomes.py
+++ b/bench/outcomes.py
@@ -167,6 +167,20 @@
         free = self.server.slots - self.worker.running(self.server.name)
         return [(self.server, free)] if free > 0 else []
 
+    def slots(self, service):
+        """Return the batch slots of the owned server."""
+        return self.server.slots
+
+    def running(self, service):
+        """Return the number of items that run."""
+        return self.worker.running(self.server.name)
+
+    def started(self, service, server_id):
+        """Routing, which counts batch streams, is not part of this."""
+
+    def ended(self, service, server_id):
+        """See started()."""
+
     async def stop(self):
         """End all tasks."""
         for task in self.tasks:
@@ -247,7 +261,7 @@
         fleet.hosts.append(BenchHost(fleet, number, engine, 8))
     await clock.advance(2.0)
     victim, died_at = fleet.hosts[lost], clock.now_s
-    keys = set(victim.worker._chunks_by_key)
+    keys = set(victim.worker.holdings._chunks_by_key)
     fleet.dead[victim.host_id] = died_at + messages.MembershipSettings().dead_after_s
     await victim.stop()
     died_at = clock.now_s
@@ -256,7 +270,7 @@
         await clock.advance(STEP_S)
         for host in fleet.hosts:
             if host is not victim:
-                for key in keys & host.worker._chunks_by_key.keys():
+                for key in keys & host.worker.holdings._chunks_by_key.keys():
                     taken_at.setdefault(key, clock.now_s - died_at)
         if taken_at.keys() == keys:
             break
--- a/galenascale/jobs.py
+++ b/galenascale/jobs.py
@@ -28,9 +28,14 @@
 CODES_BY_STATUS = {
     OutcomeStatus.EXPIRED: (
         "batch_expired",
-        "The item was not run before its due time.",
+        "The item had no outcome at its due time.",
+    ),
+    # An item that may be repeated can have been interrupted, so its line does
+    # not say that it was not run.
+    OutcomeStatus.NOT_RUN: (
+        "batch_cancelled",
+        "The item had no outcome when the job was cancelled.",
     ),
-    OutcomeStatus.NOT_RUN: ("batch_cancelled", "The item was not run."),
     OutcomeStatus.MAY_HAVE_RUN: (
         "may_have_run",
         "The item was sent to a backend server and its answer was lost.",
@@ -98,6 +103,8 @@
         self._settings = settings
         # Coroutine function called with the id of a cancelled job.
         self.on_cancelled = None
+        # Called with the id and the service of an accepted job.
+        self.on_accepted = None
 
     async def create(self, tenant, request):
         """
@@ -124,9 +131,12 @@
                 "job cannot be accepted now", code="log_unavailable", step="jobs"
             ) from error
         try:
-            return await self._accepted(tenant, verdicts[0])
+            entry = await self._accepted(tenant, verdicts[0])
         except LogUnavailable as error:
             raise _unread(error) from error
+        if self.on_accepted is not None and verdicts[0].valid:
+            self.on_accepted(created.job_id, created.service_name)
+        return entry
 
     async def _accepted(self, tenant, verdict):
         if verdict.status == VerdictStatus.CONFLICT:
--- a/galenascale/peering.py
+++ b/galenascale/peering.py
@@ -6,6 +6,7 @@
 from galenascale.generated.messages import (
     CallStatusReply,
     CallStatusRequest,
+    Empty,
     HostInfo,
 )
 from galenascale.host_list import HostList
@@ -17,6 +18,7 @@
 
 log = get_logger("peers")
 
+TELL_TIMEOUT_S = 1.0
 # Peers asked whether this host's time is right, before it counts as wrong.
 MAX_TIME_WITNESSES = 3
 TIME_WITNESS_TIMEOUT_S = 1.0
@@ -126,6 +128,15 @@
             self.clock.monotonic(), server.name, server.failure_domain
         )
 
+    async def tell_peers(self, method, message):
+        """Pass a message on to all live hosts; unreachable ones miss it."""
+        ids = [item for item in self.live_ids() if item != self.settings.host_id]
+        calls = (
+            self.peers.call(host_id, method, message, Empty, TELL_TIMEOUT_S)
+            for host_id in ids
+        )
+        await asyncio.gather(*calls, return_exceptions=True)
+
     async def tell_leaving(self):
         """Tell peers and the host list that this host takes no new work."""
         self.membership.update_own(state="leaving", ready=False)
--- a/test/batch/test_fault_pairs.py
+++ b/test/batch/test_fault_pairs.py
@@ -19,13 +19,14 @@
     "cancel": [("cancel", 2)],
     "racing_operators": [("racing", True), ("call", 2), ("cancel", 1), ("resend", 2)],
 }
+PAIRS = list(itertools.combinations_with_replacement(FAILURES, 2))
 
 
 @pytest.mark.parametrize("idempotent", [True, False])
 @pytest.mark.parametrize(
     ("first", "second"),
-    list(itertools.combinations_with_replacement(FAILURES, 2)),
-    ids="-".join,
+    PAIRS,
+    ids=["-".join(pair) for pair in PAIRS],
 )
 def test_pair(first, second, idempotent):
     """Guards outcomes against a second failure before the first is over."""
--- a/test/batch/test_recovery.py
+++ b/test/batch/test_recovery.py
@@ -45,7 +45,7 @@
     world = World(hosts=1)
     job_id = await start_job(world, count=1, idempotent=False)
     worker = world.hosts[0].worker
-    await until(world, lambda: worker._chunks_by_key)
+    await until(world, lambda: worker.holdings._chunks_by_key)
     # The first append after the claim holds the intent.
     world.log.append_faults = [fault]
     world.log.read_down = True
@@ -63,9 +63,9 @@
     world = World(hosts=1)
     await start_job(world, count=3)
     worker = world.hosts[0].worker
-    await until(world, lambda: worker._chunks_by_key)
-    held = next(iter(worker._chunks_by_key.values()))
-    record = make_record(worker._renewal(held))
+    await until(world, lambda: worker.holdings._chunks_by_key)
+    held = next(iter(worker.holdings._chunks_by_key.values()))
+    record = make_record(worker.holdings._renewal(held))
     await world.wait(world.hosts[0].shards.submit(held.shard, [record]))
     before = held.leased_at
     await world.wait(worker.check())
@@ -79,9 +79,9 @@
     world = World(hosts=1)
     await start_job(world, count=3, idempotent=False)
     worker = world.hosts[0].worker
-    await until(world, lambda: worker._chunks_by_key)
-    held = next(iter(worker._chunks_by_key.values()))
-    await world.wait(worker._hold(held.shard, "svc", held.grant, 0.0))
+    await until(world, lambda: worker.holdings._chunks_by_key)
+    held = next(iter(worker.holdings._chunks_by_key.values()))
+    await world.wait(worker.holdings.hold(held.shard, "svc", held.grant, 0.0))
     assert not held.current and not held.open_items
     await world.close()
 
@@ -114,14 +114,17 @@
     world = World()
     await start_job(world, count=60)
     number = 0 if owner_too else 2
-    await until(world, lambda: world.hosts[number].worker._chunks_by_key)
+    await until(world, lambda: world.hosts[number].worker.holdings._chunks_by_key)
     lost, at = world.hosts[number], world.clock.now_s
-    keys = set(lost.worker._chunks_by_key)
+    keys = set(lost.worker.holdings._chunks_by_key)
     await lost.kill()
     others = [host for host in world.hosts if host is not lost]
     await until(
         world,
-        lambda: keys & {key for host in others for key in host.worker._chunks_by_key},
+        lambda: (
+            keys
+            & {key for host in others for key in host.worker.holdings._chunks_by_key}
+        ),
     )
     assert world.clock.now_s - at <= LEASE_S + 1
     await world.close()
@@ -132,8 +135,8 @@
     world = World(hosts=1)
     await start_job(world, count=3)
     host = world.hosts[0]
-    await until(world, lambda: host.worker._chunks_by_key)
-    held = next(iter(host.worker._chunks_by_key.values()))
+    await until(world, lambda: host.worker.holdings._chunks_by_key)
+    held = next(iter(host.worker.holdings._chunks_by_key.values()))
     state = await host.shards.view(held.shard)
     job = state.jobs_by_id[held.grant.job_id]
     follower = host.shards.follower(held.shard)
@@ -151,7 +154,7 @@
     await start_job(world, count=3, idempotent=False)
     host = world.hosts[0]
     await until(world, lambda: world.backend.runs)
-    held = next(iter(host.worker._chunks_by_key.values()))
+    held = next(iter(host.worker.holdings._chunks_by_key.values()))
     job = (await host.shards.view(held.shard)).jobs_by_id[held.grant.job_id]
     host.grants._is_gone = lambda host_id, incarnation: True
     follower = host.shards.follower(held.shard)
@@ -169,7 +172,7 @@
     runs = world.backend.runs.total()
     await world.clock.advance(3)
     assert world.backend.runs.total() == runs
-    assert not any(host.worker._chunks_by_key for host in world.hosts)
+    assert not any(host.worker.holdings._chunks_by_key for host in world.hosts)
     await world.close()
 
 
--- a/test/batch/world.py
+++ b/test/batch/world.py
@@ -30,6 +30,10 @@
     for service in ENDPOINTS
     for n in range(3)
 ]
+SERVERS_OF = {
+    name: [server for server in SERVERS if server.service_name == name]
+    for name in ENDPOINTS
+}
 RETENTION = 60
 SETTINGS = messages.HostSettings(
     batch=messages.BatchSettings(chunk_items=3, lease_ms=5000),
@@ -226,6 +230,15 @@
             and server.slots > self.worker.running(server.name)
         ]
 
+    def running(self, service):
+        """Number of running items of a service."""
+        return sum(self.worker.running(s.name) for s in SERVERS_OF[service])
+
+    def started(self, service, server_id):
+        """Routing is not part of these tests."""
+
+    ended = started
+
     async def kill(self):
         """End the process; nothing that it still does has an effect."""
         self.clock.dead = True
