--- a/test/batch/test_outcomes.py
+++ b/test/batch/test_outcomes.py
@@ -38,6 +38,14 @@
         assert bytes(jobs[job_id].statuses) == statuses
 
 
+async def check_recorded_outcomes_stand(world):
+    """The first recorded outcome of an item is the one that is kept."""
+    jobs = await world.jobs()
+    for (job_id, item), outcome in world.recorded.items():
+        job = jobs[job_id]
+        assert (job.statuses[item], job.winners[item]) == outcome
+
+
 async def check_at_most_once(world):
     """Items and calls that may not be repeated run at most once."""
     for item, count in world.backend.runs.items():
@@ -78,6 +86,7 @@
     check_all_acknowledged_jobs_end,
     check_one_line_for_each_item,
     check_no_outcome_after_cancel,
+    check_recorded_outcomes_stand,
     check_at_most_once,
     check_not_run_is_true,
     check_innocent_items_finish,
@@ -200,6 +209,7 @@
             await world.traffic(value)
         elif name == "runs":
             world.backend.faults = list(value)
+        await world.note_recorded()
 
 
 KINDS = st.sampled_from(
--- a/test/batch/world.py
+++ b/test/batch/world.py
@@ -12,7 +12,7 @@
 from galenascale.batch.runs import ItemRunner
 from galenascale.calls import Answer, Call, CallService
 from galenascale.clock import Clock, FakeClock
-from galenascale.errors import BackendError, Execution
+from galenascale.errors import BackendError, Execution, PeerError
 from galenascale.files import FileService
 from galenascale.generated import messages
 from galenascale.generated.messages import BackendServerDeclaration
@@ -112,6 +112,22 @@
         return stream if name == "stream" else call
 
 
+class TimedPeers(FakePeers):
+    """Calls that a lost or paused host does not answer, but may still do."""
+
+    def __init__(self, clock):
+        super().__init__()
+        self.clock = clock
+
+    async def call(self, host_id, method, message, reply_type, timeout_s):
+        coroutine = super().call(host_id, method, message, reply_type, timeout_s)
+        task = asyncio.create_task(coroutine)
+        await self.clock.wait_any([task], timeout_s)
+        if not task.done() or task.cancelled():
+            raise PeerError("no answer", peer=host_id)
+        return task.result()
+
+
 class FakeBackend:
     """Counts the runs by item; a poisonous item crashes its server."""
 
@@ -254,7 +270,8 @@
     """Several hosts; requests to them and what was answered."""
 
     def __init__(self, hosts=3):
-        self.clock, self.log, self.peers = FakeClock(), FakeLog(), FakePeers()
+        self.clock = FakeClock()
+        self.log, self.peers = FakeLog(), TimedPeers(self.clock)
         self.log.store.retention_records = RETENTION
         self.backend = FakeBackend(self.clock)
         self.racing = False
@@ -264,6 +281,8 @@
             services_by_name=services, models_by_name=models
         )
         self.hosts, self.losses, self.pauses = [], 0, 0
+        # Recorded (status, winner) by job id and item.
+        self.recorded = {}
         # Items by job id, jobs by key, statuses at the cancel by job id.
         self.accepted, self.cancelled, self.refused = {}, {}, []
         for number in range(hosts):
@@ -387,6 +406,14 @@
             result |= (await shards.view(shard)).jobs_by_id
         return result
 
+    async def note_recorded(self):
+        """Remember the first outcome that was seen of each item."""
+        for job_id, job in (await self.jobs()).items():
+            for item, status in enumerate(job.statuses):
+                if status:
+                    outcome = (status, job.winners[item])
+                    self.recorded.setdefault((job_id, item), outcome)
+
     async def results(self, job_id):
         """Return (custom_id, error code or None) of all lines of a job."""
         lines = []
