--- a/bench/outcomes.py
+++ b/bench/outcomes.py
@@ -25,6 +25,7 @@
 from galenascale.batch.runs import ItemRunner
 from galenascale.clock import FakeClock
 from galenascale.engine_answers import PlainAnswer
+from galenascale.errors import PeerError
 from galenascale.generated import messages
 from galenascale.generated.messages import (
     BackendServerDeclaration,
@@ -39,6 +40,7 @@
     Position,
     RecordKind,
 )
+from galenascale.hashing import rendezvous_rank
 from galenascale.jobs import result_line
 from galenascale.log_client import Bounds, ReadResult
 from galenascale.shards import Shards, make_record
@@ -97,14 +99,15 @@
             if self.dead.get(host.host_id, float("inf")) > now
         ]
 
-    def owner(self, number):
-        """Return the live host of a shard."""
-        live = self.live()
-        return live[number % len(live)]
+    def owner(self, shard, rank=0):
+        """Return the live host of a shard, or the one that follows it."""
+        return rendezvous_rank(f"shard\0{shard}", self.live())[rank]
 
     async def call(self, host_id, method, message, reply_type, timeout_s):
         """Call a peer's handler."""
         host = next(host for host in self.hosts if host.host_id == host_id)
+        if host.host_id in self.dead:
+            raise PeerError("connection refused", peer=host_id)
         if method == "work":
             return await host.grants.grant(message)
         return await host.shards.handle_submit(message)
@@ -154,8 +157,16 @@
         )
         runner = ItemRunner(engine, self.shards, fleet.clock, fleet.settings.batch)
         self.worker = BatchWorker(self, self.grants, self, self.reporter, runner.run)
+        keeper = ShardKeeper(
+            self.shards,
+            fleet.log,
+            fleet.clock,
+            fleet.settings.log,
+            is_next=lambda shard: fleet.owner(shard, 1) == self.host_id,
+        )
         self.tasks = [
-            asyncio.create_task(part.run()) for part in (self.reporter, self.worker)
+            asyncio.create_task(part.run())
+            for part in (self.reporter, self.worker, keeper)
         ]
 
     def services(self):
@@ -261,6 +272,7 @@
         fleet.hosts.append(BenchHost(fleet, number, engine, 8))
     await clock.advance(2.0)
     victim, died_at = fleet.hosts[lost], clock.now_s
+    owned = victim.shards.owned()
     keys = set(victim.worker.holdings._chunks_by_key)
     fleet.dead[victim.host_id] = died_at + messages.MembershipSettings().dead_after_s
     await victim.stop()
@@ -278,6 +290,7 @@
         if host is not victim:
             await host.stop()
     return {
+        "owned_shards": len(owned),
         "chunks": len(keys),
         "taken": len(taken_at),
         "first_s": round(min(taken_at.values()), 2),
@@ -378,9 +391,11 @@
         "seed": SEED,
         "recovery": {
             "idempotent": await measure_recovery(True, 2),
-            "idempotent_owner_lost": await measure_recovery(True, 0),
+            "idempotent_other_lost": await measure_recovery(True, 1),
+            "idempotent_third_lost": await measure_recovery(True, 0),
             "intents": await measure_recovery(False, 2),
-            "intents_owner_lost": await measure_recovery(False, 0),
+            "intents_other_lost": await measure_recovery(False, 1),
+            "intents_third_lost": await measure_recovery(False, 0),
             "lease_s": messages.BatchSettings().lease_ms / 1000,
         },
         "appends": await measure_appends(),
--- a/galenascale/batch/held.py
+++ b/galenascale/batch/held.py
@@ -52,6 +52,9 @@
     open_items: set = attrs.field(factory=set)
     # False once another host's claim was seen in place of this one's.
     current: bool = True
+    # Number of its items that run now, and when one last started or ended.
+    running: int = 0
+    ran_at: float = float("-inf")
     # Claim under which intents of non-idempotent items were recorded.
     intent_offsets: dict = attrs.field(factory=dict)
     # Claims under which an intent of an item was submitted, by item.
@@ -68,6 +71,21 @@
         """Return the seconds until the lease ends."""
         return self.leased_at + self.grant.lease_ms / 1000 - now
 
+    def started(self, now):
+        """Note that a run of one of its items started."""
+        self.running += 1
+        self.ran_at = now
+
+    def ended(self, now):
+        """Note that a run of one of its items ended."""
+        self.running -= 1
+        self.ran_at = now
+
+    def is_idle(self):
+        """Return True if no item has run since the lease began."""
+        waits = self.open_items and not self.running
+        return bool(waits) and self.ran_at < self.leased_at
+
     def items(self, content):
         """Return the chunk's open items out of its lines of JSON."""
         lines = content.split(b"\n")
--- a/galenascale/batch/holdings.py
+++ b/galenascale/batch/holdings.py
@@ -58,7 +58,7 @@
         return len(items)
 
     def wait_again(self, service, item):
-        """Take back an item whose run gave no outcome."""
+        """Queue an item whose run ended without an outcome."""
         if item.number not in item.chunk.open_items:
             return
         if item.suspect:
@@ -130,14 +130,18 @@
     async def release(self):
         """Release all chunks, so that other hosts need not wait."""
         for shard in self._used_shards():
-            records = [
-                make_record(
-                    ChunkRelease(held.grant.job_id, held.grant.chunk, held.claim_offset)
-                )
-                for held in self._of_shard(shard)
-            ]
-            await self._shards.submit(shard, records, urgent=True)
-        self._chunks_by_key.clear()
+            await self._release(shard, self._of_shard(shard))
+
+    async def _release(self, shard, chunks):
+        records = [
+            make_record(
+                ChunkRelease(held.grant.job_id, held.grant.chunk, held.claim_offset)
+            )
+            for held in chunks
+        ]
+        for held in chunks:
+            self.drop(held)
+        await self._shards.submit(shard, records, urgent=True)
 
     def _used_shards(self):
         return {held.shard for held in self._chunks_by_key.values()}
@@ -154,6 +158,12 @@
             # Chunks stay held until their outcomes are recorded.
             if held.lease_left_s(now) < least_s
         ]
+        # This host has had no free slot for them, for example because its
+        # servers died; another host may have one.
+        idle = [held for held in short if held.is_idle()]
+        short = [held for held in short if held not in idle]
+        if idle:
+            await self._release(shard, idle)
         if not short:
             return
         records = [make_record(self._renewal(held)) for held in short]
--- a/galenascale/batch/worker.py
+++ b/galenascale/batch/worker.py
@@ -72,8 +72,7 @@
         for service in self._capacity.services():
             left = 0
             slots = self._capacity.free_slots(service)
-            names = [server.name for server, _ in slots]
-            self.holdings.suspects.offer(service, names)
+            self.holdings.suspects.offer(service, [server.name for server, _ in slots])
             for server, count in slots:
                 started = 0
                 while started < count and self._start_next(service, server):
@@ -90,15 +89,16 @@
     def _start_next(self, service, server):
         if not self._may_take():
             return False
-        suspects = self.holdings.suspects
-        if suspects.keeps(service, server.name):
-            item = suspects.take(service, server.name, self.running(server.name))
+        if self.holdings.suspects.keeps(service, server.name):
+            running = self.running(server.name)
+            item = self.holdings.suspects.take(service, server.name, running)
         else:
             item = self.holdings.ready.take(service)
         if item is None:
             return False
         runs = self._runs_by_server.setdefault(server.name, {})
         self._capacity.started(service, server.name)
+        item.chunk.started(self._clock.monotonic())
         task = self._spawn(self._run(service, server, item))
         runs[item] = task
         return True
@@ -122,6 +122,7 @@
         finally:
             self._runs_by_server[server.name].pop(item, None)
             self._capacity.ended(service, server.name)
+            item.chunk.ended(self._clock.monotonic())
             self.holdings.suspects.ended(service, item)
             self._wake.set()
         if outcome is None:
@@ -162,8 +163,8 @@
                 count += 1
         return count
 
-    async def stop(self):
-        """Interrupt all items, record what is done and release the chunks."""
+    async def interrupt(self):
+        """Interrupt idempotent items, let the others end; take no more."""
         self.taking = False
         tasks = []
         for runs in self._runs_by_server.values():
@@ -173,5 +174,10 @@
                     task.cancel()
                 tasks.append(task)
         await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def release(self):
+        """Record what is done and release the chunks that are held."""
+        # Claims that requests for work still bring must be released too.
+        await asyncio.gather(*self._tasks, return_exceptions=True)
         await self._reporter.drain()
         await self.holdings.release()
--- a/galenascale/membership.py
+++ b/galenascale/membership.py
@@ -12,7 +12,7 @@
 
 import attrs
 
-from galenascale.hashing import rendezvous_owner
+from galenascale.hashing import rendezvous_owner, rendezvous_rank
 from galenascale.host_entries import HostEntry, fingerprint, order
 from galenascale.live_view import make_view
 from galenascale.server_view import ServerView
@@ -180,6 +180,15 @@
 
     def owner_of_shard(self, now, shard):
         """Return the id of the host that writes a shard, or None."""
+        ranked = self._ranked_owners(now, shard)
+        return ranked[0] if ranked else None
+
+    def next_owner_of_shard(self, now, shard):
+        """Return the host that owns a shard after its owner, or None."""
+        ranked = self._ranked_owners(now, shard)
+        return ranked[1] if len(ranked) > 1 else None
+
+    def _ranked_owners(self, now, shard):
         view = self.view(now)
         key = f"shard\0{shard}"
         if key not in view.owners:
@@ -188,7 +197,7 @@
                 for ids in view.representatives_by_domain.values()
                 for host_id in ids
             ]
-            view.owners[key] = rendezvous_owner(key, candidates)
+            view.owners[key] = rendezvous_rank(key, candidates)[:2]
         return view.owners[key]
 
     def slot_owner(self, now, server_id, domain):
