--- a/galenascale/host.py
+++ b/galenascale/host.py
@@ -48,12 +48,13 @@
     async def start(self):
         """Start all parts and listen for callers."""
         await self._start_clients()
-        await self.peering.start(self._platform_session, self.stack)
+        await self.peering.start(self.platform_session, self.stack)
         self.peers = self.peering.peers
         host_parts.start_config(self)
         host_parts.start_online(self)
         host_parts.start_outcomes(self)
         host_parts.start_batch(self)
+        host_parts.start_placement(self)
         host_methods.register_methods(self)
         register_gauges(self)
         await host_parts.start_listener(self)
@@ -65,11 +66,11 @@
         self.session = await self.stack.enter_async_context(
             aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
         )
-        self._platform_session = await self.stack.enter_async_context(
+        self.platform_session = await self.stack.enter_async_context(
             aiohttp.ClientSession(headers={DOMAIN_HEADER: settings.failure_domain})
         )
         self.log_client = LogClient(
-            self._platform_session,
+            self.platform_session,
             settings.platform_url,
             settings.log.request_timeout_s,
         )
@@ -88,7 +89,11 @@
 
     def is_ready(self):
         """Return whether requests are taken: a configuration is in force."""
-        return not self.stopping.started and self.config.is_ready()
+        return (
+            not self.stopping.started
+            and self.config.is_ready()
+            and self.fleet_verdicts.is_settled()
+        )
 
     async def _watch_readiness(self):
         while True:
--- a/galenascale/shards/keeper.py
+++ b/galenascale/shards/keeper.py
@@ -20,7 +20,7 @@
 from galenascale.ledger.expiry import MAX_MARK_STEP_MS
 from galenascale.logs import get_logger
 from galenascale.shards.bodies import BodyLost, read_body
-from galenascale.shards.ids import data_stream, work_stream
+from galenascale.shards.ids import FLEET, data_stream, work_stream
 from galenascale.shards.records import make_record
 from galenascale.shards.snapshots import split_snapshot
 
@@ -61,14 +61,14 @@
         """Do a round over the owned shards until cancelled."""
         while True:
             await self._clock.sleep(interval_s)
-            for shard in range(self._shards.count):
+            for shard in (*range(self._shards.count), FLEET):
                 try:
                     await self._visit(shard)
                 except GalenascaleError as error:
                     log.warning("Upkeep of shard %d failed: %s.", shard, error)
 
     async def _visit(self, shard):
-        if shard in self._shards.owned():
+        if shard in self._shards.kept():
             await self.keep(shard)
         elif self._is_next(shard):
             # A lease counts from when its claim was first seen, so a host that
