Wire membership to requests; move owners without refused records

Cause: only the load poller fed the view of servers; ServerView.prune was never called; digests made two hosts hold up a server's "leaving" for each other, and old words of peers marked a returned server again; a representative without the slots dropped a request to give way; records that waited at a shard owner that stopped were refused although the log took appends.

Change: BackendError codes of online requests and calls reach ServerView; the router takes a peer's "leaving" only by way of ServerView; a late report ends the sign too; GiveWayRequest is forwarded once; a closed owner answers with PeerError, so that the sender appends the same records itself.

--- a/galenascale/batch/capacity.py
+++ b/galenascale/batch/capacity.py
@@ -2,6 +2,8 @@
 
 import collections
 
+import attrs
+
 from galenascale.batch.slots import BatchSlots, BatchStream, streams_to_cancel
 from galenascale.errors import PeerError
 from galenascale.generated.messages import GiveWayReply, GiveWayRequest
@@ -94,6 +96,10 @@
         server = self._config.current.servers_by_id.get(request.server_id)
         if server is None:
             return GiveWayReply(0)
+        owner = self._peering.slot_owner(server)
+        if owner not in (None, self._host_id) and not request.forwarded:
+            # Hosts of other domains know only its representatives.
+            return await self._forward(owner, request)
         if request.online_in_flight >= 0:
             self._online.dispatcher(server.service_name).router.note_peer_online(
                 server.name,
@@ -105,6 +111,12 @@
         before = self.worker.running(server.name)
         return GiveWayReply(min(before, max(0, -self._withdraw(server))))
 
+    async def _forward(self, owner, request):
+        request = attrs.evolve(request, forwarded=True)
+        return await self._peering.peers.call(
+            owner, "give_way", request, GiveWayReply, GIVE_WAY_TIMEOUT_S
+        )
+
     def _withdraw(self, server):
         """Return the free slots; if negative, streams were interrupted."""
         free = self._allowed(server) - self.worker.running(server.name)
--- a/galenascale/calls.py
+++ b/galenascale/calls.py
@@ -100,6 +100,8 @@
         # choose_server(service, excluded names) -> server or None
         self._choose_server = choose_server
         self._engine_client = engine_client
+        # As that of OnlineService.
+        self.note_sign = lambda server_id, code, started_at: None
         # Ids of intents that are dispatched or about to be.
         self._running = set()
         # Ids of intents with unknown outcome that are never dispatched.
@@ -143,10 +145,16 @@
 
     async def _forward(self, server, call, call_id):
         headers = {"Content-Type": call.content_type, "X-Call-Id": call_id}
-        left_s = call.deadline - self._clock.monotonic()
-        answer = await self._engine_client.forward(
-            server, call.method, call.path, headers, call.body, timeout_s=left_s
-        )
+        started_at = self._clock.monotonic()
+        left_s = call.deadline - started_at
+        try:
+            answer = await self._engine_client.forward(
+                server, call.method, call.path, headers, call.body, timeout_s=left_s
+            )
+        except BackendError as error:
+            self.note_sign(server.name, error.code, started_at)
+            raise
+        self.note_sign(server.name, "", started_at)
         return Answer(answer.status, answer.content_type, answer.body)
 
     async def _dispatch(self, call, call_id):
--- a/galenascale/host_methods.py
+++ b/galenascale/host_methods.py
@@ -100,6 +100,23 @@
     host.online.spawn(host.peering.tell_peers("job_accepted", notice))
 
 
+def note_sign(host, server_id, code, started_at):
+    """
+    Pass on what a request that began at `started_at` says about its server.
+
+    `code` is that of its BackendError, empty for an answer. Peers hear of a
+    leaving server by gossip.
+    """
+    now, signs = host.clock.monotonic(), host.membership.servers
+    if code == "leaving":
+        signs.leaving(now, server_id)
+        host.online.leaving(server_id)
+    elif code == "connect_failed":
+        signs.failed(now, server_id)
+    elif not code:
+        signs.answered(now, server_id, started_at)
+
+
 def connect_gossip(host):
     """Let gossip carry the configuration's version and the servers' loads."""
     exchange = host.peering.exchange
@@ -118,7 +135,10 @@
 def _on_gossip(host, message):
     sender = message.sender.host_id
     host.online.peer_loads(sender, message.loads)
-    for server_id in message.leaving_servers:
-        host.online.leaving(server_id)
+    told = [load.server_id for load in message.loads if load.leaving]
+    for server_id in {*told, *message.leaving_servers}:
+        # The word of a peer may be older than the server's return.
+        if host.membership.servers.is_leaving(server_id):
+            host.online.leaving(server_id)
     if message.config_version >= 0:
         host.config.notice(sender, message.config_version, message.config_age_s)
--- a/galenascale/host_parts.py
+++ b/galenascale/host_parts.py
@@ -12,6 +12,7 @@
 from galenascale.files import FileService
 from galenascale.host_methods import (
     fetch_config,
+    note_sign,
     share_verdict,
     tell_job_accepted,
     tell_job_cancelled,
@@ -60,6 +61,7 @@
         lambda verdict: share_verdict(host, verdict),
     )
     host.stack.push_async_callback(host.online.close)
+    host.online.note_sign = lambda *sign: note_sign(host, *sign)
     host.capacity = BatchCapacity(
         host.host_id, host.config, host.online, host.peering, host.clock
     )
@@ -93,6 +95,7 @@
         host.shards, host.log_client, host.files, host.config, host.clock, settings
     )
     host.calls = CallService(host, host.online.choose_plain, host.engine_client)
+    host.calls.note_sign = host.online.note_sign
     host.stack.push_async_callback(host.calls.close)
 
 
--- a/galenascale/load_poller.py
+++ b/galenascale/load_poller.py
@@ -33,6 +33,9 @@
             await asyncio.gather(*(self._poll(server) for server in servers))
             self._round += 1
             pause_s = max(self._interval_s, len(servers) / MAX_POLLS_PER_S)
+            self._membership.servers.prune(
+                self._clock.monotonic(), self._config.current.servers_by_id
+            )
             await self._clock.sleep(pause_s)
 
     def _servers(self):
@@ -59,6 +62,8 @@
             self._note_leaving(server.name, now)
         else:
             signs.answered(now, server.name, started_at)
+            age_s = (self._clock.wall_ms() - report.at_ms) / 1000
+            signs.reported(now, server.name, now - max(0.0, age_s))
         self._online.report(report)
 
     def _note_leaving(self, server_id, now):
--- a/galenascale/online.py
+++ b/galenascale/online.py
@@ -29,6 +29,9 @@
         self._failure_domain = failure_domain
         self._give_way = give_way
         self._dispatchers_by_service = {}
+        # Called with a server's id, the code of an error or "", and the start
+        # of the attempt.
+        self.note_sign = lambda server_id, code, started_at: None
         self._tasks = set()
 
     def complete(self, request):
--- a/galenascale/online_run.py
+++ b/galenascale/online_run.py
@@ -73,7 +73,7 @@
         self.sent_tokens = 0
         self.text_parts = []
         self.finished = False
-        self.progress_at = 0.0
+        self.started_at = self.progress_at = 0.0
         self._expired = False
         self.reader = None
 
@@ -114,7 +114,7 @@
 
     def _start(self, server):
         self.server = server
-        self.progress_at = self.service.clock.monotonic()
+        self.started_at = self.progress_at = self.service.clock.monotonic()
         self.reader = AttemptReader(
             self.service.engine.stream(
                 server,
@@ -166,6 +166,7 @@
         code = "" if error is None else error.code
         now = self.service.clock.monotonic()
         router = self.dispatcher.router
+        self.service.note_sign(server_id, code, self.started_at)
         verdict = None
         if self.finished:
             verdict = self._finished_content()
--- a/galenascale/routing/router.py
+++ b/galenascale/routing/router.py
@@ -167,8 +167,9 @@
             if state is None:
                 continue
             state.note_peer(peer_id, load, now)
-            if load.leaving:
-                self.leaving(load.server_id, now)
+            # A peer's "leaving" comes through ServerView, which knows whether
+            # the server has returned since. Taken from digests, two hosts
+            # would hold up the sign for each other for ever.
             # Only the change counts: a peer repeats its digest, and a server
             # that is half-open here must be able to return.
             if load.crashed and peer_id not in state.crashed_by:
--- a/galenascale/server_view.py
+++ b/galenascale/server_view.py
@@ -13,6 +13,10 @@
 # for old ones: their age is exact only up to pauses of sender and receiver.
 RETURN_GRACE_S = 5.0
 
+# A report without "leaving" that was made this long after the signs of leaving
+# comes from a new process, though no connection failed between the two.
+REPORT_HOLD_S = 10.0
+
 # "Leaving" is passed on for this long; hosts that start later hear it from
 # the server itself.
 TELL_LEAVING_S = 60.0
@@ -73,6 +77,15 @@
             signs.leaving_since = None
         signs.crash_told_until = min(signs.crash_told_until, started_at)
 
+    def reported(self, now, server_id, as_of):
+        """Record a report without "leaving" of the state at `as_of`."""
+        signs = self._signs_by_id.get(server_id)
+        if signs is None or signs.leaving_since is None:
+            return
+        if as_of >= signs.leaving_since + REPORT_HOLD_S:
+            signs.leaving_since = None
+            signs.returned_at = now
+
     def told_leaving(self, now, server_id, age_s=None):
         """Record a peer's "leaving" of an age; None if the peer gave none."""
         signs = self._signs(server_id)
--- a/galenascale/shards/client.py
+++ b/galenascale/shards/client.py
@@ -125,6 +125,8 @@
                 request.records, request.timeout_s, request.urgent
             )
         except GalenascaleError as error:
+            if self._closed:
+                raise PeerError("owner has stopped", step="submit") from error
             return SubmitReply(error_code=error.code)
         return SubmitReply([_to_message(verdict) for verdict in verdicts])
 
--- a/schema/galenascale.thrift
+++ b/schema/galenascale.thrift
@@ -574,6 +574,8 @@
   3: string host_id = "",
   /** The sender's online requests on the server now; -1 if not stated. */
   4: i32 online_in_flight = -1,
+  /** Passed on by a representative of the server's failure domain. */
+  5: bool forwarded = false,
 }
 
 struct GiveWayReply {
