Start a configuration stream over whose records are lost

Change: a change may name its own offset in restart_at; then it replaces the whole configuration. Its validity depends on the record and its place alone, so that hosts with and without the earlier records agree and a second copy reverts nothing.

--- a/galenascale/commands/apply.py
+++ b/galenascale/commands/apply.py
@@ -21,6 +21,7 @@
     operator_key: OperatorKey,
     base: int | None = None,
     message: str = "",
+    restart: bool = False,
 ):
     """
     Publish declarations; exit with 1 on a conflict, 3 if it is not known.
@@ -37,6 +38,10 @@
         Refuse the change unless exactly this version is in force.
     message
         Reason of the change, kept in the log.
+    restart
+        Start the stream over with exactly these declarations. Only for a
+        stream that has lost its snapshot, when `status` shows `has_gap` on a
+        host and no peer has the configuration.
     """
     current, found = compare(directory, host, operator_key)
     version = current["version"]
@@ -57,6 +62,7 @@
         "message": message,
         "change_id": uuid.uuid4().hex,
         "strict": base is not None,
+        "restart": restart,
     }
     try:
         status, answer = operator_client.post_change(host, operator_key, body)
--- a/galenascale/config_publisher.py
+++ b/galenascale/config_publisher.py
@@ -4,7 +4,12 @@
 
 from galenascale import codec
 from galenascale.config_state import ChangeStatus, ChangeVerdict, changed_since
-from galenascale.errors import AppendUnknown, GalenascaleError, LogUnavailable
+from galenascale.errors import (
+    AppendUnknown,
+    GalenascaleError,
+    LogUnavailable,
+    UserError,
+)
 from galenascale.generated.messages import ConfigChange, LogBatch, LogRecord, RecordKind
 from galenascale.logs import get_logger
 from galenascale.record_versions import choose_write_version
@@ -81,6 +86,36 @@
     return codec.encode(LogBatch(records=[record]))
 
 
+async def restart(follower, entries, *, change_id, author="", message=""):
+    """
+    Start a stream over whose records and snapshots are lost.
+
+    Return the verdict. Raise UserError if the stream can be followed,
+    AppendUnknown if the change was not seen in the log afterwards.
+    """
+    if await _refresh(follower) or not follower.has_gap:
+        raise UserError(
+            "the configuration stream lacks no records or the log is away",
+            code="restart_refused",
+            http_status=409,
+        )
+    bounds = await follower.log_client.bounds(STREAM)
+    change = ConfigChange(
+        change_id=change_id,
+        entries=entries,
+        author=author,
+        created_ms=follower.clock.wall_ms(),
+        message=message,
+        restart_at=bounds.next_offset,
+    )
+    await follower.log_client.append(STREAM, _encode(follower, change))
+    await _refresh(follower)
+    verdict = follower.state.verdicts_by_change.get(change_id)
+    if verdict is None:
+        raise AppendUnknown(f"change {change_id} is not seen", step="publish")
+    return verdict
+
+
 async def _refresh(follower):
     try:
         return await follower.refresh()
--- a/galenascale/config_state.py
+++ b/galenascale/config_state.py
@@ -70,6 +70,7 @@
     # Bodies with unknown fields by version, while an entry comes from them.
     raw_by_version: dict = attrs.field(factory=dict)
     pruned_version: int = -1
+    restarted_at: int = attrs.field(default=-1, eq=False)
     malformed_records: int = 0
     dropped_unknown_records: int = 0
     # Keys installed since the caller last took them.
@@ -156,8 +157,14 @@
 
 
 def _judge(state, offset, change):
-    # A base at or after the change's own place cannot have been read.
-    if change.base_version == state.version and change.base_version < offset:
+    if change.restart_at >= 0:
+        # Depends on nothing before the record, as its readers may lack that.
+        # A second copy lies at another offset and reverts nothing.
+        valid = change.restart_at == offset
+    else:
+        # A base at or after the change's own place cannot have been read.
+        valid = change.base_version == state.version < offset
+    if valid:
         return ChangeVerdict(change.change_id, ChangeStatus.VALID, offset)
     changed = changed_since(state, change.base_version)[:MAX_NAMED_ENTRIES]
     return ChangeVerdict(
@@ -168,6 +175,12 @@
 def _install(state, offset, change, body):
     state.version = offset
     replaced = set()
+    if change.restart_at >= 0:
+        state.touched |= state.entries_by_key.keys()
+        state.entries_by_key.clear()
+        state.raw_by_version.clear()
+        state.pruned_version, state._tombstones = offset, 0
+        state.restarted_at = offset
     for entry in change.entries:
         key = (entry.kind, entry.name)
         # Deleted entries stay as tombstones, so that conflicts can name them.
--- a/galenascale/http_api/operator.py
+++ b/galenascale/http_api/operator.py
@@ -13,7 +13,7 @@
 from aiohttp import web
 
 from galenascale import declarations
-from galenascale.config_publisher import publish_rebasing
+from galenascale.config_publisher import publish_rebasing, restart
 from galenascale.config_state import ChangeStatus
 from galenascale.errors import UserError
 from galenascale.generated.messages import ConfigEntry
@@ -63,6 +63,8 @@
     change_id: str = ""
     # Refuse the change if the version is not exactly the base.
     strict: bool = False
+    # Replace everything in a stream whose earlier records are lost.
+    restart: bool = False
 
 
 def operator_routes(host):
@@ -184,17 +186,7 @@
 async def _post_config(host, request):
     change = await _read_change(request)
     parsed = parse_entries(change)
-    verdict = await publish_rebasing(
-        host.config,
-        [_to_entry(item) for item in change.entries],
-        change.base_version,
-        change_id=change.change_id or uuid.uuid4().hex,
-        check=lambda: check_result(host.config.current, change, parsed),
-        timeout_s=PUBLISH_TIMEOUT_S,
-        strict=change.strict,
-        author=change.author,
-        message=change.message,
-    )
+    verdict = await _publish(host, change, parsed)
     if verdict.status == ChangeStatus.VALID:
         return _json({"status": "valid", "version": verdict.version})
     answer = {
@@ -211,6 +203,25 @@
     return _json(answer, status=409)
 
 
+async def _publish(host, change, parsed):
+    entries = [_to_entry(item) for item in change.entries]
+    change_id = change.change_id or uuid.uuid4().hex
+    more = {"author": change.author, "message": change.message}
+    if change.restart:
+        declarations.check_set(parsed)
+        return await restart(host.config, entries, change_id=change_id, **more)
+    return await publish_rebasing(
+        host.config,
+        entries,
+        change.base_version,
+        change_id=change_id,
+        check=lambda: check_result(host.config.current, change, parsed),
+        timeout_s=PUBLISH_TIMEOUT_S,
+        strict=change.strict,
+        **more,
+    )
+
+
 async def _get_status(host, _):
     config, state = host.config, host.config.state
     return _json(
--- a/schema/galenascale.thrift
+++ b/schema/galenascale.thrift
@@ -356,6 +356,11 @@
   4: string author = "",
   5: i64 created_ms = 0,
   6: string message = "",
+  /**
+   * Replaces the whole configuration if the change lies at this very offset;
+   * starts a stream over whose earlier records and snapshots are lost.
+   */
+  7: i64 restart_at = -1,
 }
 
 struct ConfigEntryState {
--- a/test/config_fakes.py
+++ b/test/config_fakes.py
@@ -27,7 +27,7 @@
 
 NewerChange.thrift_spec = (
     *ConfigChange.thrift_spec,
-    (7, TType.STRING, "ticket", "UTF8", None),
+    (8, TType.STRING, "ticket", "UTF8", None),
 )
 
 
