--- a/galenascale/batch/reporter.py
+++ b/galenascale/batch/reporter.py
@@ -16,6 +16,9 @@
 
 SUBMIT_TIMEOUT_S = 5.0
 RETRY_PAUSE_S = 0.5
+# Largest sum of bodies in one submission, well below the limit of an append: a
+# submission above it would be refused on every try.
+MAX_SUBMIT_BYTES = 250_000
 # Outcomes of one chunk wait for others of it, so that one record holds many.
 GATHER_S = 0.3
 
@@ -29,8 +32,8 @@
         # Called with (job id, list of items) once they are in the log.
         self._on_recorded = on_recorded
         self._outcomes_by_claim = collections.defaultdict(list)
-        # Messages of the submissions that are not answered, by shard.
-        self._in_submit = {}
+        # Lists of (shard, Outcomes) by submission that is under way.
+        self._submissions = {}
         self._wake = asyncio.Event()
         self._hurry = asyncio.Event()
         self._drained = asyncio.Event()
@@ -41,7 +44,9 @@
         """Number of outcomes that are not known to be in the log."""
         waiting = sum(len(items) for items in self._outcomes_by_claim.values())
         return waiting + sum(
-            len(item.outcomes) for items in self._in_submit.values() for item in items
+            len(message.outcomes)
+            for messages in self._submissions.values()
+            for message in messages
         )
 
     def add(self, shard, job_id, chunk, claim_offset, outcome):
@@ -65,23 +70,31 @@
 
     def pending(self):
         """
-        Return what is unrecorded as Outcomes messages by shard.
+        Return all that is unrecorded as a list of Outcomes messages.
 
-        That includes submissions that are not answered: a second record of an
-        outcome has no effect.
+        It includes what is being submitted, which may get into the log twice;
+        the first copy counts.
         """
-        by_shard = self._waiting()
-        for shard, items in self._in_submit.items():
-            by_shard[shard].extend(items)
-        return by_shard
-
-    def _waiting(self):
-        by_shard = collections.defaultdict(list)
+        waiting = [message for _, messages in self._groups() for message in messages]
+        for messages in self._submissions.values():
+            waiting.extend(messages)
+        return waiting
+
+    def _groups(self):
+        """Return (shard, Outcomes messages) of bounded size."""
+        groups, sizes_by_shard, last_by_shard = [], {}, {}
         for (shard, job_id, chunk, claim), items in self._outcomes_by_claim.items():
-            by_shard[shard].append(
-                Outcomes(job_id, chunk, claim, list(items), self._clock.wall_ms())
-            )
-        return by_shard
+            for part in _split(items):
+                size = sum(len(outcome.body) for outcome in part)
+                total = sizes_by_shard.get(shard, MAX_SUBMIT_BYTES) + size
+                if total > MAX_SUBMIT_BYTES:
+                    last_by_shard[shard], total = [], size
+                    groups.append((shard, last_by_shard[shard]))
+                sizes_by_shard[shard] = total
+                last_by_shard[shard].append(
+                    Outcomes(job_id, chunk, claim, part, self._clock.wall_ms())
+                )
+        return groups
 
     async def drain(self):
         """Return once everything is recorded, without waiting for more."""
@@ -96,11 +109,12 @@
             if not self._hurry.is_set():
                 await self._clock.sleep(GATHER_S)
             self._wake.clear()
-            by_shard = self._waiting()
+            groups = self._groups()
             self._outcomes_by_claim.clear()
-            self._in_submit = dict(by_shard)
+            for _, messages in groups:
+                self._submissions[id(messages)] = messages
             results = await asyncio.gather(
-                *(self._submit(shard, items) for shard, items in by_shard.items())
+                *(self._submit(shard, messages) for shard, messages in groups)
             )
             if not self._outcomes_by_claim:
                 self._drained.set()
@@ -118,7 +132,7 @@
             self._keep(shard, messages)
             return False
         finally:
-            del self._in_submit[shard]
+            del self._submissions[id(messages)]
         for message, verdict in zip(messages, verdicts, strict=True):
             if not verdict.valid:
                 log.info("Outcomes of %s lost: %s.", message.job_id, verdict.reason)
@@ -131,3 +145,15 @@
             key = (shard, message.job_id, message.chunk, message.claim_offset)
             self._outcomes_by_claim[key][:0] = message.outcomes
         self._wake.set()
+
+
+def _split(outcomes):
+    """Return the outcomes in lists whose bodies fit one submission."""
+    parts, size = [], MAX_SUBMIT_BYTES
+    for outcome in outcomes:
+        size += len(outcome.body)
+        if size > MAX_SUBMIT_BYTES:
+            parts.append([])
+            size = len(outcome.body)
+        parts[-1].append(outcome)
+    return parts
--- a/galenascale/batch/worker.py
+++ b/galenascale/batch/worker.py
@@ -71,7 +71,9 @@
     def _fill(self):
         for service in self._capacity.services():
             left = 0
-            for server, count in self._capacity.free_slots(service):
+            slots = self._capacity.free_slots(service)
+            self.holdings.suspects.offer(service, [server.name for server, _ in slots])
+            for server, count in slots:
                 started = 0
                 while started < count and self._start_next(service, server):
                     started += 1
@@ -87,11 +89,16 @@
     def _start_next(self, service, server):
         if not self._may_take():
             return False
-        item = self.holdings.ready.take(service)
+        if self.holdings.suspects.keeps(service, server.name):
+            running = self.running(server.name)
+            item = self.holdings.suspects.take(service, server.name, running)
+        else:
+            item = self.holdings.ready.take(service)
         if item is None:
             return False
         runs = self._runs_by_server.setdefault(server.name, {})
         self._capacity.started(service, server.name)
+        item.chunk.started(self._clock.monotonic())
         task = self._spawn(self._run(service, server, item))
         runs[item] = task
         return True
@@ -115,9 +122,11 @@
         finally:
             self._runs_by_server[server.name].pop(item, None)
             self._capacity.ended(service, server.name)
+            item.chunk.ended(self._clock.monotonic())
+            self.holdings.suspects.ended(service, item)
             self._wake.set()
         if outcome is None:
-            self.holdings.ready.add(service, [item])
+            self.holdings.wait_again(service, item)
         else:
             self.holdings.report(item, outcome)
 
--- a/galenascale/host_parts.py
+++ b/galenascale/host_parts.py
@@ -88,7 +88,13 @@
         host.peers,
     )
     host.stack.push_async_callback(host.shards.close)
-    keeper = ShardKeeper(host.shards, host.log_client, host.clock, settings.log)
+    keeper = ShardKeeper(
+        host.shards,
+        host.log_client,
+        host.clock,
+        settings.log,
+        host.peering.clock_agrees,
+    )
     host.run(keeper.run())
     host.files = FileService(host.shards, host.log_client, host.clock, settings)
     host.jobs = JobService(
@@ -102,14 +108,23 @@
 def start_batch(host):
     """Build what claims, runs and reports batch items."""
     settings = host.settings
-    host.grants = GrantService(host.shards, host.clock, settings.batch)
+    host.grants = GrantService(
+        host.shards, host.clock, settings.batch, host.peering.is_gone
+    )
     host.reporter = OutcomeReporter(
         host.shards,
         host.clock,
         lambda *args: host.worker.recorded(*args),
     )
     host.run(host.reporter.run())
-    runner = ItemRunner(host.engine_client, host.shards, host.clock, settings.batch)
+    runner = ItemRunner(
+        host.engine_client,
+        host.shards,
+        host.clock,
+        settings.batch,
+        lambda service: host.online.dispatcher(service).poison,
+        lambda verdict: host.online.spawn(share_verdict(host, verdict)),
+    )
     host.worker = BatchWorker(
         host, host.grants, host.capacity, host.reporter, runner.run
     )
--- a/galenascale/stopping.py
+++ b/galenascale/stopping.py
@@ -174,7 +174,7 @@
         """Yield HandOverRequests of bounded size for what is unrecorded."""
         host = self._host
         request, size = HandOverRequest(host.host_id), 0
-        jobs = [item for items in host.reporter.pending().values() for item in items]
+        jobs = host.reporter.pending()
         for name, item in [
             *(("outcomes", item) for item in jobs),
             *(("calls", item) for item in host.calls.pending()),
