--- a/galenascale/host.py
+++ b/galenascale/host.py
@@ -79,6 +79,8 @@
         host_methods.connect_gossip(self)
         self.run(self.peering.host_list.run())
         self.run(self.peering.gossip.run())
+        if self.peering.tls is not None:
+            self.run(self.peering.tls.run())
         self.run(self._watch_readiness())
 
     @property
--- a/galenascale/peering.py
+++ b/galenascale/peering.py
@@ -13,8 +13,9 @@
 from galenascale.logs import get_logger
 from galenascale.membership import Membership
 from galenascale.peers import Gossip, Peers, PeerServer
-from galenascale.peers.auth import Signer, make_tls_contexts
+from galenascale.peers.auth import Signer
 from galenascale.peers.exchange import Exchange
+from galenascale.tls import ReloadedTls, make_peer_contexts
 
 log = get_logger("peers")
 
@@ -42,7 +43,11 @@
             settings.seed_peers,
         )
         self._signer = Signer(settings.host_id, settings.peer_secret.encode(), clock)
-        server_tls, self._client_tls = make_tls_contexts(settings.peer_tls)
+        contexts = make_peer_contexts(settings.peer_tls)
+        server_tls, self._client_tls = contexts
+        self.tls = None
+        if settings.peer_tls.certificate:
+            self.tls = ReloadedTls(settings.peer_tls, clock, contexts)
         self.server = PeerServer(self._signer, server_tls)
         self.exchange = Exchange(self.membership)
         self.gossip = None
--- a/galenascale/peers/auth.py
+++ b/galenascale/peers/auth.py
@@ -9,9 +9,6 @@
 import hashlib
 import hmac
 import secrets
-import tempfile
-from pathlib import Path
-from ssl import CERT_REQUIRED, PROTOCOL_TLS_CLIENT, PROTOCOL_TLS_SERVER, SSLContext
 
 import attrs
 
@@ -107,39 +104,3 @@
         signature = headers.get(SIGNATURE, "")
         if not hmac.compare_digest(expected.encode(), *_encode(signature)):
             raise AuthError("signature of the answer is wrong", step="authenticate")
-
-
-def make_tls_contexts(tls):
-    """
-    Return (server, client) SSL contexts for TlsSettings, or (None, None).
-
-    Both sides present a certificate of the given CA. Host names are not
-    compared, as hosts are reached by IP address; the HMAC names the sender.
-    """
-    if not tls.certificate:
-        return None, None
-    contexts = SSLContext(PROTOCOL_TLS_SERVER), SSLContext(PROTOCOL_TLS_CLIENT)
-    with tempfile.TemporaryDirectory() as directory:
-        paths = [
-            _pem_path(value, Path(directory) / name)
-            for value, name in (
-                (tls.certificate, "certificate.pem"),
-                (tls.private_key, "key.pem"),
-                (tls.ca, "ca.pem"),
-            )
-        ]
-        for context in contexts:
-            context.check_hostname = False
-            context.verify_mode = CERT_REQUIRED
-            context.load_cert_chain(paths[0], paths[1])
-            context.load_verify_locations(paths[2])
-    return contexts
-
-
-def _pem_path(value, path):
-    """Return the path of a PEM file, writing PEM text to `path`."""
-    if "-----BEGIN" not in value:
-        return value
-    path.touch(mode=0o600)
-    path.write_text(value)
-    return str(path)
--- a/galenascale/settings.py
+++ b/galenascale/settings.py
@@ -140,6 +140,17 @@
         problems.append(("log.shards", "must be from 1 to 1024"))
     if settings.log_format not in ("text", "json"):
         problems.append(("log_format", "must be text or json"))
+    for section, names in (
+        ("tls", ("private_key",)),
+        # Both sides of a call between hosts prove who they are.
+        ("peer_tls", ("private_key", "ca")),
+    ):
+        tls = getattr(settings, section)
+        problems.extend(
+            (f"{section}.{name}", f"must be given with {section}.certificate")
+            for name in names
+            if tls.certificate and not getattr(tls, name)
+        )
     if problems:
         name, reason = problems[0]
         raise UserError(f"{source}: $.{name}: {reason}", step="settings")
--- a/galenascale/tls.py
+++ b/galenascale/tls.py
@@ -72,14 +72,36 @@
         raise UserError(f"CA cannot be used: {error}", step="tls") from error
 
 
-class ServerTls:
-    """A server context whose certificate is read again when files change."""
+def make_peer_contexts(tls):
+    """
+    Return (server, client) SSL contexts for TlsSettings, or (None, None).
+
+    Both sides present a certificate of the given CA. Host names are not
+    compared, as hosts are reached by IP address; the HMAC names the sender.
+    """
+    if not tls.certificate:
+        return None, None
+    contexts = (
+        ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER),
+        ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT),
+    )
+    for context in contexts:
+        context.minimum_version = ssl.TLSVersion.TLSv1_2
+        context.check_hostname = False
+        context.verify_mode = ssl.CERT_REQUIRED
+        load_pair(context, read_pem(tls.certificate), read_pem(tls.private_key))
+        _load_ca(context, tls.ca)
+    return contexts
 
-    def __init__(self, tls, clock):
+
+class ReloadedTls:
+    """Contexts whose certificate is read again when its files change."""
+
+    def __init__(self, tls, clock, contexts):
         self._tls = tls
         self._clock = clock
         self._loaded = self._read()
-        self.context = make_server_context(tls)
+        self._contexts = contexts
 
     def _read(self):
         return read_pem(self._tls.certificate), read_pem(self._tls.private_key)
@@ -103,10 +125,19 @@
                 return False
             # A failed load may leave a context with a mismatched pair.
             load_pair(ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER), *pair)
-            load_pair(self.context, *pair)
+            for context in self._contexts:
+                load_pair(context, *pair)
         except UserError as error:
             log.warning("Kept the earlier certificate: %s.", error)
             return False
         self._loaded = pair
         log.info("Installed a changed certificate.")
         return True
+
+
+class ServerTls(ReloadedTls):
+    """The reloaded context of the callers' listener."""
+
+    def __init__(self, tls, clock):
+        self.context = make_server_context(tls)
+        super().__init__(tls, clock, [self.context])
--- a/test/peers/nodes.py
+++ b/test/peers/nodes.py
@@ -8,8 +8,9 @@
 from galenascale.generated.messages import HostInfo, MembershipSettings, TlsSettings
 from galenascale.membership import Membership
 from galenascale.peers import Gossip, Peers, PeerServer
-from galenascale.peers.auth import Signer, make_tls_contexts
+from galenascale.peers.auth import Signer
 from galenascale.peers.exchange import Exchange
+from galenascale.tls import make_peer_contexts
 
 SECRET = b"0123456789abcdef"
 
@@ -20,7 +21,7 @@
     def __init__(self, host_id, clock, tls=None):
         self.clock = clock
         self.signer = Signer(host_id, SECRET, clock)
-        server_tls, self.client_tls = make_tls_contexts(tls or TlsSettings())
+        server_tls, self.client_tls = make_peer_contexts(tls or TlsSettings())
         self.server = PeerServer(self.signer, server_tls, max_body_bytes=4096)
         self.membership = Membership(HostInfo(host_id, f"i-{host_id}", "a"))
 
--- a/test/peers/test_peers.py
+++ b/test/peers/test_peers.py
@@ -23,6 +23,7 @@
     TlsSettings,
 )
 from galenascale.peers import auth
+from galenascale.tls import make_peer_contexts
 from test.peers.nodes import start_nodes
 
 METHOD = "give_way"
@@ -260,7 +261,7 @@
     async with two_nodes(tls=make_tls(tmp_path)) as (caller, _):
         assert (await call(caller)).freed == 5
         other = make_tls(tmp_path)
-        for tls in (auth.make_tls_contexts(other)[1], False):
+        for tls in (make_peer_contexts(other)[1], False):
             caller.peers._tls = tls
             caller.session.connector._conns.clear()
             with pytest.raises(PeerError):
--- a/test/test_tls.py
+++ b/test/test_tls.py
@@ -5,6 +5,7 @@
 import ipaddress
 import ssl
 
+import aiohttp
 import pytest
 from cryptography import x509
 from cryptography.hazmat.primitives import hashes, serialization
@@ -14,7 +15,13 @@
 from galenascale.clock import FakeClock
 from galenascale.errors import UserError
 from galenascale.generated.messages import TlsSettings
-from galenascale.tls import RELOAD_INTERVAL_S, ServerTls, make_client_context
+from galenascale.tls import (
+    RELOAD_INTERVAL_S,
+    ReloadedTls,
+    ServerTls,
+    make_client_context,
+    make_peer_contexts,
+)
 from test.loopback import api
 
 
@@ -88,6 +95,29 @@
             assert response.status == 200
 
 
+async def test_peers_take_changed_files_and_demand_certificates(tmp_path):
+    """Guards both sides of calls between hosts against old certificates."""
+    pairs = make_pair("first"), make_pair("second")
+    paths = tmp_path / "certificate.pem", tmp_path / "key.pem"
+    settings = TlsSettings(*map(str, paths), "".join(pair[0] for pair in pairs))
+    [path.write_text(text) for path, text in zip(paths, pairs[0], strict=True)]
+    contexts = make_peer_contexts(settings)
+    tls = ReloadedTls(settings, FakeClock(), contexts)
+    async with api(tls_context=contexts[0]) as (session, url, _):
+        with pytest.raises(aiohttp.ClientError):
+            await status(session, url, settings.ca)
+        for name, pair in zip(("first", "second"), pairs, strict=True):
+            [path.write_text(text) for path, text in zip(paths, pair, strict=True)]
+            assert tls.reload() == (name == "second")
+            port = int(url.rpartition(":")[2])
+            _, writer = await asyncio.open_connection(
+                "127.0.0.1", port, ssl=contexts[1]
+            )
+            shown = writer.get_extra_info("peercert")
+            writer.close()
+            assert shown["subject"] == ((("commonName", name),),)
+
+
 @pytest.mark.parametrize("bad", [0, 1, 2])
 def test_unusable_settings_are_refused(tmp_path, bad):
     """Guards against a host that starts without the TLS it was told to use."""
