--- a/test/test_security.py
+++ b/test/test_security.py
@@ -84,7 +84,7 @@
 async def test_no_secret_is_shown(caplog):
     """Guards logs at debug level, metrics, status and errors."""
     caplog.set_level(logging.DEBUG)
-    logging.getLogger("galenascale").setLevel(logging.DEBUG)
+    caplog.set_level(logging.DEBUG, logger="galenascale")
     deployment = small_deployment()
     settings = attrs.evolve(
         deployment.settings,
