--- a/galenascale/host_methods.py
+++ b/galenascale/host_methods.py
@@ -84,6 +84,7 @@
     """Tell the peers a PoisonVerdict."""
     report = messages.PoisonReport(host.host_id, [verdict])
     await host.peering.tell_peers("poison", report)
+    host.fleet_verdicts.add(verdict)
 
 
 async def tell_job_cancelled(host, job_id):
