--- a/galenascale/stopping.py
+++ b/galenascale/stopping.py
@@ -76,6 +76,7 @@
     async def _run(self):
         host, settings = self._host, self._host.settings.stop
         log.info("Stopping with %d requests in flight.", self.in_flight)
+        host.worker.taking = False
         tell = asyncio.create_task(host.peering.tell_leaving())
         await host.clock.wait_any([tell, self._hurry.wait()], TELL_S)
         steps = asyncio.create_task(self._steps())
--- a/test/test_online.py
+++ b/test/test_online.py
@@ -194,3 +194,15 @@
     # The owner also hears of the end, which frees a slot for batch.
     assert deployment.given_way == [("s0", 1), ("s0", 0)]
     await deployment.close()
+
+
+@pytest.mark.parametrize("code", ["leaving", "connect_failed"])
+async def test_what_an_attempt_says_of_its_server_is_passed_on(code):
+    """Guards P7: peers hear of a leaving server from the first request."""
+    deployment = Deployment(FakeEngine([(0, 0, code)]))
+    signs = []
+    deployment.service.note_sign = lambda *sign: signs.append(sign)
+    await deployment.run(deployment.call(deployment.request("r")))
+    assert [sign[1] for sign in signs] == [code, ""]
+    assert signs[0][0] != signs[1][0] and signs[0][2] <= signs[1][2]
+    await deployment.close()
