--- a/galenascale/calls.py
+++ b/galenascale/calls.py
@@ -101,14 +101,12 @@
         # choose_server(service, excluded names) -> server or None
         self._choose_server = choose_server
         self._engine_client = engine_client
-        # As that of OnlineService.
         self.note_sign = lambda server_id, code, started_at: None
         # Ids of intents that are dispatched or about to be.
         self._running = set()
         # Ids of intents with unknown outcome that are never dispatched.
         self._abandoned = {}
-        # Outcomes that are not read back from the log, by intent id, or by
-        # call id if a peer handed them over.
+        # Outcomes not in the log yet, by intent id, of peers by call id.
         self._unrecorded = {}
         self._tasks = set()
 
--- a/galenascale/config_state.py
+++ b/galenascale/config_state.py
@@ -106,18 +106,18 @@
 def apply_record(state, offset, index, record, change_types=CHANGE_TYPES_BY_VERSION):
     """Apply one record at its place in the log and return its verdict."""
     if record.kind == RecordKind.SNAPSHOT_PART:
-        return _verdict(record.record_id, ChangeStatus.SNAPSHOT, state)
+        return ChangeVerdict(record.record_id, ChangeStatus.SNAPSHOT, state.version)
     change_type = change_types.get(record.schema_version)
     if record.kind != RecordKind.CONFIG_CHANGE or change_type is None:
         _keep_unknown(state, KeptRecord(offset, index, record))
-        return _verdict(record.record_id, ChangeStatus.UNKNOWN_KIND, state)
+        return ChangeVerdict(record.record_id, ChangeStatus.UNKNOWN_KIND, state.version)
     try:
         change = codec.decode(change_type, record.body)
     except DecodeError:
         change = None
     if change is None or not change.change_id:
         state.malformed_records += 1
-        return _verdict(record.record_id, ChangeStatus.MALFORMED, state)
+        return ChangeVerdict(record.record_id, ChangeStatus.MALFORMED, state.version)
     earlier = state.verdicts_by_change.get(change.change_id)
     if earlier is not None:
         return attrs.evolve(earlier, status=ChangeStatus.DUPLICATE)
@@ -130,10 +130,6 @@
     return verdict
 
 
-def _verdict(record_id, status, state):
-    return ChangeVerdict(record_id, status, state.version)
-
-
 def changed_since(state, version, keys=None):
     """
     Return the names of entries that changed after a version.
--- a/galenascale/online_run.py
+++ b/galenascale/online_run.py
@@ -164,8 +164,7 @@
             error = broken("stream ended before the answer did")
         server_id = self.server.name
         code = "" if error is None else error.code
-        now = self.service.clock.monotonic()
-        router = self.dispatcher.router
+        router, now = self.dispatcher.router, self.service.clock.monotonic()
         self.service.note_sign(server_id, code, self.started_at)
         verdict = None
         if self.finished:
