--- a/galenascale/online.py
+++ b/galenascale/online.py
@@ -31,6 +31,9 @@
         # Called with the tenant and the seconds in the queue of each request.
         self.on_started = lambda tenant, seconds: None
         self._dispatchers_by_service = {}
+        # Called with a server's id, the code of an error or "", and the start
+        # of the attempt.
+        self.note_sign = lambda server_id, code, started_at: None
         self._tasks = set()
         # Called with the model and the time of each request.
         self.on_request = lambda model, now: None
--- a/galenascale/peers/auth.py
+++ b/galenascale/peers/auth.py
@@ -9,12 +9,10 @@
 import hashlib
 import hmac
 import secrets
-from ssl import CERT_REQUIRED, PROTOCOL_TLS_CLIENT, PROTOCOL_TLS_SERVER, SSLContext
 
 import attrs
 
 from galenascale.errors import GalenascaleError
-from galenascale.tls import load_ca, load_pair, read_pem
 
 # Accepted difference between the clocks of two hosts. Nonces are remembered
 # for twice this long, the time in which a message stays acceptable.
@@ -106,22 +104,3 @@
         signature = headers.get(SIGNATURE, "")
         if not hmac.compare_digest(expected.encode(), *_encode(signature)):
             raise AuthError("signature of the answer is wrong", step="authenticate")
-
-
-def make_tls_contexts(tls):
-    """
-    Return (server, client) SSL contexts for TlsSettings, or (None, None).
-
-    Both sides present a certificate of the given CA. Host names are not
-    compared, as hosts are reached by IP address; the HMAC names the sender.
-    """
-    if not tls.certificate:
-        return None, None
-    contexts = SSLContext(PROTOCOL_TLS_SERVER), SSLContext(PROTOCOL_TLS_CLIENT)
-    certificate, private_key = read_pem(tls.certificate), read_pem(tls.private_key)
-    for context in contexts:
-        context.check_hostname = False
-        context.verify_mode = CERT_REQUIRED
-        load_pair(context, certificate, private_key)
-        load_ca(context, tls.ca)
-    return contexts
--- a/schema/galenascale.thrift
+++ b/schema/galenascale.thrift
@@ -358,6 +358,11 @@
   4: string author = "",
   5: i64 created_ms = 0,
   6: string message = "",
+  /**
+   * Replaces the whole configuration if the change lies at this very offset;
+   * starts a stream over whose earlier records and snapshots are lost.
+   */
+  7: i64 restart_at = -1,
 }
 
 struct ConfigEntryState {
@@ -603,6 +608,8 @@
   3: string host_id = "",
   /** The sender's online requests on the server now; -1 if not stated. */
   4: i32 online_in_flight = -1,
+  /** Passed on by a representative of the server's failure domain. */
+  5: bool forwarded = false,
 }
 
 struct GiveWayReply {
--- a/test/commands/test_bad_input.py
+++ b/test/commands/test_bad_input.py
@@ -14,6 +14,7 @@
     "url": "/v1/chat/completions",
     "body": {"model": "assist", "messages": [{"role": "user", "content": "x"}]},
 }
+NO_FILES = dict.fromkeys(("certificate", "private_key", "ca"), "none.pem")
 HOST = {
     "host_id": "h",
     "failure_domain": "d",
@@ -33,8 +34,10 @@
     "busy.json": json.dumps(HOST | {"port": 0}),
     "address.json": json.dumps(HOST | {"listen_address": "192.0.2.1"}),
     "level.json": json.dumps(HOST | {"log_level": "loud"}),
-    "tls.json": json.dumps(HOST | {"tls": {"certificate": "none.pem"}}),
-    "peer-tls.json": json.dumps(HOST | {"peer_tls": {"certificate": "none.pem"}}),
+    "tls.json": json.dumps(HOST | {"tls": NO_FILES}),
+    "peer-tls.json": json.dumps(HOST | {"peer_tls": NO_FILES}),
+    "no-key.json": json.dumps(HOST | {"tls": {"certificate": "none.pem"}}),
+    "no-ca.json": json.dumps(HOST | {"peer_tls": NO_FILES | {"ca": ""}}),
     "list.json": "[]",
     "engine.json": json.dumps({"slots": "8"}),
 }
@@ -53,6 +56,8 @@
     (["serve", "--settings", "level.json"], "loud"),
     (["serve", "--settings", "tls.json"], "none.pem"),
     (["serve", "--settings", "peer-tls.json"], "none.pem"),
+    (["serve", "--settings", "no-key.json"], "$.tls.private_key: must be given"),
+    (["serve", "--settings", "no-ca.json"], "$.peer_tls.ca: must be given"),
     (["standin", "engine", "--settings", "engine.json"], "$.slots"),
     (["standin", "plain", "--settings", "none.json"], "No such file"),
     (["standin", "platform", "--settings", "colour.json"], "unknown field"),
