Resolve versions and adapters in model names

A model in a request may be NAME, NAME@VERSION or NAME:ADAPTER. Names that are not declared are refused with 404 before anything runs; adapters are listed. A server that no longer holds a version refuses with model_not_loaded, which is retried on another server instead of being passed on as the caller's fault.

--- a/galenascale/engine_client.py
+++ b/galenascale/engine_client.py
@@ -27,6 +27,7 @@
     "connect_failed": 503,
     "overloaded": 503,
     "leaving": 503,
+    "not_loaded": 503,
     "bad_request": 400,
     "stale_fencing": 409,
     "timeout": 504,
@@ -46,8 +47,8 @@
 
         With `resume_tokens` the answer continues after that many tokens, whose
         joined text is `resume_text`. Raise BackendError with the codes
-        connect_failed, overloaded, leaving and bad_request (not run),
-        stream_broken and timeout (may have run).
+        connect_failed, overloaded, leaving, not_loaded and bad_request (not
+        run), stream_broken and timeout (may have run).
         """
         body = _make_body(server, request, resume_tokens, resume_text)
         headers = {
@@ -220,7 +221,10 @@
         raise _error("leaving", "backend server is leaving", step, server)
     if any_status or status < 300:
         return
-    message = await _error_message(response)
+    message, code = await _read_error(response)
+    if status == 404 and code == "model_not_loaded":
+        # The load report that the choice relied on was older than an unload.
+        raise _error("not_loaded", message, step, server)
     if status in (429, 503):
         raise _error("overloaded", message, step, server)
     if step == "order" and status == 409:
@@ -230,13 +234,14 @@
     raise _broken(message, step, server)
 
 
-async def _error_message(response):
+async def _read_error(response):
+    """Return the message and the code of a refusal."""
     content = await response.content.read(MAX_ERROR_BYTES)
     with contextlib.suppress(ValueError, TypeError, KeyError):
-        message = orjson.loads(content)["error"]["message"]
-        if isinstance(message, str):
-            return message
-    return f"backend server answered with status {response.status}"
+        error = orjson.loads(content)["error"]
+        if isinstance(error["message"], str):
+            return error["message"], error.get("code")
+    return f"backend server answered with status {response.status}", None
 
 
 def _error(code, message, step, server, execution=Execution.NOT_RUN):
--- a/galenascale/http_api/completions.py
+++ b/galenascale/http_api/completions.py
@@ -10,9 +10,9 @@
 from galenascale.errors import BackendError, Execution
 from galenascale.http_api import limits
 from galenascale.http_api.context import CONTEXT
-from galenascale.http_api.models import find_model
 from galenascale.http_api.relay import relay
 from galenascale.http_api.validation import check_completion
+from galenascale.model_names import resolve
 from galenascale.requests import OnlineRequest
 
 CLASS = "online"
@@ -45,7 +45,11 @@
     body = limits.decode_object(await limits.read_body(request))
     check_completion(request.path, body)
     config = context.config.current
-    model = find_model(config, body["model"])
+    choice = resolve(config, body["model"], body.get("version"), body.get("adapter"))
+    model = choice.model
+    # The resolved names go to the engine and bind all attempts.
+    named = {"version": choice.version, "adapter": choice.adapter}
+    body.update((name, value) for name, value in named.items() if value)
     service = config.services_by_name.get(model.service_name)
     default_s = (
         service.default_deadline_s if service else context.limits.default_deadline_s
--- a/galenascale/http_api/models.py
+++ b/galenascale/http_api/models.py
@@ -3,28 +3,15 @@
 import orjson
 from aiohttp import web
 
-from galenascale.errors import UserError
 from galenascale.http_api.context import CONTEXT
 from galenascale.http_api.limits import check_headers
+from galenascale.model_names import names_of, resolve
 
 
-def find_model(config, name):
-    """Return the ModelDeclaration of a name or raise UserError (404)."""
-    model = config.models_by_name.get(name)
-    if model is None:
-        raise UserError(
-            f"model {name!r} does not exist",
-            code="model_not_found",
-            param="model",
-            http_status=404,
-        )
-    return model
-
-
-def _describe(model):
+def _describe(name, model):
     # The configuration keeps no creation times.
     return {
-        "id": model.name,
+        "id": name,
         "object": "model",
         "created": 0,
         "owned_by": model.service_name,
@@ -40,7 +27,8 @@
     check_headers(request)
     context.tenants.tenant_of(request.headers.get("Authorization"))
     models = context.config.current.models_by_name.values()
-    return _json({"object": "list", "data": [_describe(model) for model in models]})
+    data = [_describe(name, model) for model in models for name in names_of(model)]
+    return _json({"object": "list", "data": data})
 
 
 async def _get(request):
@@ -48,7 +36,7 @@
     check_headers(request)
     context.tenants.tenant_of(request.headers.get("Authorization"))
     name = request.match_info["model"]
-    return _json(_describe(find_model(context.config.current, name)))
+    return _json(_describe(name, resolve(context.config.current, name).model))
 
 
 ROUTES = [web.get("/v1/models", _list), web.get("/v1/models/{model}", _get)]
--- a/galenascale/http_api/validation.py
+++ b/galenascale/http_api/validation.py
@@ -78,6 +78,8 @@
 _ONE_ANSWER = _only(1, "must be 1")
 _CHECKS = {
     "model": _of_type(str, "a string"),
+    "version": _of_type(str, "a string"),
+    "adapter": _of_type(str, "a string"),
     "stream": _of_type(bool, "a boolean"),
     "stream_options": _stream_options,
     "max_tokens": _integer(1),
--- a/galenascale/jobs.py
+++ b/galenascale/jobs.py
@@ -17,6 +17,7 @@
 )
 from galenascale.hashing import content_digest, shard_of
 from galenascale.ledger import VerdictStatus
+from galenascale.model_names import resolve
 from galenascale.shards import make_id, make_record, shard_from_id
 from galenascale.shards.bodies import read_body
 
@@ -187,13 +188,12 @@
             raise UserError(
                 "lines of the file name more than one model", param="input_file_id"
             )
-        model = config.models_by_name.get(file.models[0])
-        if model is None:
+        try:
+            model = resolve(config, file.models[0]).model
+        except UserError as error:
             raise UserError(
-                f"model {file.models[0]!r} does not exist",
-                code="model_not_found",
-                param="input_file_id",
-            )
+                error.message, code=error.code, param="input_file_id"
+            ) from error
         return model.name, model.service_name
 
     def _may_repeat(self, request, service):
--- a/galenascale/online_run.py
+++ b/galenascale/online_run.py
@@ -24,7 +24,14 @@
 MIN_PREFIX_CHARS = 128
 # Failures after which another server may serve the request.
 RETRIABLE = frozenset(
-    ("connect_failed", "overloaded", "leaving", "stream_broken", "stalled")
+    (
+        "connect_failed",
+        "overloaded",
+        "leaving",
+        "not_loaded",
+        "stream_broken",
+        "stalled",
+    )
 )
 # An engine that does not confirm a cancel by then is taken to have stopped.
 CANCEL_TIMEOUT_S = 5.0
@@ -45,7 +52,9 @@
             )
         # Before the version is added: versions share their verdicts.
         content = fingerprint(request.endpoint, request.body)
-        version = choose_version(request.request_id, model.versions)
+        version = request.body.get("version") or choose_version(
+            request.request_id, model.versions
+        )
         if len(model.versions) > 1:
             # The engine must continue a resumed answer with the same version.
             body = {**request.body, "version": version}
