--- a/galenascale/shards/writer.py
+++ b/galenascale/shards/writer.py
@@ -64,6 +64,11 @@
             self._urgent.set()
         return await pending.future
 
+    @property
+    def waiting(self):
+        """Whether records wait for their verdicts."""
+        return bool(self._queue)
+
     async def run(self):
         """Append groups until cancelled; then answer what still waits."""
         try:
@@ -92,7 +97,7 @@
             await self._follower.refresh()
         except GalenascaleError as error:
             log.warning("Append to %s failed: %s.", self._follower.stream, error)
-            with contextlib.suppress(LogUnavailable):
+            with contextlib.suppress(GalenascaleError):
                 await self._follower.refresh()
         self._settle(group)
         if any(not pending.future.done() for pending in group):
--- a/schema/galenascale.thrift
+++ b/schema/galenascale.thrift
@@ -569,11 +569,16 @@
   3: string error_code = "",
 }
 
-/** Asks the owner of a server's batch slots to free some of them. */
+/**
+ * Tells the owner of a server's batch slots of an online request that starts or
+ * ends there, before the next digest does, so that slots are freed or filled.
+ */
 struct GiveWayRequest {
   1: string server_id = "",
   2: i32 slots = 0,
   3: string host_id = "",
+  /** The sender's online requests on the server now; -1 if not stated. */
+  4: i32 online_in_flight = -1,
 }
 
 struct GiveWayReply {
@@ -612,6 +617,12 @@
   1: string job_id = "",
 }
 
+/** Tells peers that a shard has new work, so that free slots ask at once. */
+struct JobAcceptedNotice {
+  1: string job_id = "",
+  2: string service_name = "",
+}
+
 struct CallStatusReply {
   /** running, abandoned (never dispatched) or unknown */
   1: string state = "unknown",
@@ -620,6 +631,8 @@
 struct HandOverRequest {
   1: string host_id = "",
   2: list<Outcomes> outcomes,
+  /** Outcomes of non-idempotent calls. */
+  3: list<CallOutcome> calls,
 }
 
 struct HandOverReply {
