Tell peers at once of a server that refuses as leaving

Peers learned of a refusal only in the turn of the server's load, eight loads a message, which takes seconds with hundreds of servers. It is now among the leaving servers that every message names. Tests measure the time for each sign.

--- a/galenascale/host_methods.py
+++ b/galenascale/host_methods.py
@@ -108,6 +108,10 @@
     exchange.config_age_s = lambda: _config_age_s(host)
     exchange.loads = host.online.loads
     exchange.on_message = lambda now, message: _on_gossip(host, message)
+    # A refusal is told to all at once, not only in the turn of its load.
+    host.online.on_leaving = lambda server_id: host.membership.servers.leaving(
+        host.clock.monotonic(), server_id
+    )
 
 
 def _config_age_s(host):
--- a/galenascale/online.py
+++ b/galenascale/online.py
@@ -32,6 +32,8 @@
         self._tasks = set()
         # Called with the model and the time of each request.
         self.on_request = lambda model, now: None
+        # Called with the id of a server that refused a request as leaving.
+        self.on_leaving = lambda server_id: None
 
     def complete(self, request):
         """
--- a/galenascale/online_run.py
+++ b/galenascale/online_run.py
@@ -191,6 +191,7 @@
             router.pause(server_id, now)
         elif code == "leaving":
             router.leaving(server_id, now)
+            self.service.on_leaving(server_id)
         if error is not None and error.execution != Execution.NOT_RUN:
             self.execution = Execution.MAY_HAVE_RUN
         if code in ("stalled", "deadline_exceeded"):
--- /dev/null
+++ b/test/test_draining.py
@@ -0,0 +1,129 @@
+"""Time until a leaving server gets no new work, for each sign of it."""
+
+import asyncio
+import types
+
+import attrs
+import pytest
+
+from galenascale.errors import BackendError, Execution
+from galenascale.generated.messages import MembershipSettings
+from galenascale.host_methods import connect_gossip
+from galenascale.load_poller import LoadPoller
+from galenascale.requests import ServerReport
+from test.fake_engine import Deployment, FakeEngine
+from test.fleet import GOSSIP_S, Fleet
+
+GOAL_S = 3.0
+# 9 hosts in 3 domains, as in the deployments of today.
+HOSTS = {f"{domain}{i}": domain for domain in "def" for i in range(3)}
+SERVERS = 60
+
+
+class Reports:
+    """Load reports with a lag; `leaving_at` is when s0 began to leave."""
+
+    def __init__(self, clock, lag_s):
+        self.clock, self.lag_s = clock, lag_s
+        self.leaving_at = float("inf")
+
+    async def load_report(self, server):
+        await asyncio.sleep(0)
+        at = self.clock.monotonic() - self.lag_s
+        leaving = server.name == "s0" and at >= self.leaving_at
+        return ServerReport(server.name, int(at * 1000), leaving=leaving)
+
+
+class Host:
+    """The online path of one host, with gossip over a simulated fleet."""
+
+    def __init__(self, fleet, host_id, engine):
+        self.deployment = Deployment(engine, servers=SERVERS, slots=2)
+        self.online, self.clock = self.deployment.service, self.deployment.clock
+        self.clock.now_s = fleet.now
+        self.membership = fleet.membership(host_id)
+        self.peering = types.SimpleNamespace(exchange=fleet.exchanges_by_id[host_id])
+        self.config = types.SimpleNamespace(
+            current=self.online.refresh_config(), age_s=lambda: None, notice=None
+        )
+        self.config.current = attrs.evolve(self.config.current, version=-1)
+        self.online.dispatcher("svc")
+        connect_gossip(self)
+
+    def sends_to(self, server_id):
+        return self.online.dispatcher("svc").router.takes_work(server_id)
+
+
+async def one_host(engine=None):
+    fleet = Fleet({"d0": "d"})
+    return Host(fleet, "d0", engine or FakeEngine())
+
+
+async def seconds_until_spared(host):
+    """Return the time until s0 gets nothing, in steps of the poll."""
+    start = host.clock.now_s
+    while host.sends_to("s0") and host.clock.now_s < start + 60:
+        await host.clock.advance(0.05)
+    return host.clock.now_s - start
+
+
+@pytest.mark.parametrize("domain", ["d", "e"])
+async def test_own_report(domain):
+    """Guards the polling of servers of the own and of another domain."""
+    host = await one_host()
+    reports = Reports(host.clock, lag_s=0.5)
+    settings = types.SimpleNamespace(
+        failure_domain=domain, membership=MembershipSettings()
+    )
+    args = (host.config, host.online, reports, host.membership, host.clock, settings)
+    task = asyncio.create_task(LoadPoller(*args).run())
+    await host.clock.advance(2.0)
+    assert host.sends_to("s0")
+    reports.leaving_at = host.clock.now_s
+    seconds = await seconds_until_spared(host)
+    assert seconds <= (1.2 if domain == "d" else GOAL_S)
+    assert host.membership.servers.is_leaving("s0")
+    task.cancel()
+    await host.online.close()
+
+
+class LeavingEngine(FakeEngine):
+    """Servers of which s0 answers 503 with X-Leaving."""
+
+    async def stream(self, server, *args):
+        if server.name == "s0":
+            raise BackendError("leaving", code="leaving", execution=Execution.NOT_RUN)
+        async for chunk in super().stream(server, *args):
+            yield chunk
+
+
+async def test_refusal_and_peers_word():
+    """Guards the sign in an answer, and that all hosts hear of it in time."""
+    fleet = Fleet(HOSTS)
+    fleet.rounds(12)
+    hosts = {name: Host(fleet, name, LeavingEngine()) for name in HOSTS}
+    first = hosts["d0"]
+    requests = [first.deployment.request(f"r{i}") for i in range(2 * SERVERS)]
+    results = await first.deployment.run(*map(first.deployment.call, requests))
+    assert all(error is None for _, error in results)
+    assert not first.sends_to("s0")
+    rounds = 0
+    while any(host.sends_to("s0") for host in hosts.values()):
+        fleet.rounds(1)
+        rounds += 1
+        assert rounds * GOSSIP_S <= GOAL_S
+    assert all(host.sends_to("s1") for host in hosts.values())
+    for host in hosts.values():
+        await host.online.close()
+
+
+async def test_removed_declaration():
+    """Guards against new work for a server that is not declared any more."""
+    host = await one_host()
+    online = host.online
+    config = online.refresh_config()
+    servers = {k: v for k, v in config.servers_by_id.items() if k != "s0"}
+    online._config_source = lambda: attrs.evolve(config, servers_by_id=servers)
+    online.report(ServerReport("s1", host.clock.wall_ms()))
+    assert not host.sends_to("s0") and host.sends_to("s1")
+    await online.close()
