Move running streams away from a leaving server

A stream that would not end soon resumes on another server from the tokens already sent. Its KV cache is transferred when the declared rate of prefill and the measured rate of transfers make that cheaper; a failed or slow transfer falls back to prefilling.

--- a/galenascale/engine_client.py
+++ b/galenascale/engine_client.py
@@ -102,9 +102,9 @@
             body["bytes"] = size_bytes
         await self._post(server, "/orders", "order", body, ORDER_TIMEOUT_S)
 
-    async def kv_export(self, server, request_id, attempt):
-        """Return the KvExport of an attempt."""
-        body = {"request_id": f"{request_id}/{attempt}"}
+    async def kv_export(self, server, attempt_id):
+        """Return the KvExport of an attempt, named REQUEST/ATTEMPT."""
+        body = {"request_id": attempt_id}
         answer = await self._post(server, "/kv/export", "kv_export", body)
         return decode_answer(answer, KvExport, "kv_export", server.name)
 
--- a/galenascale/host_parts.py
+++ b/galenascale/host_parts.py
@@ -26,6 +26,7 @@
 from galenascale.placement import Leases, PlacementService
 from galenascale.shards import Shards
 from galenascale.shards.keeper import ShardKeeper
+from galenascale.stream_moves import StreamMover
 from galenascale.tenants import Tenants
 from galenascale.tls import ServerTls
 from galenascale.weight_store import WeightStore
@@ -156,6 +157,7 @@
         host.membership.servers.is_leaving,
     )
     host.load_poller.on_report = host.placement.observe
+    host.online.mover = StreamMover(host.engine_client, host.clock, settings)
     host.online.on_request = host.placement.note_request
     host.run(host.placement.run())
     host.stack.push_async_callback(host.placement.close)
--- a/galenascale/online.py
+++ b/galenascale/online.py
@@ -6,6 +6,7 @@
 from galenascale.errors import UserError
 from galenascale.online_run import OnlineRun, logged
 from galenascale.routing import RouteRequest
+from galenascale.stream_moves import StreamMover
 
 
 class OnlineService:
@@ -30,6 +31,7 @@
         self._give_way = give_way
         self._dispatchers_by_service = {}
         self._tasks = set()
+        self.mover = StreamMover(engine, clock)
         # Called with the model and the time of each request.
         self.on_request = lambda model, now: None
         # Called with the id of a server that refused a request as leaving.
--- a/galenascale/online_run.py
+++ b/galenascale/online_run.py
@@ -13,6 +13,7 @@
 from galenascale.logs import get_logger
 from galenascale.poison import fingerprint
 from galenascale.routing import RouteRequest, choose_version
+from galenascale.stream_moves import max_tokens, prompt_tokens
 
 log = get_logger("online")
 
@@ -28,6 +29,7 @@
         "connect_failed",
         "overloaded",
         "leaving",
+        "moved",
         "not_loaded",
         "stream_broken",
         "stalled",
@@ -85,6 +87,11 @@
         self.progress_at = 0.0
         self._expired = False
         self.reader = None
+        # KV cache that the next attempt takes along.
+        self._held_kv = None
+        self._moving = False
+        self._tokens_before = 0
+        self._started_at = 0.0
 
     async def chunks(self):
         """Yield the chunks of the answer in order, each token once."""
@@ -123,16 +130,19 @@
 
     def _start(self, server):
         self.server = server
-        self.progress_at = self.service.clock.monotonic()
-        self.reader = AttemptReader(
-            self.service.engine.stream(
-                server,
-                self.request,
-                self.attempt,
-                self.sent_tokens,
-                "".join(self.text_parts),
-            )
+        self.progress_at = self._started_at = self.service.clock.monotonic()
+        self._tokens_before, self._moving = self.sent_tokens, False
+        stream = self.service.engine.stream(
+            server,
+            self.request,
+            self.attempt,
+            self.sent_tokens,
+            "".join(self.text_parts),
         )
+        if self._held_kv is not None:
+            stream = self.service.mover.resume(server, self._held_kv, stream)
+            self._held_kv = None
+        self.reader = AttemptReader(stream)
 
     async def _next_chunk(self):
         """Return the next new chunk, or None when the attempt has ended."""
@@ -166,6 +176,27 @@
             self.reader.post(error)
         elif now >= self.progress_at + STALL_S and self.reader.is_empty:
             self.reader.post(broken("no token arrived", code="stalled"))
+        elif not self._moving and self._should_move(now):
+            self._moving = True
+            self.reader.post(broken("server is leaving", code="moved"))
+
+    def _should_move(self, now):
+        router = self.dispatcher.router
+        if not router.is_leaving(self.server.name):
+            return False
+        tokens = self.sent_tokens - self._tokens_before
+        limit = max_tokens(self.request.body)
+        left = limit if limit is None else limit - self._tokens_before
+        if not self.service.mover.should_move(tokens, left, now - self._started_at):
+            return False
+        # Without room elsewhere the stream goes on where it is.
+        return router.choose(self._route_elsewhere(self.server.name), now) is not None
+
+    async def _export_kv(self):
+        tokens = prompt_tokens(self.request.body) + self.sent_tokens
+        self._held_kv = await self.service.mover.export(
+            self.server, self.waiter.attempt_id, tokens
+        )
 
     async def _ended(self, error):
         """Settle an ended attempt; raise if it may not be retried."""
@@ -194,7 +225,9 @@
             self.service.on_leaving(server_id)
         if error is not None and error.execution != Execution.NOT_RUN:
             self.execution = Execution.MAY_HAVE_RUN
-        if code in ("stalled", "deadline_exceeded"):
+        if code == "moved":
+            await self._export_kv()
+        if code in ("moved", "stalled", "deadline_exceeded"):
             self._abandon()
         else:
             self._end_attempt(server_id)
@@ -209,14 +242,17 @@
         if error.code not in RETRIABLE:
             raise self._final(error)
         # A planned stop sends requests away; that must not use up retries.
-        if error.code != "leaving":
+        if error.code not in ("leaving", "moved"):
             self.charged_attempts += 1
             if self.charged_attempts > self.dispatcher.max_attempts:
                 raise self._final(error)
             if not self.dispatcher.budget.withdraw():
                 raise self._final(error)
-        avoid = self.waiter.route.avoid | {server_id}
-        self.waiter.route = attrs.evolve(self.waiter.route, avoid=avoid)
+        self.waiter.route = self._route_elsewhere(server_id)
+
+    def _route_elsewhere(self, server_id):
+        route = self.waiter.route
+        return attrs.evolve(route, avoid=route.avoid | {server_id})
 
     def _final(self, error):
         """Return the error for the caller, truthful about all attempts."""
--- a/galenascale/routing/router.py
+++ b/galenascale/routing/router.py
@@ -216,6 +216,11 @@
             and not self._ejector.is_failing(server_id)
         )
 
+    def is_leaving(self, server_id):
+        """Return True for a server that is leaving or no longer declared."""
+        state = self._states_by_id.get(server_id)
+        return state is None or state.leaving_since is not None
+
     def online_load(self, server_id):
         """Return the online requests on a server, own and of peers."""
         state = self._states_by_id.get(server_id)
--- a/test/test_draining.py
+++ b/test/test_draining.py
@@ -6,12 +6,14 @@
 import attrs
 import pytest
 
+from galenascale.engine_answers import KvExport
 from galenascale.errors import BackendError, Execution
 from galenascale.generated.messages import MembershipSettings
 from galenascale.host_methods import connect_gossip
 from galenascale.load_poller import LoadPoller
 from galenascale.requests import ServerReport
-from test.fake_engine import Deployment, FakeEngine
+from galenascale.stream_moves import MoveCosts
+from test.fake_engine import TOKENS, Deployment, FakeEngine, failure, text
 from test.fleet import GOSSIP_S, Fleet
 
 GOAL_S = 3.0
@@ -127,3 +129,71 @@
     online.report(ServerReport("s1", host.clock.wall_ms()))
     assert not host.sends_to("s0") and host.sends_to("s1")
     await online.close()
+
+
+class MovingEngine(FakeEngine):
+    """Engines that hold each stream at a token and pass KV caches on."""
+
+    def __init__(self, imports="ok"):
+        super().__init__(hold_at=2)
+        self.imports, self.moves = imports, []
+
+    async def kv_export(self, server, attempt_id):
+        assert self.running[attempt_id] == server.name
+        return KvExport(f"kv-{attempt_id}", 9)
+
+    async def kv_import(self, server, kv_id, source):
+        self.moves.append((kv_id, source.name, server.name))
+        if self.imports == "hang":
+            await asyncio.Event().wait()
+        if self.imports == "fail":
+            raise failure("overloaded")
+
+
+@pytest.mark.parametrize(
+    ("prompt", "limit", "imports", "servers", "is_moved", "has_kv"),
+    [
+        ("short", None, "ok", 2, True, False),
+        ("long " * 2000, None, "ok", 2, True, True),
+        ("long " * 2000, None, "fail", 2, True, True),
+        ("long " * 2000, None, "hang", 2, True, True),
+        # The answer ends soon; nothing else has room.
+        ("short", TOKENS, "ok", 2, False, False),
+        ("short", None, "ok", 1, False, False),
+    ],
+)
+async def test_streams_move_from_a_leaving_server(
+    prompt, limit, imports, servers, is_moved, has_kv
+):
+    """Guards that a moved answer is whole, and when the cache goes with it."""
+    engine = MovingEngine(imports)
+    deployment = Deployment(engine, servers=servers, slots=1)
+    body = {"max_tokens": limit} if limit else {}
+    request = deployment.request("r", prompt=prompt, **body)
+    call = asyncio.ensure_future(deployment.call(request))
+    await deployment.clock.advance(0.5)
+    (old,) = engine.running.values()
+    deployment.service.leaving(old)
+    await deployment.clock.advance(0.5)
+    if imports != "hang":
+        assert (set(engine.running.values()) != {old}) == is_moved
+    await deployment.clock.advance(5.0 if imports == "hang" else 0.1)
+    engine.go_on.set()
+    ((chunks, error),) = await deployment.run(call)
+    assert error is None
+    assert [chunk.text for chunk in chunks] == [text(request, i) for i in range(TOKENS)]
+    assert len(engine.starts) == 1 + is_moved
+    assert len(engine.moves) == has_kv
+    assert all(move[1:] == (old, f"s{1 - int(old[1])}") for move in engine.moves)
+    await deployment.close()
+
+
+def test_the_measured_rate_decides_on_transfers():
+    """Guards the comparison of a transfer with a prefill."""
+    costs = MoveCosts(1000.0, 10_000.0, 0.1)
+    assert not costs.is_transfer_cheaper(100) and costs.is_transfer_cheaper(200)
+    for _ in range(30):
+        costs.note_transfer(1000, 10.1)
+    assert not costs.is_transfer_cheaper(100_000)
+    costs.note_transfer(10, 0.2)
+    assert 100 < costs.kv_tokens_per_s < 200
--- a/test/test_engine_client.py
+++ b/test/test_engine_client.py
@@ -172,7 +172,7 @@
         assert report.models == (("m", ""),)
         assert report.adapters_by_model == {"m": ("x",)}
         assert (await client.state(server)).fencing == 9
-        assert (await client.kv_export(server, "r1", 2)).kv_id == "k"
+        assert (await client.kv_export(server, "r1/2")).kv_id == "k"
         await client.kv_import(server, "k", make_server("http://other"))
         events = await client.cache_events(server, 4)
         assert (events.events, events.next) == ([CacheEvent(5, "stored", "p", 1)], 6)
