--- a/galenascale/settings.py
+++ b/galenascale/settings.py
@@ -138,8 +138,25 @@
         )
     if not 1 <= settings.log.shards <= 1024:
         problems.append(("log.shards", "must be from 1 to 1024"))
+    problems.extend(_placement_problems(settings.placement))
     if settings.log_format not in ("text", "json"):
         problems.append(("log_format", "must be text or json"))
     if problems:
         name, reason = problems[0]
         raise UserError(f"{source}: $.{name}: {reason}", step="settings")
+
+
+def _placement_problems(placement):
+    if placement is None:
+        return
+    # A renewal starts at half of the lease and must end before the margin.
+    if placement.lease_ms <= 4 * placement.lease_margin_ms:
+        yield "placement.lease_ms", "must be more than 4 times lease_margin_ms"
+    if placement.lease_margin_ms < 0:
+        yield "placement.lease_margin_ms", "must not be negative"
+    for name in ("max_loads", "prefill_tokens_per_s", "kv_tokens_per_s"):
+        if getattr(placement, name) <= 0:
+            yield f"placement.{name}", "must be greater than 0"
+    for name in ("plan_s", "fleet_poll_s", "retry_s"):
+        if getattr(placement, name) < 0.05:
+            yield f"placement.{name}", "must be at least 0.05"
--- a/test/placement/test_service.py
+++ b/test/placement/test_service.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import math
+import re
 import types
 
 import aiohttp
@@ -10,11 +11,12 @@
 from galenascale.clock import Clock, FakeClock
 from galenascale.configuration import Configuration
 from galenascale.engine_answers import ServerState
-from galenascale.errors import BackendError
+from galenascale.errors import BackendError, UserError
 from galenascale.generated import messages
 from galenascale.placement import Leases, PlacementService
 from galenascale.placement.observations import DemandMix
 from galenascale.requests import ServerReport
+from galenascale.settings import check_host_settings
 from galenascale.shards import FLEET, Shards
 from galenascale.standins.platform import PlatformStandin
 from galenascale.weight_store import WeightStore, WeightStoreUnavailable
@@ -209,3 +211,29 @@
         mix.note("a" if second < 1800 else "b", float(second))
     shares = mix.shares(["a", "b"])
     assert shares["b"] > 0.95 and sum(shares.values()) == pytest.approx(1.0)
+
+
+@pytest.mark.parametrize(
+    ("fields", "path"),
+    [
+        ({"lease_ms": 20_000, "lease_margin_ms": 5000}, "placement.lease_ms"),
+        ({"lease_margin_ms": -1}, "placement.lease_margin_ms"),
+        ({"max_loads": 0}, "placement.max_loads"),
+        ({"kv_tokens_per_s": 0.0}, "placement.kv_tokens_per_s"),
+        ({"plan_s": 0.0}, "placement.plan_s"),
+        ({}, None),
+    ],
+)
+def test_settings_that_cannot_work_are_refused(fields, path):
+    """Guards a lease that ends before its renewal, and idle loops."""
+    settings = messages.HostSettings(
+        host_id="h",
+        failure_domain="a",
+        platform_url="http://p",
+        peer_secret="0123456789abcdef",
+        placement=messages.PlacementSettings(**fields),
+    )
+    if path is None:
+        return check_host_settings(settings, "f")
+    with pytest.raises(UserError, match=re.escape(f"f: $.{path}: must be")):
+        check_host_settings(settings, "f")
