--- a/test/test_draining.py
+++ b/test/test_draining.py
@@ -3,15 +3,18 @@
 import asyncio
 import types
 
+import aiohttp
 import attrs
 import pytest
 
+from galenascale.embedded import EmbeddedDeployment
 from galenascale.engine_answers import KvExport
 from galenascale.errors import BackendError, Execution
 from galenascale.generated.messages import MembershipSettings
 from galenascale.host_methods import connect_gossip
 from galenascale.load_poller import LoadPoller
 from galenascale.requests import ServerReport
+from galenascale.standins.engine_text import answer_text
 from galenascale.stream_moves import MoveCosts
 from test.fake_engine import TOKENS, Deployment, FakeEngine, failure, text
 from test.fleet import GOSSIP_S, Fleet
@@ -197,3 +200,35 @@
     assert not costs.is_transfer_cheaper(100_000)
     costs.note_transfer(10, 0.2)
     assert 100 < costs.kv_tokens_per_s < 200
+
+
+async def test_a_stream_takes_its_cache_to_another_engine():
+    """Guards the whole way of a move over HTTP, against the stand-ins."""
+    async with EmbeddedDeployment.from_directory("examples/mutara") as embedded:
+        summary, entry = embedded.summary(), embedded.summary().entry_hosts[0]
+        mover = embedded.hosts_by_id[entry.id].online.mover
+        mover.settings = attrs.evolve(mover.settings, finish_s=0.0)
+        engines = [
+            item for item in embedded.standins_by_id.values() if hasattr(item, "loaded")
+        ]
+        headers = {"Authorization": f"Bearer {summary.caller_key}"}
+        body = {"model": "assist@v1:quotes", "prompt": "word " * 8000}
+        async with aiohttp.ClientSession(headers=headers) as session:
+            request = session.post(
+                f"{entry.url}/v1/completions", json=body | {"max_tokens": 150}
+            )
+            answer = asyncio.ensure_future(request)
+            running = []
+            while not running or running[0].generated < 20:
+                await embedded.clock.sleep(0.01)
+                running = [item for e in engines for item in e.model.running]
+            (old,) = (item for item in engines if item.model.running)
+            prefilled = {id(item): item.model.prefilled_tokens for item in engines}
+            old.draining = True
+            async with await answer as response:
+                choice = (await response.json())["choices"][0]
+        assert choice["text"] == answer_text(running[0].digest, 0, 150)
+        others = [item for item in engines if item is not old]
+        more = [item.model.prefilled_tokens - prefilled[id(item)] for item in others]
+        assert sorted(more) == [0] * len(more[:-1]) + [1]
+        assert not any(item.resume_mismatches for item in engines)
