Bound the claims that a change of the configuration sets off

All hosts claimed for all their servers before any saw the others' claims. A host now orders at most 4 servers at a time, and a lease that came behind a full queue is released at once.

--- a/galenascale/placement/leases.py
+++ b/galenascale/placement/leases.py
@@ -117,14 +117,19 @@
         All hosts see the same order of claims, so at most that many load at
         a time. Lapsed leases of dead holders do not count.
         """
+        return await self._position(lease) < self._settings.max_loads
+
+    async def is_far_back(self, lease):
+        """Return True if the queue for loads was full before this lease."""
+        return await self._position(lease) >= QUEUE_FACTOR * self._settings.max_loads
+
+    async def _position(self, lease):
         state = await self._shards.view(FLEET, VIEW_AGE_S)
         if state.through_offset < lease.offset:
             state = await self._shards.view(FLEET)
         own = (lease.first_offset, lease.server_id)
-        ahead = [
-            claim for claim in self._live_claims(state, lease.server_id) if claim < own
-        ]
-        return len(ahead) < self._settings.max_loads
+        claims = self._live_claims(state, lease.server_id)
+        return sum(claim < own for claim in claims)
 
     def _live_claims(self, state, except_id):
         """Return (first offset, server id) of leases that have not lapsed."""
--- a/galenascale/placement/orders.py
+++ b/galenascale/placement/orders.py
@@ -64,7 +64,7 @@
             if order is None:
                 return True
             if order.is_load and not await self._may_load(order):
-                if self.lease.lost:
+                if self.lease.lost or await self._leases.is_far_back(self.lease):
                     return False
                 await self._clock.sleep(QUEUE_POLL_S)
                 continue
--- a/galenascale/placement/service.py
+++ b/galenascale/placement/service.py
@@ -18,6 +18,9 @@
 
 # Share of the host's processor time that plans may take.
 PLAN_TIME_SHARE = 0.01
+# Servers that a host orders at a time. After a change of the configuration
+# every host claims at once, before any sees the claims of the others.
+MAX_RUNS = 4
 # Time for orders in progress at a planned stop.
 STOP_WAIT_S = 5.0
 
@@ -134,6 +137,7 @@
         if (
             self._stopping
             or server_id in self._tasks_by_server
+            or len(self._tasks_by_server) >= MAX_RUNS
             or now < self._retry_at_by_server.get(server_id, now)
         ):
             return
--- a/test/placement/test_service.py
+++ b/test/placement/test_service.py
@@ -151,6 +151,20 @@
     await fleet.close()
 
 
+async def test_a_burst_of_claims_gives_way():
+    """Guards the length of the queue when many hosts claim at once."""
+    fleet = Fleet(hosts=6, servers=24)
+    model = fleet.config.current.models_by_name["m"]
+    model.replicas = 0
+    await fleet.run(4)
+    assert len(await fleet.leases()) <= 2 * SETTINGS.max_loads
+    await fleet.run(200)
+    assert all(item == {("m", "v1"): ("x",)} for item in fleet.engines.loaded.values())
+    assert fleet.engines.most_loads <= SETTINGS.max_loads
+    assert not await fleet.leases()
+    await fleet.close()
+
+
 async def test_a_backlog_of_the_weight_store_holds_loads_up():
     """Guards the rate limit that all servers share."""
     fleet = Fleet(hosts=1, servers=1)
