--- a/galenascale/online_run.py
+++ b/galenascale/online_run.py
@@ -7,13 +7,14 @@
 import xxhash
 
 from galenascale.admission import Ticket
+from galenascale.attempt_errors import RETRIABLE, final_error
 from galenascale.attempt_reader import AttemptReader, broken
-from galenascale.dispatch import Waiter, contained_error, failed_error
+from galenascale.dispatch import Waiter, contained_error
 from galenascale.errors import BackendError, Execution, Refused, UserError
 from galenascale.logs import get_logger
 from galenascale.poison import fingerprint
 from galenascale.routing import RouteRequest, choose_version
-from galenascale.stream_moves import max_tokens, prompt_tokens
+from galenascale.stream_moves import StreamMoves
 
 log = get_logger("online")
 
@@ -23,18 +24,6 @@
 # minimum gain nothing from a cache.
 PREFIX_CHARS = 512
 MIN_PREFIX_CHARS = 128
-# Failures after which another server may serve the request.
-RETRIABLE = frozenset(
-    (
-        "connect_failed",
-        "overloaded",
-        "leaving",
-        "moved",
-        "not_loaded",
-        "stream_broken",
-        "stalled",
-    )
-)
 # An engine that does not confirm a cancel by then is taken to have stopped.
 CANCEL_TIMEOUT_S = 5.0
 
@@ -87,11 +76,7 @@
         self.progress_at = 0.0
         self._expired = False
         self.reader = None
-        # KV cache that the next attempt takes along.
-        self._held_kv = None
-        self._moving = False
-        self._tokens_before = 0
-        self._started_at = 0.0
+        self.moves = StreamMoves(service.mover, request.body)
 
     async def chunks(self):
         """Yield the chunks of the answer in order, each token once."""
@@ -126,23 +111,16 @@
         except (Refused, BackendError) as error:
             if self.execution == Execution.NOT_RUN:
                 raise
-            raise self._final(error) from error
+            raise final_error(error, self.execution) from error
 
     def _start(self, server):
         self.server = server
-        self.progress_at = self._started_at = self.service.clock.monotonic()
-        self._tokens_before, self._moving = self.sent_tokens, False
+        self.progress_at = self.service.clock.monotonic()
+        text = "".join(self.text_parts)
         stream = self.service.engine.stream(
-            server,
-            self.request,
-            self.attempt,
-            self.sent_tokens,
-            "".join(self.text_parts),
+            server, self.request, self.attempt, self.sent_tokens, text
         )
-        if self._held_kv is not None:
-            stream = self.service.mover.resume(server, self._held_kv, stream)
-            self._held_kv = None
-        self.reader = AttemptReader(stream)
+        self.reader = AttemptReader(self.moves.start(server, self.sent_tokens, stream))
 
     async def _next_chunk(self):
         """Return the next new chunk, or None when the attempt has ended."""
@@ -176,26 +154,16 @@
             self.reader.post(error)
         elif now >= self.progress_at + STALL_S and self.reader.is_empty:
             self.reader.post(broken("no token arrived", code="stalled"))
-        elif not self._moving and self._should_move(now):
-            self._moving = True
-            self.reader.post(broken("server is leaving", code="moved"))
+        elif self._should_move(now):
+            self.reader.post(self.moves.ask())
 
     def _should_move(self, now):
-        router = self.dispatcher.router
-        if not router.is_leaving(self.server.name):
-            return False
-        tokens = self.sent_tokens - self._tokens_before
-        limit = max_tokens(self.request.body)
-        left = limit if limit is None else limit - self._tokens_before
-        if not self.service.mover.should_move(tokens, left, now - self._started_at):
-            return False
+        router, server_id = self.dispatcher.router, self.server.name
         # Without room elsewhere the stream goes on where it is.
-        return router.choose(self._route_elsewhere(self.server.name), now) is not None
-
-    async def _export_kv(self):
-        tokens = prompt_tokens(self.request.body) + self.sent_tokens
-        self._held_kv = await self.service.mover.export(
-            self.server, self.waiter.attempt_id, tokens
+        return (
+            router.is_leaving(server_id)
+            and self.moves.is_due(self.sent_tokens)
+            and router.choose(self._route_elsewhere(server_id), now) is not None
         )
 
     async def _ended(self, error):
@@ -226,7 +194,8 @@
         if error is not None and error.execution != Execution.NOT_RUN:
             self.execution = Execution.MAY_HAVE_RUN
         if code == "moved":
-            await self._export_kv()
+            attempt_id = self.waiter.attempt_id
+            await self.moves.export(self.server, attempt_id, self.sent_tokens)
         if code in ("moved", "stalled", "deadline_exceeded"):
             self._abandon()
         else:
@@ -240,37 +209,20 @@
         if self.dispatcher.poison_contained(self.waiter):
             raise contained_error(Execution.FAILED)
         if error.code not in RETRIABLE:
-            raise self._final(error)
+            raise final_error(error, self.execution)
         # A planned stop sends requests away; that must not use up retries.
         if error.code not in ("leaving", "moved"):
             self.charged_attempts += 1
             if self.charged_attempts > self.dispatcher.max_attempts:
-                raise self._final(error)
+                raise final_error(error, self.execution)
             if not self.dispatcher.budget.withdraw():
-                raise self._final(error)
+                raise final_error(error, self.execution)
         self.waiter.route = self._route_elsewhere(server_id)
 
     def _route_elsewhere(self, server_id):
         route = self.waiter.route
         return attrs.evolve(route, avoid=route.avoid | {server_id})
 
-    def _final(self, error):
-        """Return the error for the caller, truthful about all attempts."""
-        if error.code == "request_crashes_servers":
-            return contained_error(Execution.FAILED)
-        if error.code == "bad_request":
-            return error
-        details = {"code": error.code, "step": "online", "peer": error.peer}
-        if self.execution == Execution.NOT_RUN and (
-            error.execution == Execution.NOT_RUN
-        ):
-            return Refused(error.message, **details)
-        execution = Execution.MAY_HAVE_RUN
-        if error.code not in RETRIABLE and error.execution != Execution.NOT_RUN:
-            execution = error.execution
-        status = 504 if error.code == "deadline_exceeded" else 502
-        return failed_error(error.message, status, execution=execution, **details)
-
     def _end_attempt(self, server_id):
         """Return what an attempt held that the engine no longer runs."""
         self.server = None
--- a/galenascale/stream_moves.py
+++ b/galenascale/stream_moves.py
@@ -9,6 +9,7 @@
 
 import attrs
 
+from galenascale.attempt_reader import broken
 from galenascale.errors import BackendError
 from galenascale.generated.messages import PlacementSettings
 from galenascale.logs import get_logger
@@ -77,6 +78,10 @@
         self._engine = engine
         self._clock = clock
 
+    def now(self):
+        """Return the monotonic time in seconds."""
+        return self._clock.monotonic()
+
     def should_move(self, tokens, max_tokens, seconds):
         """
         Return True if a stream will not end soon on its own.
@@ -126,12 +131,48 @@
                 yield chunk
 
 
-def prompt_tokens(body):
+class StreamMoves:
+    """Moves of the stream of one request with a JSON body."""
+
+    def __init__(self, mover, body):
+        self._mover = mover
+        self._prompt_tokens = _prompt_tokens(body)
+        self._max_tokens = body.get("max_completion_tokens") or body.get("max_tokens")
+        # KV cache that the next attempt takes along.
+        self._held = None
+        self._is_asked = False
+        self._first_token = 0
+        self._started_at = 0.0
+
+    def start(self, server, sent_tokens, stream):
+        """Return the stream of a new attempt, preceded by a transfer."""
+        self._is_asked = False
+        self._first_token = sent_tokens
+        self._started_at = self._mover.now()
+        held, self._held = self._held, None
+        return stream if held is None else self._mover.resume(server, held, stream)
+
+    def is_due(self, sent_tokens):
+        """Return True if the stream is to move, until it was asked to."""
+        limit = self._max_tokens
+        return not self._is_asked and self._mover.should_move(
+            sent_tokens - self._first_token,
+            None if limit is None else limit - self._first_token,
+            self._mover.now() - self._started_at,
+        )
+
+    def ask(self):
+        """Return the error that ends the attempt on the leaving server."""
+        self._is_asked = True
+        return broken("server is leaving", code="moved")
+
+    async def export(self, server, attempt_id, sent_tokens):
+        """Take the KV cache of an attempt along, if that is cheaper."""
+        tokens = self._prompt_tokens + sent_tokens
+        self._held = await self._mover.export(server, attempt_id, tokens)
+
+
+def _prompt_tokens(body):
     """Return about how many tokens the prompt of a request has."""
     prompt = body.get("messages") or body.get("prompt") or ""
     return len(str(prompt)) // CHARS_PER_TOKEN
-
-
-def max_tokens(body):
-    """Return the longest answer that a request allows, None for no limit."""
-    return body.get("max_completion_tokens") or body.get("max_tokens")
