--- a/galenascale/batch/capacity.py
+++ b/galenascale/batch/capacity.py
@@ -2,7 +2,7 @@
 
 import collections
 
-from galenascale.batch.slots import BatchSlots, BatchStream, streams_to_cancel
+from galenascale.batch.slots import HOLD_S, BatchSlots, BatchStream, streams_to_cancel
 from galenascale.errors import PeerError
 from galenascale.generated.messages import GiveWayReply, GiveWayRequest
 from galenascale.logs import get_logger
@@ -23,11 +23,14 @@
         self._online = online
         self._peering = peering
         self._clock = clock
+        self.hold_s = HOLD_S
         self._slots_by_server = {}
         self._owned_by_service = {}
         self._owned_until = 0.0
         # Running batch streams by service.
         self._running = collections.Counter()
+        # Called with a service and the number of interrupted streams.
+        self.on_interrupted = lambda service, count: None
         # Set by the host once the worker exists.
         self.worker = None
 
@@ -123,7 +126,9 @@
         return self._owned_by_service.get(service, [])
 
     def _slots(self, server_id):
-        return self._slots_by_server.setdefault(server_id, BatchSlots())
+        if server_id not in self._slots_by_server:
+            self._slots_by_server[server_id] = BatchSlots(self.hold_s)
+        return self._slots_by_server[server_id]
 
     def _allowed(self, server):
         service = self._config.current.services_by_name.get(server.service_name)
@@ -155,4 +160,5 @@
             )
         chosen = streams_to_cancel(streams, count)
         items = [items_by_id[stream.attempt_id] for stream in chosen]
-        return self.worker.give_way(server.name, items)
+        count = self.worker.give_way(server.name, items)
+        self.on_interrupted(server.service_name, count)
--- a/galenascale/batch/worker.py
+++ b/galenascale/batch/worker.py
@@ -4,14 +4,13 @@
 
 from galenascale.batch.asking import WorkAsker
 from galenascale.batch.holdings import Holdings
-from galenascale.errors import GalenascaleError
 from galenascale.logs import get_logger
 from galenascale.shards import shard_from_id
 
 log = get_logger("batch")
 
-# Free slots are looked at this often: with the hold time of slots, a poll and
-# a group commit, idle capacity is in use within a second.
+# Free slots are looked at this often even if nothing tells of a change, since
+# digests and load reports change what online work leaves.
 FILL_INTERVAL_S = 0.1
 
 
@@ -28,6 +27,8 @@
         self._run_item = run_item
         # Tasks by item, by server id.
         self._runs_by_server = {}
+        # Items that gave way and whose engine has not confirmed it yet.
+        self._stopping = set()
         self._tasks = set()
         self._wake = asyncio.Event()
         self.holdings = Holdings(host, reporter, self._stop_runs)
@@ -35,6 +36,8 @@
         self.recorded = self.holdings.recorded
         self.job_cancelled = self.holdings.drop_job
         self.check = self.holdings.check
+        # Called with a service and the tokens of a dropped answer.
+        self.on_discarded = lambda service, tokens: None
         self.taking = True
 
     def wake(self):
@@ -48,11 +51,12 @@
 
     def running(self, server_id):
         """Return the number of batch streams on a server."""
-        return len(self._runs_by_server.get(server_id, ()))
+        return len(self.running_items(server_id))
 
     def running_items(self, server_id):
-        """Return the items that run on a server."""
-        return list(self._runs_by_server.get(server_id, ()))
+        """Return the items that run on a server and were not told to stop."""
+        runs = self._runs_by_server.get(server_id, ())
+        return [item for item in runs if item not in self._stopping]
 
     async def run(self):
         """Fill free slots until cancelled."""
@@ -90,17 +94,20 @@
         if not self._may_take():
             return False
         if self.holdings.suspects.keeps(service, server.name):
-            running = self.running(server.name)
+            running = len(self._runs_by_server.get(server.name, ()))
             item = self.holdings.suspects.take(service, server.name, running)
         else:
-            item = self.holdings.ready.take(service)
+            now = self._clock.monotonic()
+            item = self.holdings.ready.take(service, server.name, now)
         if item is None:
             return False
         runs = self._runs_by_server.setdefault(server.name, {})
         self._capacity.started(service, server.name)
         item.chunk.started(self._clock.monotonic())
-        task = self._spawn(self._run(service, server, item))
-        runs[item] = task
+        task = runs[item] = self._spawn(self._run_item(server, item))
+        # A task that is cancelled before its first step runs no code of its
+        # own, so the end is handled outside of it.
+        task.add_done_callback(lambda task: self._ended(service, server, item, task))
         return True
 
     def _spawn(self, coroutine):
@@ -109,26 +116,29 @@
         task.add_done_callback(self._tasks.discard)
         return task
 
-    async def _run(self, service, server, item):
-        try:
-            outcome = await self._run_item(server, item)
-        except asyncio.CancelledError:
+    def _ended(self, service, server, item, task):
+        """Take over what a run left; it may have been interrupted."""
+        now = self._clock.monotonic()
+        self._runs_by_server[server.name].pop(item, None)
+        self._stopping.discard(item)
+        self._capacity.ended(service, server.name)
+        item.chunk.ended(now)
+        self.holdings.suspects.ended(service, item)
+        self._wake.set()
+        if task.cancelled():
             if item.number in item.chunk.open_items and self.taking:
-                self.holdings.ready.put_back(service, item)
-            raise
-        except GalenascaleError as error:
-            log.info("Item %d of %s waits: %s.", *reversed(item.key), error)
-            outcome = None
-        finally:
-            self._runs_by_server[server.name].pop(item, None)
-            self._capacity.ended(service, server.name)
-            item.chunk.ended(self._clock.monotonic())
-            self.holdings.suspects.ended(service, item)
-            self._wake.set()
-        if outcome is None:
+                self.holdings.ready.put_back(service, item, server.name, now)
+            else:
+                self.on_discarded(service, item.tokens)
+            return
+        error = task.exception()
+        if error is not None:
+            log.warning("Item %d of %s waits: %r.", *reversed(item.key), error)
+            self.holdings.wait_again(service, item)
+        elif task.result() is None:
             self.holdings.wait_again(service, item)
         else:
-            self.holdings.report(item, outcome)
+            self.holdings.report(item, task.result())
 
     def _ask_if_short(self, service, free):
         """Ask for the free slots and for one more round of the running."""
@@ -151,15 +161,22 @@
         for runs in self._runs_by_server.values():
             for item, task in list(runs.items()):
                 if item.chunk is held:
-                    task.cancel()
+                    self._stop(item, task)
+
+    def _stop(self, item, task):
+        # A second cancel would break off the one under way.
+        if item not in self._stopping:
+            self._stopping.add(item)
+            task.cancel()
 
     def give_way(self, server_id, items):
         """Interrupt items on a server; they wait with the tokens they have."""
         runs = self._runs_by_server.get(server_id, {})
         count = 0
         for item in items:
-            if item in runs and item.chunk.grant.idempotent:
-                runs[item].cancel()
+            stoppable = item.chunk.grant.idempotent and item not in self._stopping
+            if item in runs and stoppable:
+                self._stop(item, runs[item])
                 count += 1
         return count
 
@@ -171,7 +188,7 @@
             for item, task in runs.items():
                 # A non-idempotent item cannot be run again: let it finish.
                 if item.chunk.grant.idempotent:
-                    task.cancel()
+                    self._stop(item, task)
                 tasks.append(task)
         await asyncio.gather(*tasks, return_exceptions=True)
 
