--- a/galenascale/host_parts.py
+++ b/galenascale/host_parts.py
@@ -11,7 +11,7 @@
 from galenascale.config_keeper import ConfigPeers
 from galenascale.files import FileService
 from galenascale.fleet import FleetVerdicts
-from galenascale.generated import messages
+from galenascale.generated.messages import PlacementSettings
 from galenascale.host_methods import (
     fetch_config,
     note_sign,
@@ -28,6 +28,7 @@
 from galenascale.scheduling_metrics import SchedulingMetrics
 from galenascale.shards import Shards
 from galenascale.shards.keeper import ShardKeeper
+from galenascale.stream_moves import StreamMover
 from galenascale.tenants import Tenants
 from galenascale.tls import ServerTls
 from galenascale.weight_store import WeightStore
@@ -142,8 +143,8 @@
 
 
 def start_placement(host):
-    """Build what gives servers orders, and the verdicts that outlive hosts."""
-    settings = host.settings.placement or messages.PlacementSettings()
+    """Follow the fleet stream and give orders to backend servers."""
+    settings = host.settings.placement or PlacementSettings()
     host.fleet_verdicts = FleetVerdicts(
         host.shards, host.clock, settings.fleet_poll_s, host.online.merge_verdict
     )
@@ -162,6 +163,7 @@
         host.membership.servers.is_leaving,
     )
     host.load_poller.on_report = host.placement.observe
+    host.online.mover = StreamMover(host.engine_client, host.clock, settings)
     host.online.on_request = host.placement.note_request
     host.run(host.placement.run())
     host.stack.push_async_callback(host.placement.close)
--- a/galenascale/online.py
+++ b/galenascale/online.py
@@ -6,6 +6,7 @@
 from galenascale.errors import UserError
 from galenascale.online_run import OnlineRun, logged
 from galenascale.routing import RouteRequest
+from galenascale.stream_moves import StreamMover
 
 
 class OnlineService:
@@ -35,8 +36,11 @@
         # of the attempt.
         self.note_sign = lambda server_id, code, started_at: None
         self._tasks = set()
+        self.mover = StreamMover(engine, clock)
         # Called with the model and the time of each request.
         self.on_request = lambda model, now: None
+        # Called with the id of a server that refused a request as leaving.
+        self.on_leaving = lambda server_id: None
 
     def complete(self, request):
         """
@@ -45,9 +49,10 @@
         Raise Refused when the request was not run, UserError for a fault of
         the request and BackendError otherwise. Close the iterator to cancel.
         """
+        run = OnlineRun(self, request)
         self.on_request(request.model, self.clock.monotonic())
         # The iterator itself, since one more layer costs time for each token.
-        return OnlineRun(self, request).chunks()
+        return run.chunks()
 
     def dispatcher(self, service_name):
         """Return the Dispatcher of a service, with the newest settings."""
--- a/galenascale/online_run.py
+++ b/galenascale/online_run.py
@@ -7,12 +7,14 @@
 import xxhash
 
 from galenascale.admission import Ticket
+from galenascale.attempt_errors import RETRIABLE, final_error
 from galenascale.attempt_reader import AttemptReader, broken
-from galenascale.dispatch import Waiter, contained_error, failed_error
+from galenascale.dispatch import Waiter, contained_error
 from galenascale.errors import BackendError, Execution, Refused, UserError
 from galenascale.logs import get_logger
 from galenascale.poison import fingerprint
 from galenascale.routing import RouteRequest, choose_version
+from galenascale.stream_moves import StreamMoves
 
 log = get_logger("online")
 
@@ -22,10 +24,6 @@
 # minimum gain nothing from a cache.
 PREFIX_CHARS = 512
 MIN_PREFIX_CHARS = 128
-# Failures after which another server may serve the request.
-RETRIABLE = frozenset(
-    ("connect_failed", "overloaded", "leaving", "stream_broken", "stalled")
-)
 # An engine that does not confirm a cancel by then is taken to have stopped.
 CANCEL_TIMEOUT_S = 5.0
 
@@ -45,7 +43,9 @@
             )
         # Before the version is added: versions share their verdicts.
         content = fingerprint(request.endpoint, request.body)
-        version = choose_version(request.request_id, model.versions)
+        version = request.body.get("version") or choose_version(
+            request.request_id, model.versions
+        )
         if len(model.versions) > 1:
             # The engine must continue a resumed answer with the same version.
             body = {**request.body, "version": version}
@@ -76,6 +76,7 @@
         self.started_at = self.progress_at = 0.0
         self._expired = False
         self.reader = None
+        self.moves = StreamMoves(service.mover, request.body)
 
     async def chunks(self):
         """Yield the chunks of the answer in order, each token once."""
@@ -110,20 +111,16 @@
         except (Refused, BackendError) as error:
             if self.execution == Execution.NOT_RUN:
                 raise
-            raise self._final(error) from error
+            raise final_error(error, self.execution) from error
 
     def _start(self, server):
         self.server = server
         self.started_at = self.progress_at = self.service.clock.monotonic()
-        self.reader = AttemptReader(
-            self.service.engine.stream(
-                server,
-                self.request,
-                self.attempt,
-                self.sent_tokens,
-                "".join(self.text_parts),
-            )
+        text = "".join(self.text_parts)
+        stream = self.service.engine.stream(
+            server, self.request, self.attempt, self.sent_tokens, text
         )
+        self.reader = AttemptReader(self.moves.start(server, self.sent_tokens, stream))
 
     async def _next_chunk(self):
         """Return the next new chunk, or None when the attempt has ended."""
@@ -157,6 +154,17 @@
             self.reader.post(error)
         elif now >= self.progress_at + STALL_S and self.reader.is_empty:
             self.reader.post(broken("no token arrived", code="stalled"))
+        elif self._should_move(now):
+            self.reader.post(self.moves.ask())
+
+    def _should_move(self, now):
+        router, server_id = self.dispatcher.router, self.server.name
+        # Without room elsewhere the stream goes on where it is.
+        return (
+            router.is_leaving(server_id)
+            and self.moves.is_due(self.sent_tokens)
+            and router.choose(self._route_elsewhere(server_id), now) is not None
+        )
 
     async def _ended(self, error):
         """Settle an ended attempt; raise if it may not be retried."""
@@ -182,9 +190,13 @@
             router.pause(server_id, now)
         elif code == "leaving":
             router.leaving(server_id, now)
+            self.service.on_leaving(server_id)
         if error is not None and error.execution != Execution.NOT_RUN:
             self.execution = Execution.MAY_HAVE_RUN
-        if code in ("stalled", "deadline_exceeded"):
+        if code == "moved":
+            attempt_id = self.waiter.attempt_id
+            await self.moves.export(self.server, attempt_id, self.sent_tokens)
+        if code in ("moved", "stalled", "deadline_exceeded"):
             self._abandon()
         else:
             self._end_attempt(server_id)
@@ -197,33 +209,19 @@
         if self.dispatcher.poison_contained(self.waiter):
             raise contained_error(Execution.FAILED)
         if error.code not in RETRIABLE:
-            raise self._final(error)
+            raise final_error(error, self.execution)
         # A planned stop sends requests away; that must not use up retries.
-        if error.code != "leaving":
+        if error.code not in ("leaving", "moved"):
             self.charged_attempts += 1
             if self.charged_attempts > self.dispatcher.max_attempts:
-                raise self._final(error)
+                raise final_error(error, self.execution)
             if not self.dispatcher.budget.withdraw():
-                raise self._final(error)
-        avoid = self.waiter.route.avoid | {server_id}
-        self.waiter.route = attrs.evolve(self.waiter.route, avoid=avoid)
+                raise final_error(error, self.execution)
+        self.waiter.route = self._route_elsewhere(server_id)
 
-    def _final(self, error):
-        """Return the error for the caller, truthful about all attempts."""
-        if error.code == "request_crashes_servers":
-            return contained_error(Execution.FAILED)
-        if error.code == "bad_request":
-            return error
-        details = {"code": error.code, "step": "online", "peer": error.peer}
-        if self.execution == Execution.NOT_RUN and (
-            error.execution == Execution.NOT_RUN
-        ):
-            return Refused(error.message, **details)
-        execution = Execution.MAY_HAVE_RUN
-        if error.code not in RETRIABLE and error.execution != Execution.NOT_RUN:
-            execution = error.execution
-        status = 504 if error.code == "deadline_exceeded" else 502
-        return failed_error(error.message, status, execution=execution, **details)
+    def _route_elsewhere(self, server_id):
+        route = self.waiter.route
+        return attrs.evolve(route, avoid=route.avoid | {server_id})
 
     def _end_attempt(self, server_id):
         """Return what an attempt held that the engine no longer runs."""
--- a/galenascale/peering.py
+++ b/galenascale/peering.py
@@ -138,15 +138,6 @@
             self.clock.monotonic(), server.name, server.failure_domain
         )
 
-    async def tell_peers(self, method, message):
-        """Pass a message on to all live hosts; unreachable ones miss it."""
-        ids = [item for item in self.live_ids() if item != self.settings.host_id]
-        calls = (
-            self.peers.call(host_id, method, message, Empty, TELL_TIMEOUT_S)
-            for host_id in ids
-        )
-        await asyncio.gather(*calls, return_exceptions=True)
-
     def placing_host(self, server):
         """
         Return the host id that gives a server orders in this host's view.
@@ -158,6 +149,15 @@
             f"place\0{server.name}", self.live_ids()
         )
 
+    async def tell_peers(self, method, message):
+        """Pass a message on to all live hosts; unreachable ones miss it."""
+        ids = [item for item in self.live_ids() if item != self.settings.host_id]
+        calls = (
+            self.peers.call(host_id, method, message, Empty, TELL_TIMEOUT_S)
+            for host_id in ids
+        )
+        await asyncio.gather(*calls, return_exceptions=True)
+
     async def tell_leaving(self):
         """Tell peers and the host list that this host takes no new work."""
         self.membership.update_own(state="leaving", ready=False)
--- a/test/test_layering.py
+++ b/test/test_layering.py
@@ -19,6 +19,10 @@
     "galenascale.poison",
     "galenascale.hashing",
     "galenascale.batch.slots",
+    "galenascale.placement.facts",
+    "galenascale.placement.planner",
+    "galenascale.placement.replicas",
+    "galenascale.placement.targets",
 )
 FORBIDDEN_IN_CORE = ("aiohttp", "asyncio", "galenascale.log_client")
 # The fold must give the same verdict on every host.
