Release chunks whose items do not get on; stop at once using dead servers

Cause: after an engine died, each run of its items ended with connect_failed within 0.2 s. That counted as use of the chunk, so the host kept renewing its lease, and the slots of the dead server stayed on offer. Items refused by a lapsed lease were tried again without a pause.

Ruled out: the suspect queue and the poison rules (no suspect and no verdict in the stuck state), the asking for work and the claims in the log.

Change: a chunk is renewed only if an item got an outcome or a token since the last renewal, or has run since before it. Batch slots leave out servers to which connections fail.

--- a/bench/policy_hosts.py
+++ b/bench/policy_hosts.py
@@ -16,6 +16,7 @@
 from galenascale.batch.worker import FILL_INTERVAL_S
 from galenascale.hashing import rendezvous_rank
 from galenascale.routing import Router, RouteRequest
+from galenascale.server_view import ServerView
 
 GOSSIP_S = 0.25
 GOSSIP_FANOUT = 3
@@ -60,7 +61,11 @@
             host_id,
             types.SimpleNamespace(current=fleet.config),
             types.SimpleNamespace(dispatcher=lambda service: self),
-            types.SimpleNamespace(slot_owner=fleet.slot_owner, peers=self),
+            types.SimpleNamespace(
+                slot_owner=fleet.slot_owner,
+                peers=self,
+                membership=types.SimpleNamespace(servers=ServerView()),
+            ),
             self.simulation,
         )
         self.capacity.worker = self.worker
--- a/bench/slot_cases.py
+++ b/bench/slot_cases.py
@@ -68,9 +68,10 @@
             dispatcher=lambda name: types.SimpleNamespace(router=routers[name])
         ),
         types.SimpleNamespace(
+            membership=membership,
             slot_owner=lambda server: membership.slot_owner(
                 clock.monotonic(), server.name, server.failure_domain
-            )
+            ),
         ),
         clock,
     )
--- a/galenascale/batch/capacity.py
+++ b/galenascale/batch/capacity.py
@@ -147,10 +147,12 @@
         if service is None:
             return 0
         router = self._online.dispatcher(service.name).router
-        if not router.takes_work(server.name):
+        now = self._clock.monotonic()
+        signs = self._peering.membership.servers
+        if not router.takes_work(server.name) or not signs.is_usable(now, server.name):
             return 0
         return self._slots(server.name).allowed(
-            self._clock.monotonic(),
+            now,
             server.slots,
             router.online_load(server.name),
             service.batch_reserve,
--- a/galenascale/batch/held.py
+++ b/galenascale/batch/held.py
@@ -59,9 +59,11 @@
     open_items: set = attrs.field(factory=set)
     # False once another host's claim was seen in place of this one's.
     current: bool = True
-    # Number of its items that run now, and when one last started or ended.
-    running: int = 0
-    ran_at: float = float("-inf")
+    # Start times of the runs of its items, by item.
+    run_starts: dict = attrs.field(factory=dict)
+    all_items: list = attrs.field(factory=list)
+    # Progress when the current lease began.
+    progress_mark: tuple = ()
     # Claim under which intents of non-idempotent items were recorded.
     intent_offsets: dict = attrs.field(factory=dict)
     # Claims under which an intent of an item was submitted, by item.
@@ -78,20 +80,33 @@
         """Return the seconds until the lease ends."""
         return self.leased_at + self.grant.lease_ms / 1000 - now
 
-    def started(self, now):
+    def started(self, item, now):
         """Note that a run of one of its items started."""
-        self.running += 1
-        self.ran_at = now
+        self.run_starts[item.number] = now
 
-    def ended(self, now):
+    def ended(self, item):
         """Note that a run of one of its items ended."""
-        self.running -= 1
-        self.ran_at = now
+        self.run_starts.pop(item.number, None)
 
-    def is_idle(self):
-        """Return True if no item has run since the lease began."""
-        waits = self.open_items and not self.running
-        return bool(waits) and self.ran_at < self.leased_at
+    def renewed(self, now, claim_offset):
+        """Begin a new lease."""
+        self.leased_at, self.claim_offset = now, claim_offset
+        self.progress_mark = self.progress()
+
+    def progress(self):
+        """Return what changes whenever an item gets on."""
+        return len(self.open_items), sum(item.tokens for item in self.all_items)
+
+    def is_stuck(self):
+        """
+        Return True if no item got on since the lease began.
+
+        Runs that only fail to connect are no progress; one that has lasted
+        since before the lease may be a call that takes long.
+        """
+        if not self.open_items or self.progress() != self.progress_mark:
+            return False
+        return all(start >= self.leased_at for start in self.run_starts.values())
 
     def items(self, content):
         """Return the chunk's open items out of its lines of JSON."""
@@ -101,6 +116,8 @@
         for number in self.grant.remaining:
             line = parse_line(lines[number - first], number + 1)
             result.append(Item(self, number, line.custom_id, line.url, line.body))
+        self.all_items = result
+        self.progress_mark = self.progress()
         return result
 
 
--- a/galenascale/batch/holdings.py
+++ b/galenascale/batch/holdings.py
@@ -158,19 +158,19 @@
             # Chunks stay held until their outcomes are recorded.
             if held.lease_left_s(now) < least_s
         ]
-        # This host has had no free slot for them, for example because its
-        # servers died; another host may have one.
-        idle = [held for held in short if held.is_idle()]
-        short = [held for held in short if held not in idle]
-        if idle:
-            await self._release(shard, idle)
+        # This host cannot run them, for example because its servers died;
+        # another host may have a server that can.
+        stuck = [held for held in short if held.is_stuck()]
+        short = [held for held in short if held not in stuck]
+        if stuck:
+            await self._release(shard, stuck)
         if not short:
             return
         records = [make_record(self._renewal(held)) for held in short]
         verdicts = await self._shards.submit(shard, records)
         for held, verdict in zip(short, verdicts, strict=True):
             if verdict.valid:
-                held.leased_at, held.claim_offset = now, verdict.offset
+                held.renewed(now, verdict.offset)
             else:
                 log.info("Lost a chunk of %s: %s.", held.grant.job_id, verdict.reason)
                 self.drop(held)
--- a/galenascale/batch/runs.py
+++ b/galenascale/batch/runs.py
@@ -56,6 +56,9 @@
                 return await self._run_repeatable(server, item)
             return await self._run_once(server, item)
         except GalenascaleError:
+            # The item waits for the log or for a lease; without a pause it
+            # would be tried again at once.
+            await self._clock.sleep(NOT_RUN_PAUSE_S)
             raise
         except Exception:
             # A fault in this code must neither lose an item nor loop for ever.
--- a/galenascale/batch/worker.py
+++ b/galenascale/batch/worker.py
@@ -103,7 +103,7 @@
             return False
         runs = self._runs_by_server.setdefault(server.name, {})
         self._capacity.started(service, server.name)
-        item.chunk.started(self._clock.monotonic())
+        item.chunk.started(item, self._clock.monotonic())
         task = runs[item] = self._spawn(self._run_item(server, item))
         # A task that is cancelled before its first step runs no code of its
         # own, so the end is handled outside of it.
@@ -122,7 +122,7 @@
         self._runs_by_server[server.name].pop(item, None)
         self._stopping.discard(item)
         self._capacity.ended(service, server.name)
-        item.chunk.ended(now)
+        item.chunk.ended(item)
         self.holdings.suspects.ended(service, item)
         self._wake.set()
         if task.cancelled():
@@ -133,7 +133,7 @@
             return
         error = task.exception()
         if error is not None:
-            log.warning("Item %d of %s waits: %r.", *reversed(item.key), error)
+            log.info("Item %d of %s waits: %r.", *reversed(item.key), error)
             self.holdings.wait_again(service, item)
         elif task.result() is None:
             self.holdings.wait_again(service, item)
--- a/test/batch/test_worker.py
+++ b/test/batch/test_worker.py
@@ -3,6 +3,7 @@
 import asyncio
 import types
 
+import orjson
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -191,3 +192,32 @@
     await asker.ask("svc", 8)
     # The shard that is known to have work is asked alone.
     assert (grants.asked, held) == ([(3, 8)], [3])
+
+
+@pytest.mark.parametrize(
+    ("started_at", "tokens", "done", "stuck"),
+    [
+        (None, 0, False, True),
+        # Runs that began in this lease may all have failed to connect.
+        (11.0, 0, False, True),
+        (9.0, 0, False, False),
+        (11.0, 3, False, False),
+        (None, 0, True, False),
+    ],
+)
+def test_chunk_without_progress_is_stuck(started_at, tokens, done, stuck):
+    """Guards against a host that keeps chunks whose server is dead."""
+    lines = [
+        {"custom_id": name, "method": "POST", "url": "/services/s/x", "body": {}}
+        for name in "ab"
+    ]
+    grant = WorkGrant(job_id="j", lease_ms=1000, remaining=[0, 1])
+    held = HeldChunk.from_grant(0, grant, 8.0)
+    items = held.items(b"\n".join(orjson.dumps(line) for line in lines))
+    held.renewed(10.0, 5)
+    if started_at is not None:
+        held.started(items[0], started_at)
+    items[0].tokens += tokens
+    if done:
+        held.open_items.discard(1)
+    assert held.is_stuck() is stuck
