Keep chunks with intents for some leases before giving them up

Cause: releasing a chunk without progress let the next holder report an item as "may have run" although its intent was never followed by a dispatch.

Change: a chunk with intents is released only after three leases without progress; a refused item pauses once instead of twice.

--- a/galenascale/batch/held.py
+++ b/galenascale/batch/held.py
@@ -11,6 +11,8 @@
 
 # A slot of the own server is free again after about one online answer.
 RESUME_WAIT_S = 2.0
+# Leases without progress after which a chunk with intents is given up.
+MAX_STUCK_LEASES = 3
 
 
 @attrs.define(eq=False)
@@ -62,6 +64,8 @@
     # Start times of the runs of its items, by item.
     run_starts: dict = attrs.field(factory=dict)
     all_items: list = attrs.field(factory=list)
+    # Leases without progress before the current one.
+    stuck_leases: int = 0
     # Progress when the current lease began.
     progress_mark: tuple = ()
     # Claim under which intents of non-idempotent items were recorded.
@@ -90,6 +94,7 @@
 
     def renewed(self, now, claim_offset):
         """Begin a new lease."""
+        self.stuck_leases = self.stuck_leases + 1 if self.is_stuck() else 0
         self.leased_at, self.claim_offset = now, claim_offset
         self.progress_mark = self.progress()
 
@@ -97,6 +102,17 @@
         """Return what changes whenever an item gets on."""
         return len(self.open_items), sum(item.tokens for item in self.all_items)
 
+    def may_release(self):
+        """
+        Return True if another host should try the items instead.
+
+        The next holder has to take an item with an intent for one that may
+        have run, so a chunk with intents is kept for some leases more.
+        """
+        has_intent = not self.open_items.isdisjoint(self.tried_offsets)
+        limit = MAX_STUCK_LEASES if has_intent else 0
+        return self.is_stuck() and self.stuck_leases >= limit
+
     def is_stuck(self):
         """
         Return True if no item got on since the lease began.
--- a/galenascale/batch/holdings.py
+++ b/galenascale/batch/holdings.py
@@ -160,7 +160,7 @@
         ]
         # This host cannot run them, for example because its servers died;
         # another host may have a server that can.
-        stuck = [held for held in short if held.is_stuck()]
+        stuck = [held for held in short if held.may_release()]
         short = [held for held in short if held not in stuck]
         if stuck:
             await self._release(shard, stuck)
--- a/galenascale/batch/runs.py
+++ b/galenascale/batch/runs.py
@@ -172,7 +172,6 @@
         # Checked directly before the dispatch: another holder may take the
         # chunk over once the lease has lapsed.
         if held.lease_left_s(self._clock.monotonic()) < DISPATCH_MARGIN_S:
-            await self._clock.sleep(NOT_RUN_PAUSE_S)
             raise Refused("lease is about to lapse", step="dispatch")
         held.dispatched.add(item.number)
         try:
@@ -197,7 +196,6 @@
         if not verdicts[0].valid:
             offset = await self._earlier_intent(item)
         if offset is None:
-            await self._clock.sleep(NOT_RUN_PAUSE_S)
             raise Refused(f"intent is void: {verdicts[0].reason}", step="intent")
         held.intent_offsets[number] = offset
 
