--- a/bench/outcomes.py
+++ b/bench/outcomes.py
@@ -41,7 +41,7 @@
     RecordKind,
 )
 from galenascale.hashing import rendezvous_rank
-from galenascale.jobs import result_line
+from galenascale.job_results import result_line
 from galenascale.log_client import Bounds, ReadResult
 from galenascale.shards import Shards, make_record
 from galenascale.shards.ids import data_stream, work_stream
--- a/galenascale/batch/runs.py
+++ b/galenascale/batch/runs.py
@@ -10,7 +10,7 @@
 from galenascale.batch_lines import MODEL_ENDPOINTS
 from galenascale.errors import BackendError, Execution, GalenascaleError, Refused
 from galenascale.generated.messages import ItemIntent, ItemOutcome, OutcomeStatus
-from galenascale.jobs import error_line, result_line
+from galenascale.job_results import error_line, result_line
 from galenascale.logs import get_logger
 from galenascale.poison import PoisonTracker, Standing
 from galenascale.requests import OnlineRequest
--- a/galenascale/calls.py
+++ b/galenascale/calls.py
@@ -5,12 +5,12 @@
 single dispatch without retry is enough and needs no log.
 """
 
-import asyncio
 import uuid
 
 import attrs
 
 from galenascale import codec
+from galenascale.call_recorder import CallRecorder
 from galenascale.errors import (
     AppendUnknown,
     BackendError,
@@ -32,16 +32,12 @@
 from galenascale.hashing import content_digest, shard_of
 from galenascale.ledger import VerdictStatus
 from galenascale.logs import get_logger
-from galenascale.shards import make_id, make_record, shard_from_id
+from galenascale.shards import make_id, make_record
 from galenascale.shards.bodies import BodyLost, read_body
 
 log = get_logger("calls")
 
 INTENT_TIMEOUT_S = 5.0
-OUTCOME_TIMEOUT_S = 5.0
-# The answer is recorded before the caller gets it, unless that takes longer.
-ANSWER_AFTER_S = 1.0
-RECORD_RETRY_S = 1.0
 STATUS_TIMEOUT_S = 1.0
 POLL_S = 0.1
 # Time for which the first answer is given to a repeated call.
@@ -106,9 +102,7 @@
         self._running = set()
         # Ids of intents with unknown outcome that are never dispatched.
         self._abandoned = {}
-        # Outcomes not in the log yet, by intent id, of peers by call id.
-        self._unrecorded = {}
-        self._tasks = set()
+        self.recorder = CallRecorder(self._shards, self._clock, self._running.discard)
 
     async def call(self, call):
         """Return the Answer; errors tell truly whether the call ran."""
@@ -260,74 +254,28 @@
         except GalenascaleError as error:
             if error.execution == Execution.NOT_RUN:
                 outcome.status = OutcomeStatus.NOT_RUN
-            await self._start_record(shard, intent, outcome)
+            await self.recorder.record(shard, intent.intent_id, outcome)
             raise
         except BaseException:
-            self._start_record(shard, intent, outcome)
+            self.recorder.record(shard, intent.intent_id, outcome)
             raise
         outcome.status = OutcomeStatus.SUCCEEDED
         outcome.http_status = answer.status
         outcome.content_type = answer.content_type
         outcome.body = answer.body
-        await self._start_record(shard, intent, outcome)
+        await self.recorder.record(shard, intent.intent_id, outcome)
         return answer
 
-    def _start_record(self, shard, intent, outcome):
-        """Record an outcome in a task; return a bounded wait for it."""
-        task = self._spawn_record(shard, intent.intent_id, outcome)
-        return asyncio.ensure_future(self._clock.wait_any([task], ANSWER_AFTER_S))
-
-    def _spawn_record(self, shard, intent_id, outcome):
-        self._unrecorded[intent_id] = outcome
-        task = asyncio.create_task(self._record(shard, intent_id, outcome))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-        return task
-
-    async def _record(self, shard, intent_id, outcome):
-        try:
-            while True:
-                try:
-                    await self._shards.submit(
-                        shard, [make_record(outcome)], OUTCOME_TIMEOUT_S, urgent=True
-                    )
-                    self._unrecorded.pop(intent_id, None)
-                    return
-                except GalenascaleError as error:
-                    log.warning(
-                        "Outcome of %s is not recorded yet: %s.", outcome.call_id, error
-                    )
-                    await self._clock.sleep(RECORD_RETRY_S)
-        finally:
-            self._running.discard(intent_id)
-
     async def finish_running(self):
         """Return once no call runs; outcomes may be unrecorded."""
-        while self._running - self._unrecorded.keys():
+        while self._running - self.recorder.ids():
             await self._clock.sleep(POLL_S)
 
     async def drain(self):
         """Return once no call runs and all outcomes are recorded."""
-        while self._running or self._tasks:
+        while self._running or not self.recorder.is_empty:
             await self._clock.sleep(POLL_S)
 
-    def pending(self):
-        """Return the CallOutcomes that are not recorded."""
-        return list(self._unrecorded.values())
-
-    def take_over(self, outcomes):
-        """Record the CallOutcomes of a peer that stops; return their count."""
-        for outcome in outcomes:
-            shard = shard_from_id(outcome.call_id, self._shards.count)
-            self._spawn_record(shard, outcome.call_id, outcome)
-        return len(outcomes)
-
-    async def close(self):
-        """Stop recording; calls without recorded outcome stay in doubt."""
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
-
     async def _first_answer(self, call, shard, call_id):
         """Return the answer of the first call, or None if it was not run."""
         while True:
--- a/galenascale/files.py
+++ b/galenascale/files.py
@@ -169,12 +169,7 @@
         """Return the FileEntry; raise UserError 404 if the tenant has none."""
         shard = shard_from_id(file_id, self._shards.count)
         state = await self._shards.view(shard)
-        entry = state.files_by_id.get(file_id)
-        if entry is None or entry.created.tenant != tenant:
-            raise UserError(
-                f"file {file_id!r} does not exist", code="not_found", http_status=404
-            )
-        return entry
+        return owned_by(tenant, state.files_by_id.get(file_id), f"file {file_id!r}")
 
     async def list(self, tenant):
         """Return the tenant's files, the newest first."""
@@ -206,6 +201,13 @@
         await self._shards.submit(shard, [record], urgent=True)
 
 
+def owned_by(tenant, entry, what):
+    """Return an entry of the tenant; raise UserError 404 for any other."""
+    if entry is None or entry.created.tenant != tenant:
+        raise UserError(f"{what} does not exist", code="not_found", http_status=404)
+    return entry
+
+
 async def _read_lines(lines, checker):
     """Return the lines; those of batch files are checked."""
     kept, number = [], 0
--- a/galenascale/host_methods.py
+++ b/galenascale/host_methods.py
@@ -27,7 +27,7 @@
 
     async def hand_over(request):
         reply = await host.reporter.handle_hand_over(request)
-        reply.accepted += host.calls.take_over(request.calls)
+        reply.accepted += host.calls.recorder.take_over(request.calls)
         return reply
 
     for name, request_type, reply_type, handler in (
--- a/galenascale/host_parts.py
+++ b/galenascale/host_parts.py
@@ -109,7 +109,7 @@
     )
     host.calls = CallService(host, host.online.choose_plain, host.engine_client)
     host.calls.note_sign = host.online.note_sign
-    host.stack.push_async_callback(host.calls.close)
+    host.stack.push_async_callback(host.calls.recorder.close)
 
 
 def start_batch(host):
--- a/galenascale/jobs.py
+++ b/galenascale/jobs.py
@@ -5,44 +5,23 @@
 import attrs
 import orjson
 
-from galenascale import codec
-from galenascale.batch_lines import MODEL_ENDPOINTS, SERVICE_PREFIX, parse_line
+from galenascale.batch_lines import MODEL_ENDPOINTS, SERVICE_PREFIX
 from galenascale.errors import AppendUnknown, LogUnavailable, Refused, UserError
-from galenascale.files import read_chunk
+from galenascale.files import owned_by
 from galenascale.generated.messages import (
     JobCancelled,
     JobCreated,
-    Outcomes,
-    OutcomeStatus,
 )
 from galenascale.hashing import content_digest, shard_of
+from galenascale.job_results import result_lines
 from galenascale.ledger import VerdictStatus
 from galenascale.model_names import resolve
 from galenascale.shards import make_id, make_record, shard_from_id
-from galenascale.shards.bodies import read_body
 
 WINDOW = re.compile(r"(\d{1,4})([smhd])")
 WINDOW_UNIT_MS = {"s": 1000, "m": 60_000, "h": 3_600_000, "d": 86_400_000}
 MAX_METADATA_PAIRS = 16
 
-# Error code and message of items that end without an outcome of their own.
-CODES_BY_STATUS = {
-    OutcomeStatus.EXPIRED: (
-        "batch_expired",
-        "The item had no outcome at its due time.",
-    ),
-    # An item that may be repeated can have been interrupted, so its line does
-    # not say that it was not run.
-    OutcomeStatus.NOT_RUN: (
-        "batch_cancelled",
-        "The item had no outcome when the job was cancelled.",
-    ),
-    OutcomeStatus.MAY_HAVE_RUN: (
-        "may_have_run",
-        "The item was sent to a backend server and its answer was lost.",
-    ),
-}
-
 
 @attrs.frozen
 class JobRequest:
@@ -220,12 +199,7 @@
         """Return the JobEntry; raise UserError 404 if the tenant has none."""
         shard = shard_from_id(job_id, self._shards.count)
         state = await self._shards.view(shard)
-        job = state.jobs_by_id.get(job_id)
-        if job is None or job.created.tenant != tenant:
-            raise UserError(
-                f"batch {job_id!r} does not exist", code="not_found", http_status=404
-            )
-        return job
+        return owned_by(tenant, state.jobs_by_id.get(job_id), f"batch {job_id!r}")
 
     async def list(self, tenant):
         """Return the tenant's JobEntry objects, the newest first."""
@@ -262,43 +236,7 @@
         With `failed` the lines of items without a successful answer, else the
         lines of those with one. Each item has exactly one line in one of them.
         """
-        job = await self.get(tenant, job_id)
-        return self._lines(job, failed)
-
-    async def _lines(self, job, failed):
-        for winner, position in enumerate(job.outcome_positions):
-            _, body = await read_body(self._log_client, position)
-            taken = set()
-            for outcome in codec.decode(Outcomes, body).outcomes:
-                # A record may hold further outcomes of an item; the fold took
-                # the first one with the status in force.
-                if (
-                    job.winners[outcome.item] != winner
-                    or outcome.status != job.statuses[outcome.item]
-                    or outcome.item in taken
-                ):
-                    continue
-                taken.add(outcome.item)
-                succeeded = outcome.status == OutcomeStatus.SUCCEEDED
-                if succeeded != failed:
-                    yield outcome.body
-        if failed and job.ended:
-            async for line in self._lines_without_outcome(job):
-                yield line
-
-    async def _lines_without_outcome(self, job):
-        for chunk, position in enumerate(job.chunk_positions):
-            items = job.open_items_of(chunk)
-            if not items:
-                continue
-            lines = (await read_chunk(self._log_client, position)).split(b"\n")
-            first = job.items_of(chunk).start
-            for item in items:
-                line = parse_line(lines[item - first], item + 1)
-                code, message = CODES_BY_STATUS[job.final_status(item)]
-                yield error_line(
-                    job.created.job_id, item, line.custom_id, code, message
-                )
+        return result_lines(self._log_client, await self.get(tenant, job_id), failed)
 
 
 def _unread(error):
@@ -319,31 +257,3 @@
         orjson.dumps(request.metadata, option=orjson.OPT_SORT_KEYS),
         str(request.idempotent),
     )
-
-
-def result_line(job_id, item, custom_id, http_status, body):
-    """Return one line of an output file."""
-    return orjson.dumps(
-        {
-            "id": f"{job_id}-{item}",
-            "custom_id": custom_id,
-            "response": {
-                "status_code": http_status,
-                "request_id": f"{job_id}-{item}",
-                "body": body,
-            },
-            "error": None,
-        }
-    )
-
-
-def error_line(job_id, item, custom_id, code, message, response=None):
-    """Return one line of an error file."""
-    return orjson.dumps(
-        {
-            "id": f"{job_id}-{item}",
-            "custom_id": custom_id,
-            "response": response,
-            "error": {"code": code, "message": message},
-        }
-    )
--- a/galenascale/stopping.py
+++ b/galenascale/stopping.py
@@ -178,7 +178,7 @@
         jobs = host.reporter.pending()
         for name, item in [
             *(("outcomes", item) for item in jobs),
-            *(("calls", item) for item in host.calls.pending()),
+            *(("calls", item) for item in host.calls.recorder.pending()),
         ]:
             getattr(request, name).append(item)
             size += len(codec.encode(item))
--- a/test/batch/world.py
+++ b/test/batch/world.py
@@ -262,7 +262,7 @@
         for task in self.tasks:
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
-        await self.calls.close()
+        await self.calls.recorder.close()
         await self.shards.close()
 
 
--- a/test/test_calls.py
+++ b/test/test_calls.py
@@ -86,7 +86,7 @@
     async def close(self):
         """Stop everything."""
         for service, host in zip(self.services, self.hosts, strict=True):
-            await service.close()
+            await service.recorder.close()
             await host.shards.close()
 
 
@@ -142,7 +142,7 @@
             await world.clock.advance(0.001)
         task.cancel()
         await asyncio.gather(task, return_exceptions=True)
-        await world.services[1].close()
+        await world.services[1].recorder.close()
         await world.hosts[1].shards.close()
         world.start("b")
         answer = await world.run(world.services[0], world.make_call())
--- a/test/test_layering.py
+++ b/test/test_layering.py
@@ -34,7 +34,6 @@
 LONGER_MODULES = {
     "galenascale.calls",
     "galenascale.config_follower",
-    "galenascale.jobs",
     "galenascale.routing.router",
 }
 
--- a/test/test_partitions.py
+++ b/test/test_partitions.py
@@ -101,7 +101,7 @@
         assert 1.0 < status["config"]["age_s"] <= age_s
         cut_off(embedded, cut, cut=False)
         await until(lambda: cut.config.current.version == verdict.version)
-        await until(lambda: not cut.calls.pending())
+        await until(lambda: not cut.calls.recorder.pending())
         await until(lambda: len(other.peering.live_ids()) == 3)
         assert cut.config.age_s() < age_s
         for target in (url, far_url):
--- a/test/test_reference.py
+++ b/test/test_reference.py
@@ -10,7 +10,7 @@
 from galenascale.engine_client import _STATUS_BY_CODE as ENGINE_CODES
 from galenascale.host_metrics import register_gauges
 from galenascale.http_api.errors import _CODE_BY_STATUS as HTTP_CODES
-from galenascale.jobs import CODES_BY_STATUS
+from galenascale.job_results import CODES_BY_STATUS
 from galenascale.metrics import Metrics
 
 ROOT = Path(__file__).resolve().parent.parent
--- a/test/test_stopping.py
+++ b/test/test_stopping.py
@@ -169,13 +169,13 @@
         await until(lambda: any(host.reporter.unrecorded for host in hosts))
         host = next(host for host in hosts if host.reporter.unrecorded)
         peers = [peer for peer in hosts if peer is not host]
-        assert all(len(item.calls.pending()) == 1 for item in hosts)
+        assert all(len(item.calls.recorder.pending()) == 1 for item in hosts)
         unrecorded = sum(item.reporter.unrecorded for item in hosts)
         await host.stop()
-        assert sum(len(peer.calls.pending()) for peer in peers) == len(hosts)
+        assert sum(len(peer.calls.recorder.pending()) for peer in peers) == len(hosts)
         assert sum(peer.reporter.unrecorded for peer in peers) >= unrecorded
         embedded.platform.faults.append = "ok"
-        await until(lambda: not any(peer.calls.pending() for peer in peers))
+        await until(lambda: not any(peer.calls.recorder.pending() for peer in peers))
         # Each peer has the answer, although the host that ran it is gone.
         for peer in peers:
             again = await post(session, peer.settings.url, *[host.settings.url] * 2)
