--- a/galenascale/commands/dev.py
+++ b/galenascale/commands/dev.py
@@ -7,6 +7,7 @@
 import orjson
 
 from galenascale.commands.listening import listen_errors
+from galenascale.commands.options import LogFormat
 from galenascale.commands.signals import wait_for_stop
 from galenascale.embedded import EmbeddedDeployment
 from galenascale.logs import setup_logging
@@ -21,6 +22,7 @@
     deployment: str = DEFAULT_DEPLOYMENT,
     port: int = DEFAULT_PORT,
     log_level: str = "warning",
+    log_format: LogFormat = "text",
 ):
     """
     Run a deployment with stand-ins in one process until SIGTERM or SIGINT.
@@ -37,7 +39,7 @@
     log_level
         Lowest level of the log lines on stderr.
     """
-    setup_logging(log_level)
+    setup_logging(log_level, log_format)
     asyncio.run(_run(EmbeddedDeployment.from_directory(deployment, port)))
 
 
--- /dev/null
+++ b/galenascale/commands/options.py
@@ -0,0 +1,10 @@
+"""Options that several commands have."""
+
+from typing import Annotated, Literal
+
+import cyclopts
+
+LogFormat = Annotated[
+    Literal["text", "json"],
+    cyclopts.Parameter(help="Form of the log lines on stderr."),
+]
--- a/galenascale/commands/serve.py
+++ b/galenascale/commands/serve.py
@@ -3,13 +3,14 @@
 import asyncio
 
 from galenascale.commands.listening import listen_errors
+from galenascale.commands.options import LogFormat
 from galenascale.commands.signals import on_stop_signals
 from galenascale.host import Host
 from galenascale.logs import setup_logging
 from galenascale.settings import load_settings
 
 
-def serve(*, settings: str):
+def serve(*, settings: str, log_format: LogFormat | None = None):
     """
     Run one entry host until SIGTERM or SIGINT.
 
@@ -19,9 +20,11 @@
     ----------
     settings
         JSON file with the settings of the host.
+    log_format
+        Form of the log lines, text or json, in place of the settings' one.
     """
     loaded = load_settings(settings)
-    setup_logging(loaded.log_level, loaded.log_format)
+    setup_logging(loaded.log_level, log_format or loaded.log_format)
     asyncio.run(_serve(loaded))
 
 
--- a/galenascale/commands/standin.py
+++ b/galenascale/commands/standin.py
@@ -5,6 +5,7 @@
 import cyclopts
 
 from galenascale.commands.listening import listen_errors
+from galenascale.commands.options import LogFormat
 from galenascale.commands.signals import wait_for_stop
 from galenascale.generated.messages import (
     EngineStandinSettings,
@@ -22,7 +23,7 @@
 
 
 @app.command
-def platform(*, settings: str):
+def platform(*, settings: str, log_format: LogFormat = "text"):
     """
     Run the platform stand-in: log service, host list and weight store.
 
@@ -31,11 +32,11 @@
     settings
         JSON file with the settings of the stand-in.
     """
-    _run(PlatformStandin, load_settings(settings, PlatformStandinSettings))
+    _run(PlatformStandin, load_settings(settings, PlatformStandinSettings), log_format)
 
 
 @app.command
-def engine(*, settings: str):
+def engine(*, settings: str, log_format: LogFormat = "text"):
     """
     Run one engine stand-in.
 
@@ -44,11 +45,11 @@
     settings
         JSON file with the settings of the stand-in.
     """
-    _run(EngineStandin, load_settings(settings, EngineStandinSettings))
+    _run(EngineStandin, load_settings(settings, EngineStandinSettings), log_format)
 
 
 @app.command
-def plain(*, settings: str):
+def plain(*, settings: str, log_format: LogFormat = "text"):
     """
     Run one plain service stand-in.
 
@@ -57,11 +58,13 @@
     settings
         JSON file with the settings of the stand-in.
     """
-    _run(PlainServiceStandin, load_settings(settings, EngineStandinSettings))
+    _run(
+        PlainServiceStandin, load_settings(settings, EngineStandinSettings), log_format
+    )
 
 
-def _run(kind, settings):
-    setup_logging()
+def _run(kind, settings, log_format):
+    setup_logging(log_format=log_format)
     asyncio.run(_serve(kind, settings))
 
 
