Trust a changed CA without a restart

Cause: certificates and keys were read again on change, the CA was not, so a new CA of the hosts needed a restart of each. Change: a changed CA is loaded beside the earlier one, which goes at the next start; hosts with certificates of either reach each other during a rollover.

--- a/galenascale/tls.py
+++ b/galenascale/tls.py
@@ -99,7 +99,13 @@
 
 
 class ReloadedTls:
-    """Contexts whose certificate is read again when its files change."""
+    """
+    Contexts whose certificates are read again when their files change.
+
+    A changed CA is trusted beside the earlier one, so that hosts with
+    certificates of either work together during a rollover; the earlier one is
+    dropped at the next start.
+    """
 
     def __init__(self, tls, clock, contexts):
         self._tls = tls
@@ -108,7 +114,9 @@
         self._contexts = contexts
 
     def _read(self):
-        return read_pem(self._tls.certificate), read_pem(self._tls.private_key)
+        tls = self._tls
+        ca = read_pem(tls.ca) if tls.ca else ""
+        return read_pem(tls.certificate), read_pem(tls.private_key), ca
 
     async def run(self):
         """Look for changed files until cancelled."""
@@ -124,20 +132,25 @@
         in place, leave the earlier ones in force.
         """
         try:
-            pair = self._read()
-            if pair == self._loaded:
+            texts = self._read()
+            if texts == self._loaded:
                 return False
             # A failed load may leave a context with a mismatched pair.
-            load_pair(ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER), *pair)
-            for context in self._contexts:
-                load_pair(context, *pair)
+            self._load([ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)], *texts)
+            self._load(self._contexts, *texts)
         except UserError as error:
             log.warning("Kept the earlier certificate: %s.", error)
             return False
-        self._loaded = pair
+        self._loaded = texts
         log.info("Installed a changed certificate.")
         return True
 
+    def _load(self, contexts, certificate, private_key, ca):
+        for context in contexts:
+            load_pair(context, certificate, private_key)
+            if ca:
+                load_ca(context, ca)
+
 
 class ServerTls(ReloadedTls):
     """The reloaded context of the callers' listener."""
--- a/test/test_tls.py
+++ b/test/test_tls.py
@@ -129,3 +129,20 @@
     values[bad] = "-----BEGIN JUNK-----"
     with pytest.raises(UserError, match="cannot be used"):
         ServerTls(TlsSettings(*values), FakeClock())
+
+
+def test_changed_ca_is_trusted_beside_the_earlier_one(tmp_path):
+    """Guards a rollover of the CA without a restart of the hosts."""
+    (first, key), (second, _) = make_pair("first"), make_pair("second")
+    ca = tmp_path / "ca.pem"
+    ca.write_text(first)
+    settings = TlsSettings(first, key, str(ca))
+    contexts = make_peer_contexts(settings)
+    tls = ReloadedTls(settings, FakeClock(), contexts)
+    ca.write_text("no certificate")
+    assert tls.reload() is False
+    ca.write_text(second)
+    assert tls.reload() is True
+    for context in contexts:
+        names = {item["subject"][0][0][1] for item in context.get_ca_certs()}
+        assert names == {"first", "second"}
