Test a domain cut off from its peers but not from the platform

Cause: the tests of partitions cut a domain off from everything or from the platform only; with the peers alone cut, both sides take every shard as their own. Change: one test with hosts on both sides: the configuration goes through the log, a call sent to both sides at once runs once, and both give its answer afterwards.

--- a/test/test_partitions.py
+++ b/test/test_partitions.py
@@ -13,10 +13,10 @@
 NO_ANSWER_CODES = {"not_run", "may_have_run"}
 
 
-def cut_off(embedded, host, cut=True):
-    """Part a host from the platform and all peers, or heal that."""
+def cut_off(embedded, host, cut=True, platform=True):
+    """Part a host from all peers and maybe the platform, or heal that."""
     faults = embedded.platform.faults
-    faults.partition = [host.settings.failure_domain] if cut else []
+    faults.partition = [host.settings.failure_domain] if cut and platform else []
     for peer in embedded.hosts_by_id.values():
         lost = cut and peer is host
         for side in (peer.peers, peer.peering.server):
@@ -109,3 +109,38 @@
             assert await post(session, target, "two seats", "k2") == second
         runs = [count for item in plain for count in item.runs_by_call_id.values()]
         assert runs == [1, 1]
+
+
+async def test_a_domain_cut_off_from_its_peers_agrees_through_the_log():
+    """Guards P1, P6 and P9 while two sides each take shards as their own."""
+    settings = small_deployment().settings
+    headers = {"Authorization": f"Bearer {settings.caller_key}"}
+    async with (
+        asyncio.timeout(60),
+        EmbeddedDeployment(small_deployment()) as embedded,
+        aiohttp.ClientSession(headers=headers) as session,
+    ):
+        plain = [
+            item for name, item in embedded.standins_by_id.items() if "booking" in name
+        ]
+        *others, cut = embedded.hosts_by_id.values()
+        urls = [others[0].settings.url, cut.settings.url]
+        await until(lambda: len(cut.peering.live_ids()) == 3)
+        cut_off(embedded, cut, platform=False)
+        await until(lambda: cut.peering.live_ids() == [cut.host_id])
+        await until(lambda: cut.host_id not in others[0].peering.live_ids())
+        assert len(cut.shards.owned()) == cut.shards.count
+        verdict = await others[0].config.publish(
+            [tenant_entry(1)], others[0].config.current.version
+        )
+        await until(lambda: cut.config.current.version == verdict.version)
+        answers = await asyncio.gather(
+            *(post(session, url, "a seat", "k1") for url in urls)
+        )
+        assert 200 in {code for code, _ in answers}
+        for code, text in answers:
+            assert code == 200 or execution(text) == "may_have_run"
+        again = [await post(session, url, "a seat", "k1") for url in urls]
+        assert again[0] == again[1] and again[0][0] == 200
+        runs = [count for item in plain for count in item.runs_by_call_id.values()]
+        assert runs == [1]
