Remove a setting that nothing read; quiet the engine stand-in on lost callers

Cause: log.poll_s was documented but read nowhere. The engine stand-in logged a traceback when a caller closed its connection before the answer began. Change: the setting's field is retired; the stand-in ends such an answer silently.

--- a/galenascale/standins/engine.py
+++ b/galenascale/standins/engine.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import contextlib
 
 import aiohttp
 from aiohttp import web
@@ -186,13 +187,15 @@
     async def _relay(self, request, wanted, stream):
         answer = stream.sink.answer
         response = web.StreamResponse(headers={"Content-Type": "text/event-stream"})
-        await response.prepare(request)
-        reason = await answer.relay_to(response, request.transport)
-        if reason == "cancelled":
-            await response.write(answer.event(stream.generated, "", reason))
-        if wanted.include_usage:
-            await response.write(answer.usage_event(stream))
-        await response.write(b"data: [DONE]\n\n")
+        # A caller that has gone away ends the answer, not the stand-in.
+        with contextlib.suppress(ConnectionResetError):
+            await response.prepare(request)
+            reason = await answer.relay_to(response, request.transport)
+            if reason == "cancelled":
+                await response.write(answer.event(stream.generated, "", reason))
+            if wanted.include_usage:
+                await response.write(answer.usage_event(stream))
+            await response.write(b"data: [DONE]\n\n")
         return response
 
     async def _cancel(self, request):
--- a/schema/galenascale.thrift
+++ b/schema/galenascale.thrift
@@ -738,8 +738,7 @@
   3: double urgent_linger_s = 0.003,
   /** Time for the log service to answer. */
   4: double request_timeout_s = 2.0,
-  /** Interval at which shard streams are read. */
-  5: double poll_s = 0.5,
+  // Field 5 was an interval that nothing read.
   /** Interval at which the fast pollers read the config stream. */
   6: double config_poll_s = 0.25,
   /** Records after which a new snapshot is written. */
