--- a/galenascale/batch/held.py
+++ b/galenascale/batch/held.py
@@ -151,9 +151,6 @@
         self._fresh_by_service = collections.defaultdict(collections.deque)
         self._interrupted_by_service = collections.defaultdict(collections.deque)
 
-    def __len__(self):
-        return sum(map(self.count, self._services()))
-
     def count(self, service):
         """Return the number of items of a service."""
         queues = (self._fresh_by_service, self._interrupted_by_service)
@@ -188,9 +185,6 @@
                     item for item in items if not predicate(item)
                 )
 
-    def _services(self):
-        return self._fresh_by_service.keys() | self._interrupted_by_service.keys()
-
 
 def answer_body(item, last_chunk, usage):
     """
--- a/galenascale/ledger/state.py
+++ b/galenascale/ledger/state.py
@@ -5,7 +5,6 @@
 """
 
 import array
-import bisect
 import enum
 
 import attrs
@@ -117,10 +116,6 @@
         """True when no later outcome can be recorded."""
         return self.cancelled or self.due_passed or self.open_items == 0
 
-    def chunk_of(self, item):
-        """Return the chunk that holds an item."""
-        return bisect.bisect_right(self._firsts, item) - 1
-
     def items_of(self, chunk):
         """Return the range of items of a chunk."""
         first = self._firsts[chunk]
