--- a/galenascale/commands/__init__.py
+++ b/galenascale/commands/__init__.py
@@ -4,37 +4,28 @@
 
 from galenascale import __version__
 
+# Loaded when a command is used, so that each starts without the others' code.
+_COMMANDS = {
+    "apply": "galenascale.commands.apply:apply",
+    "batch": "galenascale.commands.batch:app",
+    "check": "galenascale.commands.check:check",
+    "demo": "galenascale.commands.demo:demo",
+    "dev": "galenascale.commands.dev:dev",
+    "gateway": "galenascale.commands.gateway:gateway",
+    "plan": "galenascale.commands.plan:plan",
+    "serve": "galenascale.commands.serve:serve",
+    "standin": "galenascale.commands.standin:app",
+    "status": "galenascale.commands.status:status",
+}
+
 
 def make_cli():
     """Return the command-line application."""
-    # Imported here, so that the package can be used without the commands.
-    from galenascale.commands import (
-        apply,
-        batch,
-        check,
-        demo,
-        dev,
-        plan,
-        serve,
-        standin,
-        status,
-    )
-
     app = cyclopts.App(
         name="galenascale",
         version=__version__,
         help="Serve online and batch inference on one fleet.",
     )
-    for name, command in {
-        "apply": apply.apply,
-        "batch": batch.app,
-        "check": check.check,
-        "demo": demo.demo,
-        "dev": dev.dev,
-        "plan": plan.plan,
-        "serve": serve.serve,
-        "standin": standin.app,
-        "status": status.status,
-    }.items():
-        app.command(command, name=name)
+    for name, target in _COMMANDS.items():
+        app.command(target, name=name)
     return app
--- a/galenascale/commands/batch.py
+++ b/galenascale/commands/batch.py
@@ -16,7 +16,7 @@
 # Resends of a submission whose answer was lost; the key makes them safe.
 MAX_SENDINGS = 3
 
-app = cyclopts.App(help="Submit, look up, read and cancel batch jobs.")
+app = cyclopts.App(name="batch", help="Submit, look up, read and cancel batch jobs.")
 
 Host = Annotated[str, cyclopts.Parameter(help="URL of an entry host.")]
 Key = Annotated[
--- a/galenascale/commands/check.py
+++ b/galenascale/commands/check.py
@@ -3,7 +3,8 @@
 from pathlib import Path
 
 from galenascale import declarations
-from galenascale.settings import load_settings, read_json
+from galenascale.settings import load_settings
+from galenascale.settings_files import read_json
 
 
 def check(path: str):
--- a/galenascale/commands/standin.py
+++ b/galenascale/commands/standin.py
@@ -19,7 +19,7 @@
 
 log = get_logger("standin")
 
-app = cyclopts.App(help="Run a stand-in of an outside system.")
+app = cyclopts.App(name="standin", help="Run a stand-in of an outside system.")
 
 
 @app.command
--- a/galenascale/declarations.py
+++ b/galenascale/declarations.py
@@ -14,7 +14,7 @@
 from galenascale.configuration import DECLARATION_TYPES
 from galenascale.errors import UserError
 from galenascale.generated.messages import ConfigEntry
-from galenascale.settings import read_json, structure
+from galenascale.settings_files import read_json, structure
 
 DIGEST = re.compile(r"[0-9a-f]{64}")
 NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._:/-]{0,199}")
--- a/galenascale/deployments.py
+++ b/galenascale/deployments.py
@@ -11,7 +11,8 @@
     ConfigEntry,
     DeploymentSettings,
 )
-from galenascale.settings import load_settings, read_json
+from galenascale.settings import load_settings
+from galenascale.settings_files import read_json
 
 DEPLOYMENT_FILE = "deployment.json"
 DECLARATIONS_DIRECTORY = "declarations"
--- a/galenascale/engine_answers.py
+++ b/galenascale/engine_answers.py
@@ -6,7 +6,7 @@
 
 from galenascale.errors import BackendError, Execution
 from galenascale.requests import Chunk, ServerReport
-from galenascale.settings import CONVERTER
+from galenascale.settings_files import CONVERTER
 
 
 @attrs.frozen
--- /dev/null
+++ b/galenascale/gateway/answers.py
@@ -0,0 +1,88 @@
+"""Answers of the system itself, and the passing on of a backend server's."""
+
+import contextlib
+
+import orjson
+from aiohttp import web
+
+from galenascale.gateway.sockets import guard_against_silence
+
+# Set by the HTTP library from the body that is sent.
+_SET_BY_LIBRARY = frozenset((b"content-length", b"date", b"server"))
+
+
+def refusal(error):
+    """Return the answer to a request that a GalenascaleError ends."""
+    headers = {}
+    retry_after_s = getattr(error, "retry_after_s", None)
+    if retry_after_s is not None:
+        headers["Retry-After"] = f"{retry_after_s:.3f}"
+    body = {
+        "error": {
+            "code": error.code,
+            "message": error.message,
+            "execution": str(error.execution),
+        }
+    }
+    return web.Response(
+        status=error.http_status,
+        headers=headers,
+        body=orjson.dumps(body),
+        content_type="application/json",
+    )
+
+
+def whole(answer):
+    """Return the answer of a backend server that was read to its end."""
+    response = web.Response(status=answer.head.status, body=answer.body)
+    _copy_headers(answer.head, response)
+    return response
+
+
+def _copy_headers(head, response):
+    response.headers.popall("Content-Type", None)
+    for name, value in head.headers:
+        if name.lower() not in _SET_BY_LIBRARY:
+            response.headers.add(name.decode("latin-1"), value.decode("latin-1"))
+
+
+class CallerStream:
+    """A stream to a caller; its end is told apart from a break."""
+
+    def __init__(self, request, on_first_part):
+        self._request = request
+        self._on_first_part = on_first_part
+        self.response = None
+
+    async def start(self, head):
+        """Send status and headers."""
+        self.response = web.StreamResponse(status=head.status)
+        _copy_headers(head, self.response)
+        self.response.enable_chunked_encoding()
+        self._on_first_part()
+        await self.response.prepare(self._request)
+
+    async def send(self, data):
+        """Send whole events."""
+        await self.response.write(data)
+
+    async def finish(self):
+        """End the answer as complete."""
+        await self.response.write_eof()
+
+    def abort(self):
+        """Close the connection, so that the answer does not look complete."""
+        abort_connection(self._request)
+
+
+def abort_connection(request):
+    """Close the connection of a request without an answer."""
+    if request.transport is not None:
+        request.transport.abort()
+
+
+def guard(request):
+    """Guard the caller's connection against silence."""
+    if request.transport is not None:
+        with contextlib.suppress(OSError):
+            guard_against_silence(request.transport)
--- /dev/null
+++ b/galenascale/gateway/attempts.py
@@ -0,0 +1,116 @@
+"""Whether and where a request is sent next, and how it ends otherwise."""
+
+import attrs
+
+from galenascale.errors import Execution, GalenascaleError
+
+# Sends of one request that servers refused without running it. A request that
+# so many refuse finds no room in its time.
+MAX_REFUSALS = 12
+# Pause in seconds before a request is offered again to servers that refused
+# it.
+FIRST_PAUSE_S = 0.02
+MAX_PAUSE_S = 0.16
+MIN_RETRY_AFTER_S = 0.05
+# Seconds that must be left to send a request.
+MIN_REMAINING_S = 0.005
+
+
+class RequestEnded(GalenascaleError):
+    """A request that is given up; `retry_after_s` says when to come back."""
+
+    def __init__(self, message, *, http_status, retry_after_s=None, **kwargs):
+        super().__init__(message, **kwargs)
+        self.http_status = http_status
+        self.retry_after_s = retry_after_s
+
+
+def not_run(message, *, code, retry_after_s=None):
+    """Return the end of a request that surely has not run."""
+    return RequestEnded(
+        message,
+        code=code,
+        http_status=503,
+        retry_after_s=retry_after_s,
+        execution=Execution.NOT_RUN,
+    )
+
+
+def may_have_run(message, *, code, http_status=502):
+    """Return the end of a request of which it is not known whether it ran."""
+    return RequestEnded(
+        message,
+        code=code,
+        http_status=http_status,
+        execution=Execution.MAY_HAVE_RUN,
+    )
+
+
+@attrs.define
+class AttemptPlan:
+    """The sends of one request so far, and what may follow."""
+
+    route: object
+    # Monotonic times in seconds.
+    arrived_at: float
+    deadline: float
+    # Sends that may have run.
+    runs: int = 0
+    refusals: int = 0
+    pause_s: float = FIRST_PAUSE_S
+    # Incarnations that got the request and must not get it again.
+    tried: set = attrs.field(factory=set)
+    # Incarnations that refused it for now.
+    refused: set = attrs.field(factory=set)
+
+    def remaining_s(self, now):
+        """Return the seconds in which the request may still be served."""
+        return self.deadline - now
+
+    def may_run(self):
+        """Return True if one more run of the request is allowed."""
+        if self.runs == 0:
+            return True
+        return self.route.repeatable and self.runs < self.route.attempts
+
+    def excludes(self, incarnation):
+        """Return True if a server must not get the request now."""
+        return incarnation in self.tried or incarnation in self.refused
+
+    def sent(self, incarnation):
+        """Note a send that may run."""
+        self.runs += 1
+        self.tried.add(incarnation)
+
+    def was_refused(self, incarnation):
+        """Note that the last send surely did not run."""
+        self.runs -= 1
+        self.tried.discard(incarnation)
+        self.refused.add(incarnation)
+        self.refusals += 1
+
+    def was_unreachable(self, incarnation):
+        """Note a server to which nothing was sent."""
+        self.refused.add(incarnation)
+
+    def next_pause_s(self, now):
+        """
+        Return the seconds to wait before servers that refused are asked again.
+
+        Return None if the request is refused instead: waiting is worth it only
+        while the answer can still be on time.
+        """
+        in_time = self.arrived_at + self.route.objective_s > now + self.pause_s
+        if self.refusals >= MAX_REFUSALS or not in_time or not self.refused:
+            return None
+        pause_s = self.pause_s
+        self.pause_s = min(pause_s * 2, MAX_PAUSE_S)
+        self.refused.clear()
+        return pause_s
+
+    def end(self, reason, now, retry_after_s=None):
+        """Return the error that truthfully ends the request."""
+        if self.runs:
+            status = 504 if self.remaining_s(now) <= 0 else 502
+            return may_have_run(reason, code="may_have_run", http_status=status)
+        return not_run(reason, code="no_server", retry_after_s=retry_after_s)
--- /dev/null
+++ b/galenascale/gateway/backend_connection.py
@@ -0,0 +1,232 @@
+"""One HTTP/1.1 connection to a backend server.
+
+A client library reads the next answer on a connection as that of the next
+request. Backend servers may send a second answer late, so here each answer is
+matched by its id, and bytes that arrive while nothing is asked for end the
+connection.
+"""
+
+import asyncio
+import collections
+
+import httptools
+
+from galenascale.errors import BackendError, Execution
+from galenascale.gateway.sockets import guard_against_silence
+
+# Unread bytes of an answer at which reading from the socket pauses.
+PAUSE_BYTES = 1 << 18
+MAX_HEADER_BYTES = 1 << 16
+_END = object()
+# Statuses of final answers without a body (RFC 9110, section 6.4.1).
+_NO_BODY = frozenset((204, 304))
+
+
+class BackendConnection(asyncio.Protocol):
+    """Sends one request at a time and reads the answer to it."""
+
+    def __init__(self, read_head):
+        self._read_head = read_head
+        self._transport = None
+        self._parser = httptools.HttpResponseParser(self)
+        self._waiter = None
+        self._events = collections.deque()
+        self._buffered = 0
+        self._request_id = None
+        self._method = ""
+        self._headers = []
+        self._header_bytes = 0
+        self._has_length = False
+        self._skipping = False
+        self._in_message = False
+        self._head_seen = False
+        self._error = None
+        self.closed = False
+        # Requests that were sent on this connection.
+        self.requests = 0
+        # The answer was complete and another request may follow.
+        self.reusable = False
+        self.keep_alive_s = None
+        # Loop time in seconds of the end of the last answer.
+        self.idle_since = 0.0
+
+    # Transport callbacks.
+
+    def connection_made(self, transport):
+        self._transport = transport
+        guard_against_silence(transport)
+
+    def data_received(self, data):
+        if self._request_id is None:
+            # Nothing was asked for: such bytes belong to no request.
+            self.abort()
+            return
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
+            self._fail(f"answer cannot be parsed: {error}")
+
+    def eof_received(self):
+        self._end_of_input(None)
+        return False
+
+    def connection_lost(self, error):
+        self._end_of_input(error)
+        self.closed = True
+
+    def _end_of_input(self, error):
+        if self._request_id is None:
+            self.closed = True
+            return
+        without_length = self._head_seen and not self._has_length
+        if error is None and without_length and not self._skipping:
+            # Such an answer ends with its connection.
+            self.reusable = False
+            self._finish()
+            return
+        self._fail("connection closed before the end of the answer")
+
+    # Parser callbacks.
+
+    def on_message_begin(self):
+        if self._request_id is None:
+            # A second answer follows in the same bytes.
+            self.reusable = False
+            self._skipping = True
+            return
+        self._in_message = True
+        self._head_seen = False
+        self._skipping = False
+        self._has_length = False
+        self._headers = []
+        self._header_bytes = 0
+
+    def on_header(self, name, value):
+        self._header_bytes += len(name) + len(value)
+        if self._header_bytes > MAX_HEADER_BYTES:
+            raise ValueError("header is too large")
+        if name.lower() in (b"content-length", b"transfer-encoding"):
+            self._has_length = True
+        self._headers.append((name, value))
+
+    def on_headers_complete(self):
+        if self._request_id is None:
+            return
+        status = self._parser.get_status_code()
+        if status < 200:
+            self._skipping = True
+            return
+        head = self._read_head(status, tuple(self._headers))
+        if not self._is_answer(head):
+            self._skipping = True
+            self.reusable = False
+            return
+        self._head_seen = True
+        self.reusable = self._parser.should_keep_alive()
+        self.keep_alive_s = head.keep_alive_s
+        self._push(head)
+        if self._method == "HEAD" or status in _NO_BODY:
+            self.reusable = self.reusable and self._method != "HEAD"
+            self._finish()
+
+    def _is_answer(self, head):
+        if head.request_id:
+            return head.request_id == self._request_id
+        # Refusals may come without an id. On a used connection such an answer
+        # may be a late one to another request.
+        return self.requests == 1 or not self._request_id
+
+    def on_body(self, body):
+        if not self._skipping and self._request_id is not None:
+            self._buffered += len(body)
+            self._push(body)
+            if self._buffered > PAUSE_BYTES:
+                self._transport.pause_reading()
+
+    def on_message_complete(self):
+        if self._request_id is None:
+            return
+        if self._skipping:
+            self._in_message = False
+            return
+        if self._head_seen:
+            self._finish()
+
+    def _finish(self):
+        if self._request_id is None:
+            return
+        self._request_id = None
+        self._in_message = False
+        self._push(_END)
+
+    def _fail(self, message):
+        self.reusable = False
+        if self._request_id is not None:
+            self._request_id = None
+            self._push(
+                BackendError(
+                    message, code="connection_broken", execution=Execution.MAY_HAVE_RUN
+                )
+            )
+        self.abort()
+
+    def _push(self, event):
+        self._events.append(event)
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_result(None)
+
+    # Use by the owner of the connection.
+
+    def send(self, method, head, body, request_id):
+        """Send a request; the answer is read with `read`."""
+        self._request_id = request_id
+        self._method = method
+        self._events.clear()
+        self._buffered = 0
+        self.requests += 1
+        self.reusable = False
+        self._transport.write(head + body if len(body) < PAUSE_BYTES else head)
+        if len(body) >= PAUSE_BYTES:
+            self._transport.write(body)
+
+    async def read(self):
+        """
+        Return the AnswerHead, then pieces of the body, then None.
+
+        Raise BackendError if the answer breaks off.
+        """
+        while not self._events:
+            self._waiter = asyncio.get_running_loop().create_future()
+            try:
+                await self._waiter
+            finally:
+                self._waiter = None
+        event = self._events.popleft()
+        if event is _END:
+            self.idle_since = asyncio.get_running_loop().time()
+            return None
+        if isinstance(event, BackendError):
+            raise event
+        if isinstance(event, bytes):
+            self._buffered -= len(event)
+            if self._buffered <= PAUSE_BYTES and not self.closed:
+                self._transport.resume_reading()
+        return event
+
+    def can_be_reused(self):
+        """Return True if another request may be sent."""
+        return (
+            self.reusable
+            and not self.closed
+            and self._request_id is None
+            # A body that is still being sent would precede the next request.
+            and self._transport.get_write_buffer_size() == 0
+            and not self._transport.is_closing()
+        )
+
+    def abort(self):
+        """Close the connection at once; unsent bytes are dropped."""
+        self.closed = True
+        self.reusable = False
+        if self._transport is not None:
+            self._transport.abort()
--- /dev/null
+++ b/galenascale/gateway/backend_pool.py
@@ -0,0 +1,105 @@
+"""Connections to backend servers, kept for reuse."""
+
+import asyncio
+
+from galenascale.errors import BackendError, Execution
+from galenascale.gateway.backend_connection import BackendConnection
+from galenascale.gateway.sockets import split_address
+
+# Servers accept within some milliseconds; a dark one does not answer at all.
+CONNECT_TIMEOUT_S = 0.4
+# Idle seconds after which a connection is closed if the server states nothing.
+DEFAULT_IDLE_S = 4.0
+# Seconds by which a connection is closed before the server's own timeout.
+IDLE_MARGIN_S = 1.0
+# Idle seconds after which a request that must not run twice gets a new
+# connection: one that the server closes meanwhile leaves its outcome unknown.
+UNREPEATABLE_IDLE_S = 0.3
+MAX_IDLE_PER_SERVER = 16
+
+
+class BackendPool:
+    """Lends connections by the incarnation of a backend server."""
+
+    def __init__(self, read_head):
+        self._read_head = read_head
+        self._idle_by_incarnation = {}
+
+    async def connect(self, server, *, repeatable):
+        """
+        Return a BackendConnection; raise BackendError (not run) if none.
+        """
+        connection = self._take_idle(server, repeatable)
+        if connection is not None:
+            return connection
+        host, port = split_address(server.address)
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                _, connection = await loop.create_connection(
+                    lambda: BackendConnection(self._read_head), host, port
+                )
+        except (TimeoutError, OSError) as error:
+            raise BackendError(
+                f"cannot connect: {error!r}",
+                code="connect_failed",
+                step="connect",
+                peer=server.server_id,
+                execution=Execution.NOT_RUN,
+            ) from error
+        return connection
+
+    def _take_idle(self, server, repeatable):
+        now = asyncio.get_running_loop().time()
+        idle = self._idle_by_incarnation.get(server.incarnation, [])
+        while idle:
+            connection = idle.pop()
+            limit = _idle_limit_s(connection)
+            if not repeatable:
+                limit = min(limit, UNREPEATABLE_IDLE_S)
+            if connection.can_be_reused() and now - connection.idle_since < limit:
+                return connection
+            connection.abort()
+        return None
+
+    def release(self, server, connection):
+        """Take a connection back whose answer was read to its end."""
+        idle = self._idle_by_incarnation.setdefault(server.incarnation, [])
+        if not connection.can_be_reused() or len(idle) >= MAX_IDLE_PER_SERVER:
+            connection.abort()
+            return
+        idle.append(connection)
+
+    def close_idle(self):
+        """Close the connections that were idle for too long."""
+        now = asyncio.get_running_loop().time()
+        for incarnation, idle in list(self._idle_by_incarnation.items()):
+            kept = []
+            for connection in idle:
+                if (
+                    connection.can_be_reused()
+                    and now - connection.idle_since < _idle_limit_s(connection)
+                ):
+                    kept.append(connection)
+                else:
+                    connection.abort()
+            if kept:
+                self._idle_by_incarnation[incarnation] = kept
+            else:
+                del self._idle_by_incarnation[incarnation]
+
+    def forget(self, incarnation):
+        """Close the idle connections to a server that is gone."""
+        for connection in self._idle_by_incarnation.pop(incarnation, ()):
+            connection.abort()
+
+    def close(self):
+        """Close all idle connections."""
+        for incarnation in list(self._idle_by_incarnation):
+            self.forget(incarnation)
+
+
+def _idle_limit_s(connection):
+    if connection.keep_alive_s is None:
+        return DEFAULT_IDLE_S
+    return max(0.0, connection.keep_alive_s - IDLE_MARGIN_S)
--- /dev/null
+++ b/galenascale/gateway/dispatch.py
@@ -0,0 +1,97 @@
+"""Sending of a request to a chosen backend server."""
+
+import contextlib
+
+import attrs
+
+from galenascale.errors import BackendError
+from galenascale.gateway.balancing import Candidate, choose
+
+
+@attrs.define
+class Send:
+    """One request on its way at a backend server."""
+
+    server: object
+    connection: object
+    sent_at: float
+    # The answer was read to its end, so the connection may be used again.
+    complete: bool = False
+
+
+class Dispatcher:
+    """Chooses servers, sends requests and keeps what their answers show."""
+
+    def __init__(self, parts, *, batch=False):
+        self._parts = parts
+        self._batch = batch
+
+    def pick(self, route, plan, service_order):
+        """Return the server for the next send, or None if there is none."""
+        parts = self._parts
+        now = parts.clock.monotonic()
+        for service in service_order:
+            candidates = [
+                self._candidate(entry, now)
+                for entry in parts.servers.usable(service, now)
+                if not plan.excludes(entry.incarnation)
+            ]
+            chosen = choose(candidates, parts.rng)
+            if chosen is not None:
+                return chosen
+        return None
+
+    def _candidate(self, entry, now):
+        parts = self._parts
+        return Candidate(
+            entry,
+            in_flight=parts.load.at(entry.server_id, now).total,
+            quality=parts.health.quality(entry.incarnation),
+            paused=parts.health.is_paused(entry.incarnation, now),
+            same_domain=entry.failure_domain == parts.settings.failure_domain,
+        )
+
+    @contextlib.asynccontextmanager
+    async def send(self, request, server, plan, resume_after):
+        """
+        Send a request and yield the Send; its connection is closed on errors.
+
+        Raise BackendError (not run) if the server cannot be reached.
+        """
+        parts = self._parts
+        try:
+            connection = await parts.pool.connect(
+                server, repeatable=plan.route.repeatable
+            )
+        except BackendError:
+            plan.was_unreachable(server.incarnation)
+            parts.health.unreachable(server.incarnation, parts.clock.monotonic())
+            raise
+        now = parts.clock.monotonic()
+        headers = parts.dialect.backend_headers(
+            request, server.server_id, plan.remaining_s(now), resume_after
+        )
+        plan.sent(server.incarnation)
+        parts.load.start(server.server_id, batch=self._batch)
+        send = Send(server, connection, now)
+        try:
+            connection.send(
+                request.method,
+                _encode_head(request, headers),
+                request.body,
+                request.request_id,
+            )
+            yield send
+        finally:
+            parts.load.end(server.server_id, batch=self._batch)
+            if send.complete:
+                parts.pool.release(server, connection)
+            else:
+                connection.abort()
+
+
+def _encode_head(request, headers):
+    line = f"{request.method} {request.target} HTTP/1.1"
+    lines = [line.encode("utf-8", "surrogateescape")]
+    lines.extend(name + b": " + value for name, value in headers)
+    return b"\r\n".join(lines) + b"\r\n\r\n"
--- /dev/null
+++ b/galenascale/gateway/forwarding.py
@@ -0,0 +1,220 @@
+"""Forwarding of online requests to backend servers."""
+
+import asyncio
+
+import attrs
+
+from galenascale.errors import BackendError, DecodeError
+from galenascale.gateway.attempts import MIN_REMAINING_S, AttemptPlan, RequestEnded
+from galenascale.gateway.configuration import RequestKind
+from galenascale.gateway.dispatch import Dispatcher
+from galenascale.gateway.event_stream import EventSplitter
+
+# Largest answer of a request that is not a stream.
+MAX_ANSWER_BYTES = 64 << 20
+
+
+@attrs.frozen
+class Answer:
+    """A whole answer of a backend server."""
+
+    head: object
+    body: bytes = attrs.field(repr=False)
+
+
+class Forwarder:
+    """Serves one request by one or more backend servers."""
+
+    def __init__(self, parts):
+        self._parts = parts
+        self._dispatcher = Dispatcher(parts)
+
+    def plan(self, request, route, now):
+        """Return the AttemptPlan of a request that arrived at a time."""
+        patience_s = route.timeout_s
+        if request.patience_s is not None:
+            patience_s = min(patience_s, request.patience_s)
+        return AttemptPlan(route, arrived_at=now, deadline=now + patience_s)
+
+    async def forward(self, request, route, plan, caller):
+        """
+        Serve a request; return its Answer, or None if it went to the caller.
+
+        `caller` gets the events of a stream. Raise RequestEnded if the request
+        is given up.
+        """
+        run = _Run(self._parts, self._dispatcher, request, route, plan, caller)
+        try:
+            now = self._parts.clock.monotonic()
+            async with asyncio.timeout(plan.remaining_s(now)):
+                return await run.serve()
+        except TimeoutError:
+            raise plan.end("time is up", plan.deadline) from None
+
+
+class _Run:
+    """One request on its way."""
+
+    def __init__(self, parts, dispatcher, request, route, plan, caller):
+        self._parts = parts
+        self._dispatcher = dispatcher
+        self._request = request
+        self._route = route
+        self._plan = plan
+        self._caller = caller
+        self._services = service_order(route, parts.rng)
+        self._last_event_id = request.resume_after
+        self._started = False
+        self._last_failure = None
+
+    async def serve(self):
+        while True:
+            try:
+                candidate = await self._next_candidate()
+            except RequestEnded:
+                if self._last_failure is not None and not self._started:
+                    return self._last_failure
+                raise
+            try:
+                async with self._dispatcher.send(
+                    self._request, candidate.server, self._plan, self._last_event_id
+                ) as send:
+                    answer, done = await self._read_answer(send)
+            except BackendError as error:
+                self._note_broken(candidate, error)
+                continue
+            self._log_send(candidate, "answered" if done else "refused", answer)
+            if done:
+                return answer
+
+    async def _next_candidate(self):
+        plan = self._plan
+        while True:
+            now = self._parts.clock.monotonic()
+            if plan.remaining_s(now) < MIN_REMAINING_S:
+                raise plan.end("time is up", plan.deadline)
+            if not plan.may_run():
+                raise plan.end("no further attempt is allowed", now)
+            candidate = self._dispatcher.pick(self._route, plan, self._services)
+            if candidate is not None:
+                return candidate
+            pause_s = plan.next_pause_s(now)
+            if pause_s is None:
+                raise plan.end("no backend server takes it", now, retry_after_s=0.2)
+            await asyncio.sleep(pause_s)
+
+    def _note_broken(self, candidate, error):
+        parts = self._parts
+        if error.code != "connect_failed":
+            parts.health.failed(candidate.server.incarnation)
+        self._log_send(candidate, error.code, None)
+
+    def _log_send(self, candidate, outcome, answer):
+        parts = self._parts
+        now = parts.clock.monotonic()
+        parts.log.write(
+            "send",
+            request=self._request.request_id,
+            server=candidate.server.server_id,
+            in_flight=candidate.in_flight,
+            slots=candidate.server.slots,
+            quality=round(candidate.quality, 3),
+            servers_age_s=round(now - (parts.servers.read_at or now), 3),
+            config=parts.configuration.version,
+            run=self._plan.runs,
+            remaining_s=round(self._plan.remaining_s(now), 3),
+            outcome=outcome,
+            status=answer.head.status if answer else None,
+        )
+
+    async def _read_answer(self, send):
+        """Return (Answer or None, whether the request is served)."""
+        head = await send.connection.read()
+        if head.not_run:
+            body = await _read_body(send)
+            self._plan.was_refused(send.server.incarnation)
+            return Answer(head, body), False
+        if self._route.kind is RequestKind.STREAMING and head.status == 200:
+            await self._relay_events(send, head)
+            return None, True
+        return await self._read_whole(send, head)
+
+    async def _read_whole(self, send, head):
+        answer = Answer(head, await _read_body(send))
+        parts = self._parts
+        incarnation = send.server.incarnation
+        if head.status < 500:
+            parts.health.answered(incarnation, parts.clock.monotonic() - send.sent_at)
+            self._refuse_late_failure(answer)
+            return answer, True
+        parts.health.failed(incarnation)
+        self._refuse_late_failure(answer)
+        # Another server may do what this one failed to do.
+        self._last_failure = answer
+        return answer, not self._plan.may_run()
+
+    def _refuse_late_failure(self, answer):
+        if self._started:
+            # The events of an earlier run were sent; this is no part of them.
+            raise BackendError(
+                f"run that goes on was answered {answer.head.status}",
+                code="resume_failed",
+            )
+
+    async def _relay_events(self, send, head):
+        splitter = EventSplitter()
+        first = True
+        while (piece := await send.connection.read()) is not None:
+            try:
+                events = splitter.feed(piece)
+            except DecodeError as error:
+                raise BackendError(str(error), code="event_too_large") from error
+            data = b"".join(event.raw for event in events if self._is_next(event))
+            if not data:
+                continue
+            if first:
+                first = False
+                now = self._parts.clock.monotonic()
+                self._parts.health.answered(send.server.incarnation, now - send.sent_at)
+            await self._deliver(head, data)
+        send.complete = True
+        # A whole answer may end without a blank line.
+        await self._deliver(head, splitter.pending)
+        await self._caller.finish()
+
+    def _is_next(self, event):
+        if event.event_id is None:
+            return True
+        if self._last_event_id is not None and event.event_id <= self._last_event_id:
+            return False
+        self._last_event_id = event.event_id
+        return True
+
+    async def _deliver(self, head, data):
+        if not self._started:
+            self._started = True
+            await self._caller.start(head)
+        if data:
+            await self._caller.send(data)
+
+
+async def _read_body(send):
+    pieces = []
+    size = 0
+    while (piece := await send.connection.read()) is not None:
+        size += len(piece)
+        if size > MAX_ANSWER_BYTES:
+            raise BackendError("answer is too large", code="answer_too_large")
+        pieces.append(piece)
+    send.complete = True
+    return b"".join(pieces)
+
+
+def service_order(route, rng):
+    """Return the services of a route, one drawn by weight first."""
+    splits = [split for split in route.splits if split.weight > 0]
+    if len(splits) < 2:
+        return [split.service for split in splits]
+    drawn = rng.choices(splits, [split.weight for split in splits])[0]
+    others = [split.service for split in splits if split is not drawn]
+    return [drawn.service, *others]
--- /dev/null
+++ b/galenascale/gateway/front.py
@@ -0,0 +1,194 @@
+"""The listener for callers: reads requests and routes them."""
+
+import asyncio
+
+import attrs
+from aiohttp import web
+
+from galenascale.errors import GalenascaleError, UserError
+from galenascale.gateway import answers
+from galenascale.gateway.attempts import not_run
+from galenascale.gateway.configuration import CallerLimits, RequestKind
+
+# Seconds in which a host without a configuration is asked again.
+NO_CONFIGURATION_RETRY_S = 0.5
+# Seconds in which a caller must send the body of a request.
+BODY_TIMEOUT_S = 10.0
+
+
+class Front:
+    """Answers the requests of callers."""
+
+    def __init__(self, parts, forwarder, jobs):
+        self._parts = parts
+        self._forwarder = forwarder
+        self._jobs = jobs
+        self.stopping = False
+        self.in_flight = 0
+
+    async def handle(self, request):
+        """Answer one HTTP request; for the HTTP library."""
+        self.in_flight += 1
+        try:
+            response = await self._answer(request)
+        finally:
+            self.in_flight -= 1
+        if self.stopping:
+            response.force_close()
+        return response
+
+    async def _answer(self, request):
+        if request.transport is None:
+            raise asyncio.CancelledError
+        answers.guard(request)
+        try:
+            caller_request, arrived_at = await self._read(request)
+        except GalenascaleError as error:
+            return self._malformed(error)
+        exchange = _Exchange(self._parts, request, caller_request, arrived_at)
+        try:
+            return await self._route(exchange)
+        except GalenascaleError as error:
+            return exchange.fail(error)
+        except asyncio.CancelledError:
+            exchange.done("caller_left")
+            raise
+
+    def _malformed(self, error):
+        self._parts.log.write("request_malformed", "warning", reason=error.message)
+        response = answers.refusal(error)
+        response.force_close()
+        return response
+
+    async def _read(self, request):
+        """Return (CallerRequest, time of arrival)."""
+        arrived_at = self._parts.clock.monotonic()
+        if request.headers.get("Expect", "").lower() == "100-continue":
+            request.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        body = await self._read_body(request)
+        caller_request = self._parts.dialect.read_request(
+            request.method, request.raw_path, request.raw_headers, body
+        )
+        return caller_request, arrived_at
+
+    async def _read_body(self, request):
+        if not request.body_exists:
+            return b""
+        limit = self._limits().body_bytes
+        pieces = []
+        size = 0
+        try:
+            async with asyncio.timeout(BODY_TIMEOUT_S):
+                async for piece in request.content.iter_any():
+                    size += len(piece)
+                    if size > limit:
+                        raise UserError(
+                            f"body has more than {limit} bytes",
+                            step="read_body",
+                            http_status=413,
+                        )
+                    pieces.append(piece)
+        except TimeoutError as error:
+            raise UserError(
+                "body did not arrive in time", step="read_body", http_status=408
+            ) from error
+        except web.PayloadError as error:
+            raise UserError(f"body is broken: {error}", step="read_body") from error
+        return b"".join(pieces)
+
+    def _limits(self):
+        current = self._parts.configuration.current
+        return current.limits if current else CallerLimits()
+
+    async def _route(self, exchange):
+        parts = self._parts
+        request = exchange.request
+        configuration = parts.configuration
+        if configuration.current is None:
+            raise not_run(
+                "no configuration yet",
+                code="no_configuration",
+                retry_after_s=NO_CONFIGURATION_RETRY_S,
+            )
+        call = parts.dialect.read_job_call(
+            request.method, request.target, request.headers
+        )
+        if call is not None:
+            return await self._jobs.answer_call(call, exchange)
+        route = configuration.table.find(request.host, request.path)
+        if route is None:
+            raise UserError(
+                f"no route for {request.host}{request.path}",
+                code="no_route",
+                http_status=404,
+            )
+        exchange.route = route
+        if route.kind is RequestKind.BATCH:
+            return await self._jobs.submit(exchange, route)
+        return await self._forward(exchange, route)
+
+    async def _forward(self, exchange, route):
+        plan = self._forwarder.plan(exchange.request, route, exchange.arrived_at)
+        caller = answers.CallerStream(exchange.http_request, exchange.first_part)
+        try:
+            answer = await self._forwarder.forward(
+                exchange.request, route, plan, caller
+            )
+        except GalenascaleError as error:
+            if caller.response is None:
+                raise
+            exchange.done(error.code, reason=error.message)
+            caller.abort()
+            return caller.response
+        if answer is None:
+            exchange.done("streamed")
+            return caller.response
+        exchange.done("answered", status=answer.head.status)
+        return answers.whole(answer)
+
+
+@attrs.define
+class _Exchange:
+    """One request of a caller with what becomes of it."""
+
+    parts: object
+    http_request: object
+    request: object
+    arrived_at: float
+    route: object = None
+    first_part_at: float | None = None
+
+    def first_part(self):
+        """Note that the first part of the answer is sent."""
+        self.first_part_at = self.parts.clock.monotonic()
+
+    def done(self, outcome, **fields):
+        """Log and count the end of the request."""
+        now = self.parts.clock.monotonic()
+        name = self.route.name if self.route else "none"
+        self.parts.metrics.requests.labels(name, outcome).inc()
+        self.parts.metrics.request_seconds.labels(name).observe(now - self.arrived_at)
+        if self.first_part_at is not None:
+            fields["first_part_s"] = round(self.first_part_at - self.arrived_at, 4)
+            self.parts.metrics.first_part_seconds.labels(name).observe(
+                self.first_part_at - self.arrived_at
+            )
+        self.parts.log.write(
+            "request",
+            request=self.request.request_id,
+            route=name,
+            config=self.parts.configuration.version,
+            outcome=outcome,
+            elapsed_s=round(now - self.arrived_at, 4),
+            **fields,
+        )
+
+    def fail(self, error):
+        """Return the answer to a request that an error ends."""
+        self.done(
+            error.code,
+            reason=error.message,
+            status=error.http_status,
+            execution=str(error.execution),
+        )
+        return answers.refusal(error)
--- /dev/null
+++ b/galenascale/gateway/host.py
@@ -0,0 +1,238 @@
+"""One gateway host: its parts, its listeners and its stop."""
+
+import asyncio
+import contextlib
+import random
+import time
+import traceback
+
+import aiohttp
+import attrs
+from aiohttp import web
+
+from galenascale.clock import Clock
+from galenascale.gateway.backend_pool import BackendPool
+from galenascale.gateway.configuration import CallerLimits, ConfigurationState
+from galenascale.gateway.decision_log import DecisionLog
+from galenascale.gateway.following import Following, StoreLink
+from galenascale.gateway.forwarding import Forwarder
+from galenascale.gateway.front import Front
+from galenascale.gateway.health import ServerHealth
+from galenascale.gateway.jobs.acceptance import Acceptance
+from galenascale.gateway.jobs.api import JobsApi
+from galenascale.gateway.jobs.bodies import BodyReader
+from galenascale.gateway.jobs.partitions import Partitions
+from galenascale.gateway.jobs.recorder import Recorder
+from galenascale.gateway.jobs.runner import JobRunner
+from galenascale.gateway.jobs.stewardship import Stewardship
+from galenascale.gateway.listeners import CallerServer, listen, make_plain_server
+from galenascale.gateway.load import FleetLoad
+from galenascale.gateway.metrics import GatewayMetrics
+from galenascale.gateway.parts import Parts
+from galenascale.gateway.peers import PeerLink
+from galenascale.gateway.presence import Presence
+from galenascale.gateway.relay import StateRelay, answer_state
+from galenascale.gateway.servers import ServerList
+from galenascale.gateway.sockets import split_address
+from galenascale.gateway.stopping import GracefulStop
+
+# Seconds after which a background task that failed is started again.
+RESTART_S = 0.5
+# Seconds between two looks for connections that were idle for too long.
+IDLE_CHECK_S = 1.0
+
+
+class BootClock(Clock):
+    """Clock that counts the time for which the machine was suspended."""
+
+    def monotonic(self):
+        """Return seconds that never go back, suspended ones included."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+@attrs.define
+class GatewayHost:
+    """Serves callers until it is stopped."""
+
+    parts: Parts
+    link: StoreLink
+    following: Following
+    front: Front
+    runner: JobRunner
+    recorder: Recorder
+    stewardship: Stewardship
+    session: aiohttp.ClientSession
+    stack: contextlib.AsyncExitStack
+    presence: Presence
+    started_ms: int
+    _tasks: set = attrs.field(factory=set)
+    _caller_server: object = None
+    _caller_listener: object = None
+
+    @classmethod
+    async def from_config(cls, settings, adapter):
+        """Return the host of the settings; `adapter` knows the platform."""
+        clock = BootClock()
+        stack = contextlib.AsyncExitStack()
+        log = DecisionLog(settings.host_id, settings.log_level)
+        stack.callback(log.flush)
+        session = await stack.enter_async_context(adapter.make_session())
+        started_ms = clock.wall_ms()
+        link = StoreLink(log, clock)
+        load = FleetLoad()
+        configuration = ConfigurationState()
+        pool = BackendPool(adapter.dialect.read_answer_head)
+        stack.callback(pool.close)
+        peer_link = PeerLink(
+            settings, started_ms, clock, log, load, configuration, link
+        )
+        parts = Parts(
+            settings=settings,
+            dialect=adapter.dialect,
+            clock=clock,
+            rng=random.Random(),
+            log=log,
+            metrics=GatewayMetrics(),
+            configuration=configuration,
+            servers=ServerList(),
+            load=load,
+            health=ServerHealth(),
+            pool=pool,
+            peers=peer_link.table,
+            store=adapter.make_store(settings.store, session),
+        )
+        partitions = Partitions(parts, link)
+        bodies = BodyReader(parts, partitions)
+        recorder = Recorder(parts, partitions)
+        stewardship = Stewardship(parts, link)
+        runner = JobRunner(parts, partitions, bodies, recorder, stewardship, started_ms)
+        acceptance = Acceptance(parts, partitions, started_ms)
+        jobs = JobsApi(parts, partitions, acceptance, bodies, runner)
+        host = cls(
+            parts=parts,
+            link=link,
+            following=Following(parts, link, adapter.names),
+            front=Front(parts, Forwarder(parts), jobs),
+            runner=runner,
+            recorder=recorder,
+            stewardship=stewardship,
+            session=session,
+            stack=stack,
+            presence=Presence(parts, link, peer_link),
+            started_ms=started_ms,
+        )
+        parts.servers.on_change(host._on_server_change)
+        return host
+
+    def _on_server_change(self, change, entry):
+        if change == "removed":
+            self.parts.health.forget(entry.incarnation)
+            self.parts.pool.forget(entry.incarnation)
+        self.parts.log.write(
+            f"server_{change}",
+            server=entry.server_id,
+            service=entry.service,
+            address=entry.address,
+            sequence=entry.sequence,
+            position=self.parts.servers.position,
+        )
+
+    async def start(self):
+        """Listen and start background tasks; raise OSError if it cannot."""
+        settings = self.parts.settings
+        self.parts.log.write(
+            "start", started_ms=self.started_ms, failure_domain=settings.failure_domain
+        )
+        await self._listen(settings)
+        self._spawn("log", self.parts.log.run)
+        self._spawn("configuration", self.following.follow_configuration)
+        self._spawn("servers", self.following.follow_servers)
+        self._spawn("peers", self.presence.link.run)
+        self._spawn("presence", self.presence.run)
+        relay = StateRelay(self.parts, self.link, self.following, self.session)
+        self._spawn("relay", relay.run)
+        self._spawn("stewardship", self.stewardship.run)
+        self._spawn("recorder", self.recorder.run)
+        self._spawn("jobs", self.runner.run)
+        self._spawn("idle_connections", self._close_idle)
+
+    async def _listen(self, settings):
+        loop = asyncio.get_running_loop()
+        host = split_address(settings.peer_listen)[0]
+        await loop.create_datagram_endpoint(
+            lambda: self.presence.link,
+            local_addr=(host, settings.peer_datagram_port),
+        )
+        ready = make_plain_server(self._answer_ready)
+        await listen(self.stack, ready, settings.ready_listen)
+        peers = make_plain_server(lambda request: answer_state(self.following, request))
+        await listen(self.stack, peers, settings.peer_listen)
+        if settings.metrics_port:
+            metrics = make_plain_server(self._answer_metrics)
+            await listen(self.stack, metrics, f"{host}:{settings.metrics_port}")
+        self._caller_server = CallerServer(self.front.handle, self._limits)
+        self._caller_listener = await listen(
+            self.stack, self._caller_server, settings.caller_listen
+        )
+
+    def _limits(self):
+        current = self.parts.configuration.current
+        return current.limits if current else CallerLimits()
+
+    @property
+    def ready(self):
+        """Return True if the host can serve new callers."""
+        return (
+            not self.front.stopping
+            and self.parts.configuration.current is not None
+            and self.parts.servers.loaded
+        )
+
+    async def _answer_ready(self, request):
+        return web.Response(status=200 if self.ready else 503)
+
+    async def _answer_metrics(self, request):
+        self.parts.metrics.peers.set(
+            len(self.parts.peers.alive(self.parts.clock.monotonic()))
+        )
+        return web.Response(body=self.parts.metrics.expose(), content_type="text/plain")
+
+    def _spawn(self, name, run):
+        task = asyncio.get_running_loop().create_task(self._supervise(name, run))
+        self._tasks.add(task)
+
+    async def _supervise(self, name, run):
+        while True:
+            try:
+                await run()
+            except Exception as error:
+                self.parts.log.write(
+                    "task_failed",
+                    "error",
+                    task=name,
+                    reason=repr(error),
+                    traceback=traceback.format_exc(),
+                )
+            await asyncio.sleep(RESTART_S)
+
+    async def _close_idle(self):
+        while True:
+            await asyncio.sleep(IDLE_CHECK_S)
+            self.parts.pool.close_idle()
+
+    async def stop(self):
+        """Stop without cutting requests off, inside the operator's grace."""
+        stop = GracefulStop(
+            self.parts,
+            self.front,
+            self.runner,
+            self.stewardship,
+            self.presence,
+            self._caller_server,
+            self._caller_listener,
+        )
+        await stop.run()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self.stack.aclose()
--- /dev/null
+++ b/galenascale/gateway/jobs/acceptance.py
@@ -0,0 +1,131 @@
+"""Storing of a job before it is accepted."""
+
+from galenascale.errors import Execution, GalenascaleError
+from galenascale.gateway.attempts import may_have_run, not_run
+from galenascale.gateway.jobs.partitions import BODIES_TOPIC, RETRY_S
+from galenascale.gateway.jobs.records import cut, encode_record, group_by_size, pack
+from galenascale.generated.gateway_messages import Job, JobItem, JobRecordKind
+from galenascale.store import STORE_ERRORS, StoreFenced
+
+# Share of the caller's patience for which the store is tried.
+PATIENCE_SHARE = 0.7
+# Patience in seconds of a caller that states none.
+DEFAULT_PATIENCE_S = 4.0
+# Seconds after which a caller comes back while the store does not answer.
+RETRY_AFTER_S = 0.8
+
+
+class Acceptance:
+    """Stores jobs; one that was stored once is accepted again."""
+
+    def __init__(self, parts, partitions, started_ms):
+        self._parts = parts
+        self._partitions = partitions
+        self._started_ms = started_ms
+
+    async def accept(self, submission, request, route, arrived_at):
+        """
+        Store a job, unless it is; return True if it was stored now.
+
+        Raise RequestEnded; it says "not run" only if nothing can have been
+        stored.
+        """
+        patience_s = request.patience_s or DEFAULT_PATIENCE_S
+        deadline = arrived_at + patience_s * PATIENCE_SHARE
+        storing = _Storing(self._parts, self._partitions.of(submission.job_id))
+        clock = self._parts.clock
+        while True:
+            try:
+                return await storing.step(
+                    submission, self._make_job(submission, request, route)
+                )
+            except (StoreFenced, *STORE_ERRORS) as error:
+                if clock.monotonic() + RETRY_S >= deadline:
+                    raise storing.end(error) from error
+            await clock.sleep(RETRY_S)
+
+    def _make_job(self, submission, request, route):
+        return Job(
+            accepted_ms=self._parts.clock.wall_ms(),
+            host=request.host,
+            path=request.path,
+            items=[
+                JobItem(
+                    item_id=item.item_id,
+                    path=item.path,
+                    headers=dict(item.headers),
+                    tokens=item.tokens,
+                )
+                for item in submission.items
+            ],
+            runner=self._parts.settings.host_id,
+            runner_started_ms=self._started_ms,
+            due_ms=int(route.due_s * 1000),
+            give_up_ms=int(route.give_up_s * 1000),
+        )
+
+
+class _Storing:
+    """The tries to store one job."""
+
+    def __init__(self, parts, partition):
+        self._parts = parts
+        self._partition = partition
+        self._bodies_offset = None
+        # An append of the job's record may have taken effect.
+        self._maybe_stored = False
+
+    async def step(self, submission, job):
+        job_id = submission.job_id
+        jobs_by_id = self._partition.state.jobs_by_id
+        if job_id not in jobs_by_id:
+            await self._partition.refresh()
+        if job_id in jobs_by_id:
+            return False
+        await self._store(submission, job)
+        return True
+
+    async def _store(self, submission, job):
+        records = _place_bodies(submission, job, self._parts.settings.store)
+        if self._bodies_offset is None:
+            self._bodies_offset = await self._append_bodies(records)
+        job.bodies_offset = self._bodies_offset
+        record = encode_record(JobRecordKind.JOB, submission.job_id, job)
+        try:
+            await self._partition.append(record)
+        except GalenascaleError as error:
+            if error.execution is not Execution.NOT_RUN:
+                self._maybe_stored = True
+            raise
+
+    async def _append_bodies(self, records):
+        limit = self._parts.settings.store.call_bytes
+        groups = group_by_size(records, limit)
+        store = self._parts.store
+        number = self._partition.number
+        first = await store.append(BODIES_TOPIC, number, groups[0])
+        end = first + len(groups[0])
+        for group in groups[1:]:
+            # Bodies of one job stand in one run of records.
+            await store.append(BODIES_TOPIC, number, group, at=end)
+            end += len(group)
+        return first
+
+    def end(self, error):
+        """Return the truthful end of the submission."""
+        reason = f"store does not answer: {error.message}"
+        if self._maybe_stored:
+            return may_have_run(reason, code="job_unknown", http_status=504)
+        return not_run(reason, code="store_unavailable", retry_after_s=RETRY_AFTER_S)
+
+
+def _place_bodies(submission, job, store_settings):
+    """Set the places of the bodies in a job; return their records."""
+    records = []
+    for item, stored in zip(submission.items, job.items, strict=True):
+        pieces = cut(pack(item.body), store_settings.record_bytes)
+        stored.body_bytes = len(item.body)
+        stored.first_record = len(records)
+        stored.records = len(pieces)
+        records.extend(pieces)
+    return records
--- /dev/null
+++ b/galenascale/gateway/jobs/item_runs.py
@@ -0,0 +1,139 @@
+"""One run of an item at a backend server."""
+
+import attrs
+
+from galenascale.errors import BackendError, DecodeError
+from galenascale.gateway.attempts import AttemptPlan
+from galenascale.gateway.event_stream import EventSplitter
+from galenascale.gateway.requests import CallerRequest
+
+# An item has no deadline of a caller; a run longer than this is stuck.
+MAX_RUN_S = 120.0
+STATUS_CANNOT_BE_DONE = 422
+# Pauses in seconds before an item that was refused or broke off runs again.
+REFUSED_PAUSE_S = 0.1
+FAILED_PAUSE_S = 0.3
+MAX_PAUSE_S = 2.0
+
+
+@attrs.define
+class OpenItem:
+    """An item without an outcome, with what was read of its output."""
+
+    state: object
+    index: int
+    # Data of the events so far, and the id of the last of them.
+    texts: list = attrs.field(factory=list)
+    last_event_id: int | None = None
+    failures: int = 0
+    # Runs that broke off without an answer since the last whole event.
+    broken: int = 0
+    not_before: float = float("-inf")
+    # Server on which it runs now.
+    server: object = None
+    task: object = None
+    # It was interrupted for online requests and goes on later.
+    interrupted: bool = False
+    # Its outcome is known, but not yet read back from the store.
+    finished: bool = False
+
+    @classmethod
+    def from_state(cls, state, index):
+        """Return the item with the progress that another host recorded."""
+        item = cls(state, index)
+        progress = state.progress_by_index.get(index)
+        if progress is not None:
+            item.texts = [progress.text]
+            item.last_event_id = progress.last_event_id
+        return item
+
+    @property
+    def key(self):
+        """Return (job id, index)."""
+        return (self.state.job_id, self.index)
+
+    @property
+    def due_at_ms(self):
+        """Return the wall time in milliseconds at which the result is due."""
+        return self.state.job.accepted_ms + self.state.job.due_ms
+
+    def text(self):
+        """Return the output so far."""
+        return b"\n".join(self.texts)
+
+    def pause(self, now, first_s, count):
+        """Let the item wait, longer after each failure."""
+        self.not_before = now + min(first_s * 2 ** max(0, count - 1), MAX_PAUSE_S)
+
+
+@attrs.frozen
+class RunEnd:
+    """How a run ended: completed, cannot_be_done, failed, refused, broken."""
+
+    outcome: str
+    reason: str = ""
+
+
+async def run_item(parts, dispatcher, item, server, route, body):
+    """Run an item, adding events to it as they come; return the RunEnd."""
+    now = parts.clock.monotonic()
+    plan = AttemptPlan(route, arrived_at=now, deadline=now + MAX_RUN_S)
+    stored = item.state.job.items[item.index]
+    request = CallerRequest(
+        request_id=stored.item_id,
+        method="POST",
+        target=stored.path,
+        host=item.state.job.host,
+        headers=parts.dialect.item_headers(stored, item.state.job),
+        body=body,
+    )
+    try:
+        async with dispatcher.send(request, server, plan, item.last_event_id) as send:
+            return await _read(parts, item, send)
+    except BackendError as error:
+        if error.code == "connect_failed":
+            return RunEnd("refused", error.message)
+        parts.health.failed(server.incarnation)
+        return RunEnd("broken", error.message)
+
+
+async def _read(parts, item, send):
+    head = await send.connection.read()
+    if head.status != 200 or head.not_run:
+        while await send.connection.read() is not None:
+            pass
+        send.complete = True
+        if head.not_run:
+            return RunEnd("refused", f"status {head.status}")
+        if head.status == STATUS_CANNOT_BE_DONE:
+            return RunEnd("cannot_be_done")
+        parts.health.failed(send.server.incarnation)
+        return RunEnd("failed", f"status {head.status}")
+    splitter = EventSplitter()
+    while (piece := await send.connection.read()) is not None:
+        try:
+            events = splitter.feed(piece)
+        except DecodeError as error:
+            raise BackendError(str(error), code="event_too_large") from error
+        for event in events:
+            _add(item, event)
+    send.complete = True
+    if splitter.pending.strip():
+        raise BackendError("output ends inside an event", code="connection_broken")
+    return RunEnd("completed")
+
+
+def _add(item, event):
+    if event.event_id is None:
+        return
+    expected = 1 if item.last_event_id is None else item.last_event_id + 1
+    if event.event_id < expected and item.last_event_id is not None:
+        return
+    if event.event_id != expected and item.last_event_id is not None:
+        raise BackendError(
+            f"event {event.event_id} follows {item.last_event_id}",
+            code="event_missing",
+        )
+    item.texts.append(event.data)
+    item.last_event_id = event.event_id
+    item.broken = 0
--- /dev/null
+++ b/galenascale/gateway/jobs/partitions.py
@@ -0,0 +1,120 @@
+"""Job partitions of the store, as this host has read them."""
+
+import asyncio
+
+from galenascale.errors import DecodeError
+from galenascale.gateway.jobs.state import PartitionState
+from galenascale.hashing import shard_of
+from galenascale.store import STORE_ERRORS, PartitionTrimmed
+
+JOBS_TOPIC = "jobs"
+BODIES_TOPIC = "bodies"
+# Wait of one read for new records of a partition that is followed, in seconds.
+# A connection that falls silent is noticed after it, inside the 3 s in which
+# the runs of an ended job must stop.
+FOLLOW_WAIT_S = 1.5
+RETRY_S = 0.25
+
+
+class Partition:
+    """The state of one partition up to the position that was read."""
+
+    def __init__(self, number, parts, link):
+        self.number = number
+        self.state = PartitionState()
+        self._parts = parts
+        self._link = link
+        self._position = 0
+        self._lock = asyncio.Lock()
+        # Monotonic time at which the last read began that reached the end.
+        self._fresh_at = float("-inf")
+        self._changed = asyncio.Event()
+
+    def age_s(self, now):
+        """Return for how long changes may have been missed, in seconds."""
+        return now - self._fresh_at
+
+    async def refresh(self, max_age_s=0.0):
+        """
+        Read all records up to the end, unless that was done lately.
+
+        Raise StoreUnavailable or StoreOutcomeUnknown if the store does not
+        answer.
+        """
+        asked_at = self._parts.clock.monotonic()
+        if asked_at - self._fresh_at <= max_age_s:
+            return
+        async with self._lock:
+            while self._fresh_at < asked_at:
+                await self._read(0.0)
+
+    async def wait(self, wait_s):
+        """Read once, waiting for a new record."""
+        await self._read(wait_s)
+
+    async def _read(self, wait_s):
+        started_at = self._parts.clock.monotonic()
+        position = self._position
+        try:
+            result = await self._parts.store.read(
+                JOBS_TOPIC, self.number, position, wait_s=wait_s
+            )
+        except PartitionTrimmed as error:
+            self._link.answered()
+            self._position = max(self._position, error.first_kept_offset)
+            return
+        except STORE_ERRORS as error:
+            self._link.failed(error)
+            raise
+        self._link.answered()
+        for offset, record in enumerate(result.records, position):
+            if offset >= self._position:
+                self._position = offset + 1
+                self._apply(offset, record)
+        if self._position >= result.end_offset:
+            self._fresh_at = max(self._fresh_at, started_at)
+
+    def _apply(self, offset, record):
+        try:
+            self.state.apply(record)
+        except DecodeError as error:
+            self._parts.log.write(
+                "job_record_broken",
+                "error",
+                partition=self.number,
+                offset=offset,
+                reason=error.message,
+            )
+
+    async def append(self, record):
+        """Append a record; raise as the store does."""
+        try:
+            await self._parts.store.append(JOBS_TOPIC, self.number, [record])
+        except STORE_ERRORS as error:
+            self._link.failed(error)
+            raise
+        self._link.answered()
+
+
+class Partitions:
+    """All partitions of the jobs, read when they are needed."""
+
+    def __init__(self, parts, link):
+        self._parts = parts
+        self._link = link
+        self._count = parts.settings.store.partitions
+        self._by_number = {}
+
+    def of(self, job_id):
+        """Return the partition of a job."""
+        return self.get(shard_of(job_id, self._count))
+
+    def get(self, number):
+        """Return a partition by its number."""
+        if number not in self._by_number:
+            self._by_number[number] = Partition(number, self._parts, self._link)
+        return self._by_number[number]
+
+    def known(self):
+        """Return the partitions that were read."""
+        return list(self._by_number.values())
--- /dev/null
+++ b/galenascale/gateway/jobs/recorder.py
@@ -0,0 +1,104 @@
+"""Writing of outcomes and progress to the store, in groups."""
+
+import asyncio
+
+from galenascale.gateway.jobs.partitions import RETRY_S
+from galenascale.gateway.jobs.records import encode_record
+from galenascale.generated.gateway_messages import (
+    ItemOutcome,
+    ItemProgress,
+    JobOutcomes,
+    JobProgress,
+    JobRecordKind,
+)
+from galenascale.store import STORE_ERRORS
+
+# Outcomes of a job are gathered for so long, in seconds, before one append.
+GATHER_S = 0.15
+
+
+class Recorder:
+    """Keeps outcomes until the store has taken them."""
+
+    def __init__(self, parts, partitions):
+        self._parts = parts
+        self._partitions = partitions
+        self._waiting_by_job = {}
+        self._wake = asyncio.Event()
+        self._recording = False
+
+    @property
+    def idle(self):
+        """Return True if the store has taken all outcomes."""
+        return not self._waiting_by_job and not self._recording
+
+    def add(self, job_id, index, state, text=b""):
+        """Record how an item ended."""
+        outcome = ItemOutcome(index=index, state=int(state), text=text)
+        self._waiting_by_job.setdefault(job_id, {})[index] = outcome
+        self._wake.set()
+
+    async def run(self):
+        """Write outcomes until cancelled."""
+        while True:
+            await self._wake.wait()
+            self._wake.clear()
+            await self._parts.clock.sleep(GATHER_S)
+            while self._waiting_by_job:
+                try:
+                    await self.flush()
+                except STORE_ERRORS:
+                    await self._parts.clock.sleep(RETRY_S)
+
+    async def flush(self):
+        """Write all waiting outcomes; raise as the store does."""
+        for job_id in list(self._waiting_by_job):
+            outcomes = list(self._waiting_by_job[job_id].values())
+            self._recording = True
+            try:
+                await self._write(job_id, outcomes)
+            finally:
+                self._recording = False
+            waiting = self._waiting_by_job.get(job_id, {})
+            for outcome in outcomes:
+                waiting.pop(outcome.index, None)
+            if not waiting:
+                self._waiting_by_job.pop(job_id, None)
+
+    async def _write(self, job_id, outcomes):
+        limit = self._parts.settings.store.record_bytes // 2
+        partition = self._partitions.of(job_id)
+        group = []
+        size = 0
+        for outcome in outcomes:
+            if group and size + len(outcome.text) > limit:
+                await self._append(partition, job_id, group)
+                group = []
+                size = 0
+            group.append(outcome)
+            size += len(outcome.text)
+        await self._append(partition, job_id, group)
+
+    async def _append(self, partition, job_id, group):
+        record = encode_record(
+            JobRecordKind.OUTCOMES, job_id, JobOutcomes(outcomes=group)
+        )
+        await partition.append(record)
+        self._parts.log.write(
+            "outcomes_recorded",
+            job=job_id,
+            items=[outcome.index for outcome in group],
+        )
+
+    async def record_progress(self, job_id, items):
+        """Write the output of unfinished items; raise as the store does."""
+        progress = [
+            ItemProgress(item.index, item.last_event_id, item.text())
+            for item in items
+            if item.last_event_id is not None
+        ]
+        if progress:
+            record = encode_record(
+                JobRecordKind.PROGRESS, job_id, JobProgress(items=progress)
+            )
+            await self._partitions.of(job_id).append(record)
--- /dev/null
+++ b/galenascale/gateway/jobs/state.py
@@ -0,0 +1,140 @@
+"""Jobs of a partition, folded from its records in the order of the log.
+
+Every host folds the same records to the same state: the first record of a job,
+the first outcome of an item and the last claim of a job are valid. A position
+of a result is the place of its first outcome among those of the job.
+"""
+
+import attrs
+
+from galenascale.codec import decode
+from galenascale.errors import DecodeError
+from galenascale.gateway.jobs.records import decode_body
+from galenascale.generated.gateway_messages import (
+    ItemState,
+    Job,
+    JobClaim,
+    JobOutcomes,
+    JobProgress,
+    JobRecord,
+    JobRecordKind,
+)
+
+SCHEMA_VERSION = 1
+
+
+@attrs.define
+class JobState:
+    """One job with all that is recorded of it."""
+
+    job_id: str
+    job: Job
+    runner: str
+    runner_started_ms: int
+    # Outcomes in the order of their positions.
+    outcomes: list = attrs.field(factory=list)
+    outcomes_by_index: dict = attrs.field(factory=dict)
+    progress_by_index: dict = attrs.field(factory=dict)
+    ended: bool = False
+
+    @property
+    def total(self):
+        """Return the number of items."""
+        return len(self.job.items)
+
+    @property
+    def finished(self):
+        """Return True if every item has an outcome."""
+        return len(self.outcomes) == self.total
+
+    def is_run_by(self, host_id, started_ms):
+        """Return True if a run of a host is the runner of the job."""
+        return self.runner == host_id and self.runner_started_ms == started_ms
+
+    def open_indexes(self):
+        """Return the indexes of the items that have no outcome."""
+        return [
+            index for index in range(self.total) if index not in self.outcomes_by_index
+        ]
+
+    def index_of(self, item_id):
+        """Return the index of an item, or None if the job has no such item."""
+        for index, item in enumerate(self.job.items):
+            if item.item_id == item_id:
+                return index
+        return None
+
+
+class PartitionState:
+    """The jobs of one partition."""
+
+    def __init__(self):
+        self.jobs_by_id = {}
+
+    def apply(self, data):
+        """
+        Apply the bytes of one record.
+
+        Raise DecodeError for bytes that are no record; the state is unchanged
+        then. Records of a newer schema are passed over.
+        """
+        record = decode(JobRecord, data)
+        if record.schema_version > SCHEMA_VERSION:
+            return
+        state = self.jobs_by_id.get(record.job_id)
+        if record.kind == JobRecordKind.JOB:
+            if state is None:
+                self._add(record)
+        elif state is not None and record.kind in _APPLY_BY_KIND:
+            _APPLY_BY_KIND[record.kind](state, record.body)
+
+    def _add(self, record):
+        job = decode_body(Job, record.body)
+        if not job.items:
+            raise DecodeError("job without items", step="apply")
+        self.jobs_by_id[record.job_id] = JobState(
+            record.job_id, job, job.runner, job.runner_started_ms
+        )
+
+    def forget_older(self, accepted_before_ms):
+        """Drop jobs that were accepted before a time."""
+        for job_id, state in list(self.jobs_by_id.items()):
+            if state.job.accepted_ms < accepted_before_ms:
+                del self.jobs_by_id[job_id]
+
+
+def _apply_claim(state, body):
+    claim = decode_body(JobClaim, body)
+    state.runner = claim.runner
+    state.runner_started_ms = claim.runner_started_ms
+
+
+def _apply_outcomes(state, body):
+    for outcome in decode_body(JobOutcomes, body).outcomes:
+        valid = 0 <= outcome.index < state.total
+        known = outcome.state in (ItemState.COMPLETED, ItemState.GIVEN_UP)
+        if valid and known and outcome.index not in state.outcomes_by_index:
+            state.outcomes_by_index[outcome.index] = outcome
+            state.outcomes.append(outcome)
+            state.progress_by_index.pop(outcome.index, None)
+
+
+def _apply_progress(state, body):
+    for progress in decode_body(JobProgress, body).items:
+        if progress.index in state.outcomes_by_index:
+            continue
+        known = state.progress_by_index.get(progress.index)
+        if known is None or known.last_event_id < progress.last_event_id:
+            state.progress_by_index[progress.index] = progress
+
+
+def _apply_end(state, _):
+    state.ended = True
+
+
+_APPLY_BY_KIND = {
+    JobRecordKind.CLAIM: _apply_claim,
+    JobRecordKind.OUTCOMES: _apply_outcomes,
+    JobRecordKind.PROGRESS: _apply_progress,
+    JobRecordKind.ENDED: _apply_end,
+}
--- /dev/null
+++ b/galenascale/gateway/jobs/takeover.py
@@ -0,0 +1,78 @@
+"""Claiming of jobs whose host is gone."""
+
+from galenascale.gateway.jobs.records import encode_record
+from galenascale.generated.gateway_messages import JobClaim, JobRecordKind
+from galenascale.store import STORE_ERRORS
+
+# Seconds between two looks for abandoned jobs.
+LOOK_INTERVAL_S = 0.5
+# Seconds after its start for which a host takes nothing over: it first hears
+# of the others.
+START_GRACE_S = 3.2
+
+
+class Takeover:
+    """Looks through the partitions that were dealt to this host."""
+
+    def __init__(self, parts, partitions, stewardship, started_ms, watch):
+        self._parts = parts
+        self._partitions = partitions
+        self._stewardship = stewardship
+        self._started_ms = started_ms
+        self._watch = watch
+        self._claiming = set()
+        self._began_at = parts.clock.monotonic()
+        self._looked_at = float("-inf")
+
+    def look(self, group):
+        """Claim abandoned jobs in tasks of a group."""
+        now = self._parts.clock.monotonic()
+        too_early = now - self._began_at < START_GRACE_S
+        if too_early or now - self._looked_at < LOOK_INTERVAL_S:
+            return
+        self._looked_at = now
+        for number in self._stewardship.partitions:
+            partition = self._partitions.get(number)
+            for state in partition.state.jobs_by_id.values():
+                if state.job_id not in self._claiming and self._is_abandoned(state):
+                    self._claiming.add(state.job_id)
+                    group.create_task(self._claim(partition, state))
+
+    def _is_abandoned(self, state):
+        if state.ended or state.finished:
+            return False
+        host_id = self._parts.settings.host_id
+        if state.is_run_by(host_id, self._started_ms):
+            return False
+        now = self._parts.clock.monotonic()
+        return not self._parts.peers.is_running(
+            state.runner, state.runner_started_ms, now
+        )
+
+    async def _claim(self, partition, state):
+        former = state.runner
+        try:
+            outcome = await self._try_claim(partition, state)
+        except STORE_ERRORS as error:
+            outcome = str(error)
+        finally:
+            self._claiming.discard(state.job_id)
+        self._parts.log.write(
+            "job_claim",
+            job=state.job_id,
+            former=former,
+            open_items=len(state.open_indexes()),
+            outcome=outcome,
+        )
+
+    async def _try_claim(self, partition, state):
+        # Another steward may have claimed it, or its host finished it.
+        await partition.refresh()
+        if not self._is_abandoned(state):
+            return "not abandoned"
+        claim = JobClaim(
+            runner=self._parts.settings.host_id, runner_started_ms=self._started_ms
+        )
+        await partition.append(encode_record(JobRecordKind.CLAIM, state.job_id, claim))
+        self._watch(state.job_id)
+        return "claimed"
--- /dev/null
+++ b/galenascale/gateway/metrics.py
@@ -0,0 +1,57 @@
+"""Counters and histograms of a gateway, for the metrics address."""
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+from prometheus_client.exposition import generate_latest
+
+# Seconds; objectives lie between 0.3 and 1, deadlines between 1.5 and 6.
+SECONDS_BUCKETS = (0.01, 0.03, 0.1, 0.2, 0.3, 0.4, 0.5, 0.75, 1, 1.5, 2.5, 5, 10)
+
+
+class GatewayMetrics:
+    """Metrics of one process in a registry of their own."""
+
+    def __init__(self):
+        self.registry = CollectorRegistry()
+        self.requests = self._counter(
+            "requests", "Requests by route and outcome.", ("route", "outcome")
+        )
+        self.sends = self._counter(
+            "sends", "Requests sent to backend servers by outcome.", ("outcome",)
+        )
+        self.store_calls = self._counter(
+            "store_calls", "Calls of the store by outcome.", ("call", "outcome")
+        )
+        self.items = self._counter("items", "Runs of items by outcome.", ("outcome",))
+        self.first_part_seconds = self._histogram(
+            "first_part_seconds", "Arrival to the first part of the answer.", ("route",)
+        )
+        self.request_seconds = self._histogram(
+            "request_seconds", "Arrival to the end of the answer.", ("route",)
+        )
+        self.config_version = self._gauge("config_version", "Version in force.")
+        self.peers = self._gauge("peers", "Hosts heard of lately.")
+        self.log_lines_waiting = self._gauge(
+            "log_lines_waiting", "Log lines not yet written."
+        )
+
+    def _counter(self, name, text, labels):
+        return Counter(
+            name, text, labels, namespace="galenascale", registry=self.registry
+        )
+
+    def _gauge(self, name, text):
+        return Gauge(name, text, namespace="galenascale", registry=self.registry)
+
+    def _histogram(self, name, text, labels):
+        return Histogram(
+            name,
+            text,
+            labels,
+            namespace="galenascale",
+            buckets=SECONDS_BUCKETS,
+            registry=self.registry,
+        )
+
+    def expose(self):
+        """Return all metrics in the text format of Prometheus."""
+        return generate_latest(self.registry)
--- /dev/null
+++ b/galenascale/gateway/parts.py
@@ -0,0 +1,22 @@
+"""What the parts of a gateway share."""
+
+import attrs
+
+
+@attrs.define
+class Parts:
+    """State and services of one host that its parts use together."""
+
+    settings: object
+    dialect: object
+    clock: object
+    rng: object
+    log: object
+    metrics: object
+    configuration: object
+    servers: object
+    load: object
+    health: object
+    pool: object
+    peers: object
+    store: object = None
--- /dev/null
+++ b/galenascale/gateway/settings.py
@@ -0,0 +1,106 @@
+"""Settings of a gateway host: loading, checks and reload."""
+
+import asyncio
+import os
+
+from galenascale.errors import UserError
+from galenascale.gateway.decision_log import LEVELS
+from galenascale.generated.gateway_messages import GatewaySettings
+from galenascale.settings_files import load_json_settings
+
+SETTINGS_VERSION = 1
+# Seconds between two looks at the settings file, which may change without a
+# signal.
+WATCH_INTERVAL_S = 2.0
+_ADDRESSES = ("caller_listen", "ready_listen", "peer_listen", "store.address")
+
+
+def load_gateway_settings(path):
+    """Return checked GatewaySettings from a JSON file."""
+    settings = load_json_settings(path, GatewaySettings)
+    check_gateway_settings(settings, path)
+    return settings
+
+
+def check_gateway_settings(settings, source):
+    """Raise UserError for values that cannot work, naming the JSON path."""
+    for name, reason in _problems(settings):
+        raise UserError(f"{source}: $.{name}: {reason}", step="settings")
+
+
+def _problems(settings):
+    if settings.schema_version != SETTINGS_VERSION:
+        yield "schema_version", f"must be {SETTINGS_VERSION}"
+    for name in ("host_id", "failure_domain"):
+        if not getattr(settings, name):
+            yield name, "must not be empty"
+    for name in _ADDRESSES:
+        value = settings
+        for part in name.split("."):
+            value = getattr(value, part)
+        if not _is_address(value):
+            yield name, "must be an IP address and a port, as 10.0.0.1:8080"
+    for number, seed in enumerate(settings.seeds):
+        if not _is_address(seed):
+            yield f"seeds[{number}]", "must be an IP address and a port"
+    if not 0 < settings.peer_datagram_port < 65536:
+        yield "peer_datagram_port", "must be from 1 to 65535"
+    if settings.store.partitions < 1:
+        yield "store.partitions", "must be at least 1"
+    if settings.store.retention_s <= settings.bounds.job_retention_s:
+        yield (
+            "store.retention_s",
+            "must be more than bounds.job_retention_s, or results would be lost",
+        )
+    if settings.log_level not in LEVELS:
+        yield "log_level", f"must be one of {', '.join(LEVELS)}"
+
+
+def _is_address(value):
+    host, _, port = value.rpartition(":")
+    return bool(host) and port.isdigit() and 0 < int(port) < 65536
+
+
+class SettingsFile:
+    """Reads the settings again when the file changes or a signal says so."""
+
+    def __init__(self, path, settings, host):
+        self._path = path
+        self._settings = settings
+        self._host = host
+        self._stamp = self._read_stamp()
+
+    def _read_stamp(self):
+        try:
+            stat = os.stat(self._path)
+        except OSError:
+            return None
+        return (stat.st_mtime_ns, stat.st_size, stat.st_ino)
+
+    async def watch(self):
+        """Look for changes until cancelled."""
+        while True:
+            await asyncio.sleep(WATCH_INTERVAL_S)
+            stamp = self._read_stamp()
+            if stamp is not None and stamp != self._stamp:
+                self.reload()
+
+    def reload(self):
+        """Apply changed settings; broken ones leave the earlier in force."""
+        self._stamp = self._read_stamp()
+        log = self._host.parts.log
+        try:
+            loaded = load_gateway_settings(self._path)
+        except UserError as error:
+            log.write("reload_failed", "error", reason=error.message)
+            return
+        changed = [
+            name
+            for name in ("seeds", "bounds", "log_level", "store", "caller_listen")
+            if getattr(loaded, name) != getattr(self._settings, name)
+        ]
+        self._settings = loaded
+        self._host.parts.settings.bounds = loaded.bounds
+        self._host.presence.suggest_seeds(loaded.seeds)
+        log.set_level(loaded.log_level)
+        log.write("reload", changed=changed)
--- a/galenascale/http_api/operator.py
+++ b/galenascale/http_api/operator.py
@@ -18,7 +18,7 @@
 from galenascale.errors import UserError
 from galenascale.generated.messages import ConfigEntry
 from galenascale.host_metrics import membership_counts
-from galenascale.settings import structure
+from galenascale.settings_files import structure
 
 MAX_BODY_BYTES = 8_000_000
 PUBLISH_TIMEOUT_S = 10.0
--- /dev/null
+++ b/galenascale/platform/adapter.py
@@ -0,0 +1,66 @@
+"""The platform's side of a gateway: its dialect, its store and its names."""
+
+import socket
+
+import aiohttp
+import attrs
+
+from galenascale.gateway.sockets import set_silence_options
+from galenascale.platform import configuration, headers, jobs, servers
+from galenascale.platform.store import StoreClient
+
+# Idle seconds after which connections to the store are closed.
+STORE_IDLE_S = 8.0
+
+
+@attrs.frozen
+class Names:
+    """Topics and keys of the store that the platform itself writes."""
+
+    configuration_topic: str = configuration.CONFIGURATION_TOPIC
+    configuration_key: str = configuration.CONFIGURATION_KEY
+    servers_topic: str = servers.SERVERS_TOPIC
+
+
+class Dialect:
+    """Translation between the platform's formats and the gateway's types."""
+
+    decode_configuration = staticmethod(configuration.decode_configuration)
+    decode_server = staticmethod(servers.decode_server)
+    read_request = staticmethod(headers.read_request)
+    backend_headers = staticmethod(headers.backend_headers)
+    item_headers = staticmethod(headers.item_headers)
+    read_answer_head = staticmethod(headers.read_answer_head)
+    read_job_call = staticmethod(jobs.read_job_call)
+    read_submission = staticmethod(jobs.read_submission)
+    encode_results = staticmethod(jobs.encode_results)
+
+
+class PlatformAdapter:
+    """Makes the parts of a gateway that speak to the platform."""
+
+    def __init__(self):
+        self.dialect = Dialect()
+        self.names = Names()
+
+    def make_session(self):
+        """Return the HTTP session for the store and for other hosts."""
+        connector = aiohttp.TCPConnector(
+            limit=0, keepalive_timeout=STORE_IDLE_S, socket_factory=_make_socket
+        )
+        return aiohttp.ClientSession(
+            connector=connector,
+            skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding"),
+        )
+
+    def make_store(self, settings, session):
+        """Return the client of the store."""
+        return StoreClient.from_config(settings, session)
+
+
+def _make_socket(address_info):
+    family, kind, protocol, _, _ = address_info
+    sock = socket.socket(family, kind, protocol)
+    sock.setblocking(False)
+    set_silence_options(sock)
+    return sock
--- /dev/null
+++ b/galenascale/platform/configuration.py
@@ -0,0 +1,97 @@
+"""Decoding of the operator's configuration record."""
+
+from galenascale.gateway.configuration import (
+    CallerLimits,
+    Configuration,
+    Engine,
+    RequestKind,
+    Route,
+    Service,
+    Split,
+)
+from galenascale.platform.fields import get, get_seconds, load_object
+
+CONFIGURATION_TOPIC = "keyed.op"
+CONFIGURATION_KEY = "config"
+
+_KINDS = {
+    "idempotent": RequestKind.IDEMPOTENT,
+    "non_idempotent": RequestKind.NON_IDEMPOTENT,
+    "streaming": RequestKind.STREAMING,
+    "batch": RequestKind.BATCH,
+}
+
+
+def decode_configuration(data):
+    """Return the configuration; raise DecodeError if it cannot be read."""
+    fields = load_object(data, "configuration")
+    return Configuration(
+        version=get(fields, "Version", int),
+        routes=tuple(_decode_route(item) for item in get(fields, "Routes", list)),
+        services_by_name={
+            service.name: service
+            for service in map(_decode_service, get(fields, "Services", list))
+        },
+        limits=_decode_limits(get(fields, "Limits", dict, {})),
+        source=bytes(data),
+    )
+
+
+def _decode_route(fields):
+    return Route(
+        name=get(fields, "Name", str),
+        host=get(fields, "Host", str),
+        path_prefix=get(fields, "PathPrefix", str),
+        # A kind that is not known is treated as one that must not run twice.
+        kind=_KINDS.get(get(fields, "Kind", str), RequestKind.NON_IDEMPOTENT),
+        splits=_decode_splits(fields),
+        timeout_s=get_seconds(fields, "TimeoutMs"),
+        # Named after an objective of the service level; for batch it bounds
+        # the answer to the submission only.
+        objective_s=get_seconds(fields, "SloMs"),
+        attempts=max(1, get(fields, "Attempts", int, 1)),
+        priority=get(fields, "Priority", int, 0),
+        resumable=get(fields, "CanResume", bool, False),
+        gap_objective_s=get_seconds(fields, "GapTargetMs", 0.0),
+        due_s=get_seconds(fields, "DueMs", 0.0),
+        # Not a lifetime: the time after which an item may be given up.
+        give_up_s=get(fields, "ItemTtlS", float, 0.0),
+    )
+
+
+def _decode_splits(fields):
+    weighted = get(fields, "WeightedBackends", list, None)
+    if not weighted:
+        return (Split(get(fields, "Service", str), 1.0),)
+    return tuple(
+        Split(get(item, "Service", str), get(item, "Weight", float))
+        for item in weighted
+    )
+
+
+def _decode_service(fields):
+    # Named after a kind, but holds the figures of the service's engines.
+    engine = get(fields, "EngineKind", dict, None)
+    return Service(
+        name=get(fields, "Name", str),
+        max_connections=get(fields, "MaxConns", int),
+        engine=engine
+        and Engine(
+            slots=get(engine, "Slots", int),
+            kv_tokens=get(engine, "KvTokens", int),
+        ),
+    )
+
+
+def _decode_limits(fields):
+    defaults = CallerLimits()
+    return CallerLimits(
+        header_bytes=get(fields, "HeaderBytes", int, defaults.header_bytes),
+        body_bytes=get(fields, "BodyBytes", int, defaults.body_bytes),
+        header_timeout_s=get_seconds(
+            fields, "HeaderTimeoutMs", defaults.header_timeout_s * 1000
+        ),
+        idle_timeout_s=get_seconds(
+            fields, "IdleTimeoutMs", defaults.idle_timeout_s * 1000
+        ),
+    )
--- /dev/null
+++ b/galenascale/platform/headers.py
@@ -0,0 +1,132 @@
+"""Headers of callers' requests and of backend servers' answers."""
+
+import re
+
+from galenascale.errors import UserError
+from galenascale.gateway.requests import AnswerHead, CallerRequest
+
+_REQUEST_ID = b"x-galenascale-attempt-id"
+_DEADLINE_MS = b"x-galenascale-deadline-ms"
+_TARGET_SERVER = b"x-galenascale-target-instance"
+_RESUME_AFTER = b"last-event-id"
+# Named after usage, but states the prompt's tokens and the most to generate.
+_TOKENS = b"x-galenascale-token-usage"
+_NOT_RUN = b"x-galenascale-not-executed"
+_WAIT_MS = b"x-galenascale-wait-ms"
+
+# Statuses with which a backend server itself states that it ran nothing.
+_MISDIRECTED = 421
+
+# Headers that concern one connection only (RFC 9110, section 7.6.1).
+_HOP_BY_HOP = frozenset(
+    (
+        b"connection",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    )
+)
+_SET_HERE = frozenset((b"content-length", b"expect", _DEADLINE_MS, _TARGET_SERVER))
+_KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout\s*=\s*(\d+)", re.I)
+
+
+def find(headers, name):
+    """Return the first value of a header (name in lower case), or None."""
+    for key, value in headers:
+        if key.lower() == name:
+            return value
+    return None
+
+
+def drop_connection_headers(headers):
+    """Return the headers without those that concern one connection only."""
+    dropped = set(_HOP_BY_HOP)
+    for key, value in headers:
+        if key.lower() == b"connection":
+            dropped.update(part.strip().lower() for part in value.split(b","))
+    return tuple(item for item in headers if item[0].lower() not in dropped)
+
+
+def read_request(method, target, headers, body):
+    """Return the CallerRequest; raise UserError for headers that are wrong."""
+    tokens = (find(headers, _TOKENS) or b"").split(b",")
+    kept = [
+        item
+        for item in drop_connection_headers(headers)
+        if item[0].lower() not in _SET_HERE
+    ]
+    deadline_ms = _read_number(headers, _DEADLINE_MS)
+    return CallerRequest(
+        request_id=(find(headers, _REQUEST_ID) or b"").decode("latin-1"),
+        method=method,
+        target=target,
+        host=(find(headers, b"host") or b"").decode("latin-1"),
+        headers=tuple(kept),
+        body=body,
+        patience_s=None if deadline_ms is None else deadline_ms / 1000,
+        resume_after=_read_number(headers, _RESUME_AFTER),
+        prompt_tokens=_token_count(tokens, 0),
+        max_output_tokens=_token_count(tokens, 1),
+    )
+
+
+def _read_number(headers, name):
+    value = find(headers, name)
+    if value is None:
+        return None
+    if not value.strip().isdigit():
+        raise UserError(f"header {name.decode()} is not a number", step="read_request")
+    return int(value)
+
+
+def _token_count(parts, index):
+    # Only an estimate depends on it, so another form is not refused.
+    if index < len(parts) and parts[index].strip().isdigit():
+        return int(parts[index])
+    return 0
+
+
+def read_wait_s(headers):
+    """Return the seconds for which a call may be kept waiting."""
+    return (_read_number(headers, _WAIT_MS) or 0) / 1000
+
+
+def backend_headers(request, server_id, remaining_s, resume_after):
+    """Return the headers for a backend server."""
+    headers = [item for item in request.headers if item[0].lower() != _RESUME_AFTER]
+    if resume_after is not None:
+        headers.append((b"Last-Event-Id", b"%d" % resume_after))
+    headers.append((b"X-Galenascale-Deadline-Ms", b"%d" % max(1, remaining_s * 1000)))
+    headers.append((b"X-Galenascale-Target-Instance", server_id.encode()))
+    if request.body or request.method not in ("GET", "HEAD", "DELETE", "OPTIONS"):
+        headers.append((b"Content-Length", b"%d" % len(request.body)))
+    return headers
+
+
+def item_headers(item, job):
+    """Return the headers of the request that runs an item of a job."""
+    headers = [(b"Host", job.host.encode("latin-1"))]
+    headers.append((b"X-Galenascale-Attempt-Id", item.item_id.encode("latin-1")))
+    headers.extend(
+        (name.encode("latin-1"), value.encode("latin-1"))
+        for name, value in item.headers.items()
+        if name.lower().encode("latin-1") not in (_REQUEST_ID, b"host")
+    )
+    return tuple(headers)
+
+
+def read_answer_head(status, headers):
+    """Return the AnswerHead of a backend server's answer."""
+    keep_alive = _KEEP_ALIVE_TIMEOUT.search(find(headers, b"keep-alive") or b"")
+    return AnswerHead(
+        status=status,
+        headers=drop_connection_headers(headers),
+        request_id=(find(headers, _REQUEST_ID) or b"").decode("latin-1"),
+        not_run=find(headers, _NOT_RUN) is not None or status == _MISDIRECTED,
+        keep_alive_s=float(keep_alive[1]) if keep_alive else None,
+    )
--- /dev/null
+++ b/galenascale/platform/jobs.py
@@ -0,0 +1,104 @@
+"""Calls that submit, read and end batch jobs."""
+
+import base64
+import urllib.parse
+
+import orjson
+
+from galenascale.errors import DecodeError, UserError
+from galenascale.gateway.requests import (
+    JobCall,
+    JobCallKind,
+    JobSubmission,
+    SubmittedItem,
+)
+from galenascale.platform.fields import get, load_object
+from galenascale.platform.headers import read_wait_s
+
+_RESULTS_PREFIX = "/lots/"
+_ITEMS_PREFIX = "/items/"
+MAX_ITEMS = 200
+# Largest sum of the results of one page in bytes; at least one is returned.
+MAX_PAGE_BYTES = 1_000_000
+
+
+def read_job_call(method, target, headers):
+    """Return the JobCall of a request, or None if it is another request."""
+    path, _, query_text = target.partition("?")
+    query = dict(urllib.parse.parse_qsl(query_text))
+    if path.startswith(_RESULTS_PREFIX):
+        job_id = urllib.parse.unquote(path[len(_RESULTS_PREFIX) :])
+        if method == "DELETE":
+            return JobCall(JobCallKind.END, job_id)
+        if method == "GET":
+            # Named after a token, but counts results.
+            position = query.get("After", "0")
+            if not position.isdigit():
+                raise UserError("After is not a number", step="read_job_call")
+            return JobCall(
+                JobCallKind.RESULTS,
+                job_id,
+                position=int(position),
+                wait_s=read_wait_s(headers),
+            )
+    if path.startswith(_ITEMS_PREFIX) and method == "GET":
+        job_id = urllib.parse.unquote(path[len(_ITEMS_PREFIX) :])
+        return JobCall(JobCallKind.ITEM_BODY, job_id, item_id=query.get("Id", ""))
+    return None
+
+
+def read_submission(request):
+    """Return the JobSubmission of a request; raise UserError if malformed."""
+    try:
+        fields = load_object(request.body, "job")
+        items = tuple(_read_item(item) for item in get(fields, "Items", list))
+    except (DecodeError, ValueError) as error:
+        raise UserError(f"job cannot be read: {error}", step="read_job") from error
+    if not 1 <= len(items) <= MAX_ITEMS:
+        raise UserError(f"a job has 1 to {MAX_ITEMS} items", step="read_job")
+    if len({item.item_id for item in items}) < len(items):
+        raise UserError("two items of the job have the same id", step="read_job")
+    return JobSubmission(request.request_id, items)
+
+
+def _read_item(fields):
+    if not isinstance(fields, dict):
+        raise DecodeError("item is not an object", step="decode")
+    headers = get(fields, "Headers", dict, {})
+    for name, value in headers.items():
+        if not isinstance(value, str) or "\n" in name + value or "\r" in name + value:
+            raise DecodeError(f"header {name!r} is not valid", step="decode")
+    path = get(fields, "Path", str)
+    if not path.startswith("/") or any(char <= " " for char in path):
+        raise DecodeError(f"path {path!r} is not valid", step="decode")
+    return SubmittedItem(
+        item_id=get(fields, "Id", str),
+        path=path,
+        headers=headers,
+        body=base64.b64decode(get(fields, "Body", str, ""), validate=True),
+        tokens=get(fields, "Tokens", int, 0),
+    )
+
+
+def encode_results(total, position, results):
+    """
+    Return the page of results from a position on, as bytes.
+
+    `results` are the ItemResults from the position on; the page holds as many
+    as fit.
+    """
+    outputs = []
+    size = 0
+    for result in results:
+        size += len(result.text)
+        if outputs and size > MAX_PAGE_BYTES:
+            break
+        outputs.append(
+            {
+                "Id": result.item_id,
+                "State": "completed" if result.completed else "dead_letter",
+                "Text": result.text.decode("utf-8", "replace"),
+            }
+        )
+    page = {"Total": total, "NextToken": position + len(outputs), "Outputs": outputs}
+    return orjson.dumps(page)
--- /dev/null
+++ b/galenascale/platform/store.py
@@ -0,0 +1,188 @@
+"""Client of the platform's store: a log with topics and partitions."""
+
+import base64
+
+import aiohttp
+import attrs
+import orjson
+
+from galenascale.errors import DecodeError
+from galenascale.platform.fields import get, load_object
+from galenascale.platform.records import (
+    ReadResult,
+    frame,
+    make_keyed,
+    parse_keyed,
+    parse_read,
+)
+from galenascale.store import (
+    KeyedRecord,
+    Membership,
+    PartitionTrimmed,
+    StoreFenced,
+    StoreOutcomeUnknown,
+    StoreUnavailable,
+)
+
+# Longest wait for the answer to a call that the store answers at once; its
+# slow days are about a quarter of a second an answer.
+CALL_TIMEOUT_S = 2.0
+CONNECT_TIMEOUT_S = 1.0
+# Statuses by which the store states that nothing was done.
+_NOTHING_DONE = frozenset((429, 503, 507))
+
+
+@attrs.frozen
+class _Answer:
+    status: int
+    body: bytes
+
+    def fields(self):
+        return load_object(self.body, "answer of the store")
+
+
+class StoreClient:
+    """
+    Calls the store; each call is one HTTP request with a timeout.
+
+    Calls raise StoreUnavailable if the store surely did nothing and
+    StoreOutcomeUnknown if that is not known.
+    """
+
+    def __init__(self, address, session):
+        self._base = f"http://{address}"
+        self._address = address
+        self._session = session
+
+    @classmethod
+    def from_config(cls, settings, session):
+        """Return the client of the store in the settings."""
+        return cls(settings.address, session)
+
+    async def append(self, topic, partition, records, *, at=None):
+        """
+        Append all records or none and return the offset of the first.
+
+        With `at` nothing is appended unless the partition ends there, and
+        StoreFenced is raised.
+        """
+        params = {"Topic": topic, "part": str(partition)}
+        if at is not None:
+            params["At"] = str(at)
+        answer = await self._call("POST", "/log-append", params, frame(records))
+        if answer.status in (409, 412):
+            raise StoreFenced("append was overtaken", step="append", peer=self._address)
+        return get(self._checked(answer, "append").fields(), "Offset", int)
+
+    async def append_keyed(self, topic, key, value):
+        """Write the newest value of a key; None drops the key."""
+        return await self.append(topic, 0, [make_keyed(key, value or b"")])
+
+    async def read(self, topic, partition, offset, *, wait_s=0.0, max_kb=1024):
+        """
+        Return the records from an offset on, waiting for the first of them.
+
+        Raise PartitionTrimmed if records after the offset are deleted.
+        """
+        params = {
+            "Topic": topic,
+            "part": str(partition),
+            "From": str(offset),
+            "MaxKb": str(max_kb),
+        }
+        if wait_s:
+            params["WaitMs"] = str(int(wait_s * 1000))
+        answer = await self._call("GET", "/log-read", params, timeout_s=wait_s)
+        if answer.status == 410:
+            raise PartitionTrimmed(get(answer.fields(), "FirstOffset", int))
+        if answer.status == 404:
+            # The topic is created by its first append.
+            return ReadResult([], 0, 0)
+        return parse_read(self._checked(answer, "read").body)
+
+    async def read_newest(self, topic):
+        """Return (newest KeyedRecord of each key, end offset) of a topic."""
+        params = {"Topic": topic, "part": "0"}
+        records = []
+        end_offset = None
+        while True:
+            answer = await self._call("GET", "/log-newest", params)
+            if answer.status == 404:
+                return [], 0
+            fields = self._checked(answer, "read_newest").fields()
+            records.extend(map(_decode_newest, get(fields, "Items", list)))
+            # Pages are no snapshot: later reading begins where the first
+            # ended.
+            if end_offset is None:
+                end_offset = get(fields, "EndOffset", int)
+            if not get(fields, "HasMore", bool, False) or not records:
+                return records, end_offset
+            params["After"] = records[-1].key
+
+    async def read_keyed(self, topic, offset, *, wait_s=0.0):
+        """Return (KeyedRecords from an offset on, offset to go on from)."""
+        result = await self.read(topic, 0, offset, wait_s=wait_s)
+        records = []
+        for number, record in enumerate(result.records):
+            key, value = parse_keyed(record)
+            records.append(KeyedRecord(key, value, offset + number))
+        return records, offset + len(records)
+
+    async def join(self, group, member, topics, lease_s, generation):
+        """Join a group or stay in it; return the Membership."""
+        fields = {
+            "group": group,
+            "MemberId": member,
+            "Topics": topics,
+            "TtlMs": int(lease_s * 1000),
+            "GenerationId": generation,
+        }
+        answer = await self._call("POST", "/log-join", None, orjson.dumps(fields))
+        joined = self._checked(answer, "join").fields()
+        return Membership(
+            generation=get(joined, "GenerationId", int),
+            # Rows of topic, partition and committed offset.
+            partitions=tuple(row[1] for row in get(joined, "parts", list)),
+        )
+
+    async def leave(self, group, member):
+        """Leave a group, so that others get its partitions at once."""
+        fields = {"group": group, "MemberId": member}
+        answer = await self._call("POST", "/log-leave", None, orjson.dumps(fields))
+        self._checked(answer, "leave")
+
+    def _checked(self, answer, step):
+        if answer.status == 200:
+            return answer
+        message = f"store answered {answer.status}"
+        if answer.status in _NOTHING_DONE or 400 <= answer.status < 500:
+            raise StoreUnavailable(message, step=step, peer=self._address)
+        raise StoreOutcomeUnknown(message, step=step, peer=self._address)
+
+    async def _call(self, method, path, params, body=None, timeout_s=0.0):
+        timeout = aiohttp.ClientTimeout(
+            total=CALL_TIMEOUT_S + timeout_s, sock_connect=CONNECT_TIMEOUT_S
+        )
+        try:
+            async with self._session.request(
+                method, self._base + path, params=params, data=body, timeout=timeout
+            ) as response:
+                return _Answer(response.status, await response.read())
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+            raise StoreUnavailable(
+                f"store cannot be reached: {error!r}", step=path, peer=self._address
+            ) from error
+        except (TimeoutError, aiohttp.ClientError, OSError) as error:
+            raise StoreOutcomeUnknown(
+                f"no answer of the store: {error!r}", step=path, peer=self._address
+            ) from error
+
+
+def _decode_newest(fields):
+    try:
+        value = base64.b64decode(get(fields, "Value", str), validate=True)
+    except ValueError as error:
+        raise DecodeError("value is not base64", step="decode") from error
+    return KeyedRecord(
+        get(fields, "Key", str), value or None, get(fields, "Offset", int)
+    )
--- a/galenascale/settings.py
+++ b/galenascale/settings.py
@@ -1,122 +1,16 @@
 """Loading and checking of JSON settings; defaults live in the schema."""
 
-from pathlib import Path
-
-import attrs
-import cattrs
-import orjson
-from cattrs.cols import is_sequence, list_structure_factory
-from cattrs.errors import ClassValidationError, ForbiddenExtraKeysError
-from cattrs.gen import make_dict_structure_fn
-
 from galenascale.errors import UserError
 from galenascale.generated import messages
+from galenascale.settings_files import load_json_settings
 
 SETTINGS_VERSION = 1
 MIN_SECRET_LENGTH = 16
 
 
-def _strict(expected):
-    """Return a structure hook that refuses values of other JSON types."""
-
-    def structure(value, _):
-        if isinstance(value, bool) and expected is not bool:
-            raise TypeError(f"expected {expected.__name__}, not bool")
-        if expected is float and isinstance(value, int):
-            return float(value)
-        if not isinstance(value, expected):
-            raise TypeError(f"expected {expected.__name__}, not {type(value).__name__}")
-        return value
-
-    return structure
-
-
-def _make_list_hook(kind, converter):
-    """Return a structure hook that refuses strings in place of lists."""
-    structure_items = list_structure_factory(kind, converter)
-
-    def structure(value, kind):
-        if not isinstance(value, list):
-            raise TypeError(f"expected list, not {type(value).__name__}")
-        return structure_items(value, kind)
-
-    return structure
-
-
-def _make_converter():
-    converter = cattrs.Converter(forbid_extra_keys=True)
-    for kind in (bool, int, float, str):
-        converter.register_structure_hook(kind, _strict(kind))
-    converter.register_structure_hook_factory(
-        is_sequence, lambda kind: _make_list_hook(kind, converter)
-    )
-    converter.register_structure_hook_factory(
-        attrs.has,
-        lambda kind: make_dict_structure_fn(
-            kind, converter, _cattrs_forbid_extra_keys=True
-        ),
-    )
-    return converter
-
-
-CONVERTER = _make_converter()
-
-
-def describe_errors(error, path="$"):
-    """Yield (JSON path, reason) for each leaf of a validation error."""
-    if isinstance(error, ForbiddenExtraKeysError):
-        for key in sorted(error.extra_fields):
-            yield f"{path}.{key}", "unknown field"
-        return
-    if not hasattr(error, "exceptions"):
-        yield path, str(error).strip("'\"") or type(error).__name__
-        return
-    by_note = getattr(error, "group_exceptions", None)
-    if by_note is None or not isinstance(error, ClassValidationError):
-        for inner in error.exceptions:
-            note = _index_note(inner)
-            yield from describe_errors(inner, f"{path}{note}")
-        return
-    noted, others = by_note()
-    for inner, note in noted:
-        yield from describe_errors(inner, f"{path}.{note.name}")
-    for inner in others:
-        yield from describe_errors(inner, path)
-
-
-def _index_note(error):
-    for note in getattr(error, "__notes__", ()):
-        if hasattr(note, "index"):
-            return f"[{note.index!r}]"
-    return ""
-
-
-def structure(data, kind, source):
-    """
-    Return the object of the attrs class that the JSON data describes.
-
-    Raise UserError that names the source, the JSON path and the reason.
-    """
-    try:
-        return CONVERTER.structure(data, kind)
-    except Exception as error:
-        path, reason = next(describe_errors(error))
-        raise UserError(f"{source}: {path}: {reason}", step="settings") from error
-
-
-def read_json(path):
-    """Return the JSON value of a file; raise UserError if there is none."""
-    try:
-        return orjson.loads(Path(path).read_bytes())
-    except OSError as error:
-        raise UserError(f"{path}: {error.strerror}", step="settings") from error
-    except orjson.JSONDecodeError as error:
-        raise UserError(f"{path}: not valid JSON: {error}", step="settings") from error
-
-
 def load_settings(path, kind=messages.HostSettings):
     """Return checked settings of the given class from a JSON file."""
-    settings = structure(read_json(path), kind, str(path))
+    settings = load_json_settings(path, kind)
     if kind is messages.HostSettings:
         check_host_settings(settings, str(path))
     return settings
--- a/galenascale/standins/platform.py
+++ b/galenascale/standins/platform.py
@@ -7,7 +7,7 @@
 from aiohttp import web
 
 from galenascale.errors import UserError
-from galenascale.settings import structure
+from galenascale.settings_files import structure
 from galenascale.standins.host_list import STATES, LaggedHostList, ListedHost
 from galenascale.standins.log_store import LogStore
 from galenascale.standins.rates import SharedBandwidth, TokenBucket
--- a/galenascale/standins/server.py
+++ b/galenascale/standins/server.py
@@ -9,7 +9,7 @@
 from galenascale.clock import Clock
 from galenascale.errors import UserError
 from galenascale.logs import get_logger
-from galenascale.settings import structure
+from galenascale.settings_files import structure
 
 log = get_logger("standin")
 
--- a/galenascale/tls.py
+++ b/galenascale/tls.py
@@ -1,8 +1,8 @@
 """TLS contexts from settings that hold file paths or PEM text."""
 
 import contextlib
+import os
 import ssl
-import tempfile
 from pathlib import Path
 
 from galenascale.errors import UserError
@@ -13,8 +13,6 @@
 PEM_MARK = "-----BEGIN"
 # Certificates are replaced days before they expire.
 RELOAD_INTERVAL_S = 30.0
-# Private keys never reach a disk where there is a memory file system.
-MEMORY_DIRECTORY = "/dev/shm"
 
 
 def read_pem(value):
@@ -31,14 +29,13 @@
     """Load PEM texts into a context; raise UserError if they don't fit."""
     with contextlib.ExitStack() as stack:
         # The ssl module reads certificates and keys only from files; these
-        # are readable by the owner alone and removed at once.
-        directory = MEMORY_DIRECTORY if Path(MEMORY_DIRECTORY).is_dir() else None
+        # have no name in a file system and never reach a disk.
         paths = []
         for text in (certificate, private_key):
-            file = stack.enter_context(tempfile.NamedTemporaryFile("w", dir=directory))
+            file = stack.enter_context(os.fdopen(os.memfd_create("pem"), "w"))
             file.write(text)
             file.flush()
-            paths.append(file.name)
+            paths.append(f"/proc/self/fd/{file.fileno()}")
         try:
             context.load_cert_chain(*paths)
         except (ssl.SSLError, OSError) as error:
--- a/test/test_deployments.py
+++ b/test/test_deployments.py
@@ -10,7 +10,7 @@
 from galenascale.deployments import EXAMPLES, Deployment
 from galenascale.embedded import key_digest
 from galenascale.errors import UserError
-from galenascale.settings import structure
+from galenascale.settings_files import structure
 
 # Hosts, engines, plain servers and batch items of section 1 of the design.
 SIZES = {"mutara": (9, 5, 3, 200), "asociacion": (12, 9, 3, 120)}
--- a/test/test_security.py
+++ b/test/test_security.py
@@ -28,7 +28,8 @@
 from galenascale.http_api.validation import check_completion
 from galenascale.ledger import ShardState, apply
 from galenascale.peers.auth import Signer
-from galenascale.settings import check_host_settings, structure
+from galenascale.settings import check_host_settings
+from galenascale.settings_files import structure
 from galenascale.sse import EventParser
 from test.test_stopping import CHAT, post, small_deployment, until
 
--- a/tools/generate.py
+++ b/tools/generate.py
@@ -15,8 +15,14 @@
 from thriftpy2.thrift import TType
 
 ROOT = Path(__file__).resolve().parent.parent
-SCHEMA = ROOT / "schema" / "galenascale.thrift"
-TARGET = ROOT / "galenascale" / "generated" / "messages.py"
+SCHEMA_DIRECTORY = ROOT / "schema"
+TARGET_DIRECTORY = ROOT / "galenascale" / "generated"
+# Generated modules by schema. The gateway's messages are apart, so that it
+# starts without loading all others.
+TARGETS_BY_SCHEMA = {
+    "galenascale.thrift": "messages.py",
+    "gateway.thrift": "gateway_messages.py",
+}
 
 SCALARS = {
     TType.BOOL: ("bool", "BOOL", "False"),
@@ -29,7 +35,7 @@
 
 HEADER = '''"""Messages, records and settings of galenascale.
 
-Generated from schema/galenascale.thrift by tools/generate.py. Do not edit.
+Generated from schema/{schema} by tools/generate.py. Do not edit.
 """
 
 import enum
@@ -152,12 +158,13 @@
     return "\n".join(out) + "\n\n\n"
 
 
-def render():
-    """Return the whole generated module, formatted."""
-    module = parse(str(SCHEMA), module_name="galenascale_thrift")
-    docs = read_docs(SCHEMA.read_text())
+def render(schema):
+    """Return the whole module generated from a schema file, formatted."""
+    path = SCHEMA_DIRECTORY / schema
+    module = parse(str(path), module_name=f"{path.stem}_thrift")
+    docs = read_docs(path.read_text())
     meta = module.__thrift_meta__
-    source = HEADER
+    source = HEADER.replace("{schema}", schema)
     source += "".join(render_enum(kind, docs) for kind in meta["enums"])
     source += "".join(render_struct(struct, docs) for struct in meta["structs"])
     command = [sys.executable, "-m", "ruff", "format", "--isolated", "-"]
@@ -168,13 +175,14 @@
 
 
 def main():
-    """Write the module, or with --check compare it with the committed one."""
-    text = render()
-    if "--check" in sys.argv[1:]:
-        if TARGET.read_text() != text:
-            sys.exit("generated messages are not current: run make generate")
-        return
-    TARGET.write_text(text)
+    """Write the modules, or with --check compare them with committed ones."""
+    for schema, target in TARGETS_BY_SCHEMA.items():
+        text = render(schema)
+        path = TARGET_DIRECTORY / target
+        if "--check" not in sys.argv[1:]:
+            path.write_text(text)
+        elif path.read_text() != text:
+            sys.exit(f"{target} is not current: run make generate")
 
 
 if __name__ == "__main__":
