--- a/galenascale/gateway/front.py
+++ b/galenascale/gateway/front.py
@@ -34,6 +34,7 @@
         finally:
             self.in_flight -= 1
         if self.stopping:
+            # Also for a stream that began before: its connection closes then.
             response.force_close()
         return response
 
--- a/galenascale/gateway/listeners.py
+++ b/galenascale/gateway/listeners.py
@@ -22,7 +22,9 @@
     """HTTP server whose limits follow the operator's configuration."""
 
     def __init__(self, handler, limits):
-        super().__init__(handler, handler_cancellation=True)
+        super().__init__(self._handle, handler_cancellation=True)
+        self._answer = handler
+        self._busy = set()
         self._handler_loop = asyncio.get_running_loop()
         self._limits = limits
 
@@ -40,10 +42,23 @@
             logger=_SILENT,
         )
 
+    async def _handle(self, request):
+        self._busy.add(request.protocol)
+        try:
+            return await self._answer(request)
+        finally:
+            self._busy.discard(request.protocol)
+
     def close_idle(self):
-        """Close each connection once its request is answered."""
+        """
+        Close the connections on which no request is being answered.
+
+        The library's own close ignores a request that arrives afterwards, but
+        leaves the connection open, so the caller would wait for nothing.
+        """
         for connection in self.connections:
-            connection.close()
+            if connection not in self._busy:
+                connection.force_close()
 
 
 async def listen(stack, server, address):
--- /dev/null
+++ b/galenascale/standins/runner.py
@@ -0,0 +1,238 @@
+"""Stand-in of a backend server on the users' platform, on a raw socket.
+
+It writes its answers byte by byte as a test asks for, which an HTTP library
+would not let it do: without a length, cut off, doubled or under another id.
+"""
+
+import asyncio
+import contextlib
+
+import attrs
+import httptools
+import orjson
+
+SIGNATURE = "signed"
+
+
+@attrs.define
+class RunnerRequest:
+    """One request as it arrived."""
+
+    method: str = ""
+    target: bytes = b""
+    headers: list = attrs.field(factory=list)
+    body: bytes = b""
+
+    def header(self, name):
+        """Return the value of a header, or None."""
+        for key, value in self.headers:
+            if key.lower() == name.lower().encode():
+                return value.decode()
+        return None
+
+    @property
+    def request_id(self):
+        """Return the id of the caller's attempt."""
+        return self.header("X-Galenascale-Attempt-Id") or ""
+
+
+@attrs.define
+class Behaviour:
+    """How a runner answers; tests change it while it runs."""
+
+    # Events of a stream and seconds between two of them.
+    events: int = 5
+    event_s: float = 0.01
+    # Plain answer and seconds until it comes.
+    body: bytes = b"done"
+    work_s: float = 0.0
+    status: int = 200
+    # States of the service: refuse without running, or close after the
+    # request, after so many events, or with a reset.
+    refuse: bool = False
+    drop: bool = False
+    cut_after_events: int | None = None
+    reset: bool = False
+    # Send no length; the answer ends with the connection.
+    without_length: bool = False
+    # Bytes sent after each answer.
+    extra: bytes = b""
+    # Never answer.
+    hang: bool = False
+
+
+class RunnerStandin:
+    """Runs requests and remembers them."""
+
+    def __init__(self, server_id, service, failure_domain="a", slots=8):
+        self.server_id = server_id
+        self.service = service
+        self.failure_domain = failure_domain
+        self.slots = slots
+        self.behaviour = Behaviour()
+        # Plain answers and streams by path prefix, beside the default.
+        self.requests = []
+        self.running = 0
+        self.max_running = 0
+        self.connections = 0
+        self.left_early = 0
+        self.sequence = 0
+        self.address = ""
+
+    async def start(self, host="127.0.0.1", port=0):
+        """Listen on an address."""
+        self._server = await asyncio.start_server(self._serve, host, port)
+        port = self._server.sockets[0].getsockname()[1]
+        self.address = f"{host}:{port}"
+
+    async def stop(self):
+        """Stop listening; open connections are left to their tasks."""
+        self._server.close()
+
+    def entry(self, state="ready"):
+        """Return what the runner writes into the store about itself."""
+        self.sequence += 1
+        return orjson.dumps(
+            {
+                "Service": self.service,
+                "Address": self.address,
+                "Zone": self.failure_domain,
+                "Version": "v1",
+                "Slots": self.slots,
+                "State": state,
+                "ColdLeftMs": 0,
+                "Seq": self.sequence,
+                "born": 1,
+            }
+        )
+
+    async def _serve(self, reader, writer):
+        self.connections += 1
+        try:
+            while (request := await _read_request(reader)) is not None:
+                if not await self._answer(request, reader, writer):
+                    break
+        except (ConnectionError, asyncio.IncompleteReadError):
+            self.left_early += 1
+        finally:
+            writer.close()
+
+    async def _answer(self, request, reader, writer):
+        behaviour = attrs.evolve(self.behaviour)
+        target = request.header("X-Galenascale-Target-Instance")
+        if target and target != self.server_id:
+            _write_whole(writer, request, 421, b"", signed=False)
+            return True
+        if behaviour.refuse:
+            _write_whole(writer, request, 503, b"", signed=False, not_run=True)
+            return True
+        self.requests.append(request)
+        self.running += 1
+        self.max_running = max(self.max_running, self.running)
+        try:
+            return await self._run(request, behaviour, reader, writer)
+        finally:
+            self.running -= 1
+
+    async def _run(self, request, behaviour, reader, writer):
+        if behaviour.hang:
+            await reader.read()
+            self.left_early += 1
+            return False
+        if behaviour.drop:
+            return False
+        if behaviour.reset:
+            writer.transport.abort()
+            return False
+        if request.header("X-Galenascale-Model") is not None:
+            return await self._stream(request, behaviour, reader, writer)
+        await asyncio.sleep(behaviour.work_s)
+        if behaviour.without_length:
+            writer.write(_head(request, behaviour.status, []) + behaviour.body)
+            return False
+        _write_whole(writer, request, behaviour.status, behaviour.body)
+        writer.write(behaviour.extra)
+        return True
+
+    async def _stream(self, request, behaviour, reader, writer):
+        if behaviour.status != 200:
+            _write_whole(writer, request, behaviour.status, behaviour.body)
+            return True
+        writer.write(
+            _head(
+                request,
+                200,
+                ["Content-Type: text/event-stream", "Transfer-Encoding: chunked"],
+            )
+        )
+        first = int(request.header("Last-Event-Id") or 0) + 1
+        sent = 0
+        gone = asyncio.ensure_future(reader.read(1))
+        for number in range(first, behaviour.events + 1):
+            if sent == behaviour.cut_after_events:
+                event = b"id: %d\nda" % number
+                writer.write(b"%x\r\n%b\r\n" % (len(event), event))
+                writer.close()
+                return False
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(asyncio.shield(gone), behaviour.event_s)
+            if gone.done():
+                self.left_early += 1
+                return False
+            event = b"id: %d\ndata: word%d\n\n" % (number, number)
+            writer.write(b"%x\r\n%b\r\n" % (len(event), event))
+            sent += 1
+        gone.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await gone
+        writer.write(b"0\r\n\r\n" + behaviour.extra)
+        return True
+
+
+class _RequestReader:
+    def __init__(self):
+        self.request = RunnerRequest()
+        self.complete = False
+
+    def on_url(self, url):
+        self.request.target += url
+
+    def on_header(self, name, value):
+        self.request.headers.append((name, value))
+
+    def on_body(self, body):
+        self.request.body += body
+
+    def on_message_complete(self):
+        self.complete = True
+
+
+async def _read_request(reader):
+    events = _RequestReader()
+    parser = httptools.HttpRequestParser(events)
+    while not events.complete:
+        data = await reader.read(65536)
+        if not data:
+            return None
+        parser.feed_data(data)
+    events.request.method = parser.get_method().decode()
+    return events.request
+
+
+def _head(request, status, lines, *, signed=True, not_run=False):
+    lines = [
+        f"HTTP/1.1 {status} Status",
+        f"X-Galenascale-Attempt-Id: {request.request_id}",
+        *lines,
+    ]
+    if signed:
+        lines.append(f"X-Galenascale-Response-Signature: {SIGNATURE}")
+    if not_run:
+        lines.append("X-Galenascale-Not-Executed: 1")
+    return "\r\n".join(lines).encode() + b"\r\n\r\n"
+
+
+def _write_whole(writer, request, status, body, **kwargs):
+    writer.write(
+        _head(request, status, [f"Content-Length: {len(body)}"], **kwargs) + body
+    )
--- /dev/null
+++ b/galenascale/standins/topic_store.py
@@ -0,0 +1,182 @@
+"""State of the platform store's stand-in: topics, producers and groups."""
+
+import attrs
+
+
+@attrs.define
+class Producer:
+    """What a partition remembers of one producer."""
+
+    epoch: int = 0
+    # None until the epoch's first append.
+    sequence: int | None = None
+    # Offsets of the last appends by their sequence numbers.
+    offsets_by_sequence: dict = attrs.field(factory=dict)
+
+
+@attrs.define
+class Partition:
+    """Records of one partition; `first` is the offset of the oldest kept."""
+
+    first: int = 0
+    records: list = attrs.field(factory=list)
+    producers_by_id: dict = attrs.field(factory=dict)
+
+    @property
+    def end(self):
+        """Return the offset of the next record."""
+        return self.first + len(self.records)
+
+    def trim(self, before):
+        """Delete the records before an offset."""
+        count = max(0, min(before, self.end) - self.first)
+        del self.records[:count]
+        self.first += count
+
+
+class Rejected(Exception):
+    """An append that breaks a condition; `fields` say which."""
+
+    def __init__(self, status, **fields):
+        super().__init__(status)
+        self.status = status
+        self.fields = fields
+
+
+@attrs.define
+class Member:
+    """One member of a group."""
+
+    heard_at: float
+    lease_s: float
+    topics: tuple
+    generation: int = 0
+    # Partitions that were taken from it, until it joins again.
+    held: set = attrs.field(factory=set)
+
+
+class TopicStore:
+    """Topics with partitions, and groups to whose members they are dealt."""
+
+    # Appends of a producer whose repeat gets the first answer again.
+    REMEMBERED_APPENDS = 5
+
+    def __init__(self, partitions=24):
+        self.partitions = partitions
+        self._partitions_by_key = {}
+        self._newest_by_topic = {}
+        self._groups_by_name = {}
+
+    def partition(self, topic, number):
+        """Return a partition, which is made on first use."""
+        return self._partitions_by_key.setdefault((topic, number), Partition())
+
+    def append(self, topic, number, records, *, at=None, producer=None):
+        """
+        Append records and return the offset of the first.
+
+        `producer` is (id, epoch, sequence). Raise Rejected if a condition
+        does not hold.
+        """
+        partition = self.partition(topic, number)
+        if at is not None and at != partition.end:
+            raise Rejected(412, EndOffset=partition.end)
+        known = self._check_producer(partition, producer)
+        if isinstance(known, int):
+            return known
+        offset = partition.end
+        partition.records.extend(records)
+        if known is not None and records:
+            known.sequence = producer[2]
+            known.offsets_by_sequence[producer[2]] = offset
+            while len(known.offsets_by_sequence) > self.REMEMBERED_APPENDS:
+                del known.offsets_by_sequence[min(known.offsets_by_sequence)]
+        if topic.startswith("keyed."):
+            self._keep_newest(topic, offset, records)
+        return offset
+
+    def _check_producer(self, partition, producer):
+        """Return the Producer, or the offset of a repeated append."""
+        if producer is None:
+            return None
+        name, epoch, sequence = producer
+        known = partition.producers_by_id.setdefault(name, Producer(epoch))
+        if epoch < known.epoch:
+            raise Rejected(409, why="fenced")
+        if epoch > known.epoch:
+            known.epoch = epoch
+            known.sequence = None
+            known.offsets_by_sequence.clear()
+        if sequence in known.offsets_by_sequence:
+            return known.offsets_by_sequence[sequence]
+        if known.sequence is not None and sequence != known.sequence + 1:
+            raise Rejected(409, why="seq", Seq=known.sequence + 1)
+        return known
+
+    def _keep_newest(self, topic, offset, records):
+        newest = self._newest_by_topic.setdefault(topic, {})
+        for number, record in enumerate(records):
+            end = 1 + record[0]
+            key, value = record[1:end].decode(), record[end:]
+            newest.pop(key, None)
+            if value:
+                newest[key] = (value, offset + number)
+
+    def newest(self, topic):
+        """Return (value, offset) by key of a keyed topic."""
+        return dict(self._newest_by_topic.get(topic, {}))
+
+    def join(self, group, member, topics, lease_s, now):
+        """Return (generation, partitions) of a member that joins or stays."""
+        members = self._expire(group, now)
+        known = members.get(member)
+        if known is None:
+            members[member] = Member(now, lease_s, tuple(topics))
+            self._deal(group)
+        else:
+            known.heard_at = now
+            known.lease_s = lease_s
+        return self._generation(group), sorted(members[member].held)
+
+    def leave(self, group, member, now):
+        """Take a member out of a group."""
+        if self._expire(group, now).pop(member, None):
+            self._deal(group)
+
+    def owners(self, group, now):
+        """Return (topic, partition, member) rows of a group."""
+        return [
+            (topic, number, name)
+            for name, member in self._expire(group, now).items()
+            for topic, number in sorted(member.held)
+        ]
+
+    def _generation(self, group):
+        return self._groups_by_name[group]["generation"]
+
+    def _expire(self, group, now):
+        state = self._groups_by_name.setdefault(group, {"generation": 0, "members": {}})
+        members = state["members"]
+        gone = [
+            name
+            for name, member in members.items()
+            if now - member.heard_at > member.lease_s
+        ]
+        for name in gone:
+            del members[name]
+        if gone:
+            self._deal(group)
+        return members
+
+    def _deal(self, group):
+        state = self._groups_by_name[group]
+        state["generation"] += 1
+        members = list(state["members"].values())
+        for member in members:
+            member.held = set()
+        if not members:
+            return
+        topics = {topic for member in members for topic in member.topics}
+        for topic in sorted(topics):
+            for number in range(self.partitions):
+                members[number % len(members)].held.add((topic, number))
