--- /dev/null
+++ b/test/gateway/test_jobs.py
@@ -0,0 +1,213 @@
+"""Batch jobs through whole hosts, with faults of store, hosts and runners."""
+
+import asyncio
+import base64
+
+import attrs
+import orjson
+import pytest
+
+from test.gateway.world import gateway_world, until
+
+TOKENS = {"X-Galenascale-Model": "m", "X-Galenascale-Token-Usage": "100,80"}
+
+
+def make_job(items, body=b"body"):
+    """Return the body of a submission."""
+    encoded = base64.b64encode(body).decode()
+    return orjson.dumps(
+        {
+            "Items": [
+                {
+                    "Id": f"item-{number}",
+                    "Path": f"/jobs/run/{number}",
+                    "Headers": TOKENS,
+                    "Body": encoded,
+                    "Tokens": 180,
+                }
+                for number in range(items)
+            ]
+        }
+    )
+
+
+async def submit(world, job_id, items=3, host=1, body=b"body"):
+    """Submit a job and return the status."""
+    reply = await world.request(
+        "/jobs/x", request_id=job_id, host=host, data=make_job(items, body)
+    )
+    return reply.status
+
+
+async def read_results(world, job_id, after=0, host=1):
+    """Return the decoded page of results, or the status if there is none."""
+    reply = await world.request(
+        f"/lots/{job_id}?After={after}", method="GET", host=host
+    )
+    return orjson.loads(reply.body) if reply.status == 200 else reply.status
+
+
+async def wait_for_results(world, job_id, count, host=1):
+    """Wait until a job has so many results and return them."""
+    async with asyncio.timeout(10):
+        while True:
+            page = await read_results(world, job_id, host=host)
+            if isinstance(page, dict) and page["NextToken"] >= count:
+                return page["Outputs"]
+            await asyncio.sleep(0.05)
+
+
+def words(count):
+    """Return the text of a run with so many events."""
+    return "\n".join(f"word{number}" for number in range(1, count + 1))
+
+
+async def test_every_item_has_one_result_at_the_same_position_everywhere():
+    """Guards results against loss, repeats and orders that differ by host."""
+    async with gateway_world(hosts=2) as world:
+        assert await submit(world, "job-1", items=6) == 202
+        # A repeat at another host is the same job.
+        assert await submit(world, "job-1", items=6, host=2) == 202
+        first = await wait_for_results(world, "job-1", 6, host=1)
+        second = await wait_for_results(world, "job-1", 6, host=2)
+        assert first == second
+        assert sorted(item["Id"] for item in first) == [f"item-{n}" for n in range(6)]
+        assert {(item["State"], item["Text"]) for item in first} == {
+            ("completed", words(5))
+        }
+        assert sum(len(runner.requests) for runner in world.of("llm")) == 6
+
+
+async def test_bodies_reach_runners_and_readers_unchanged():
+    """Guards bodies larger than a record of the store."""
+    async with gateway_world(hosts=2) as world:
+        world.hosts[0].parts.settings.store.record_bytes = 1000
+        world.hosts[1].parts.settings.store.record_bytes = 1000
+        body = world.rng.randbytes(5000)
+        for runner in world.of("llm"):
+            runner.behaviour.event_s = 0.3
+        assert await submit(world, "job-1", items=2, body=body) == 202
+        reply = await world.request("/items/job-1?Id=item-1", method="GET", host=2)
+        assert (reply.status, reply.body) == (200, body)
+        await wait_for_results(world, "job-1", 2)
+        assert {r.body for runner in world.of("llm") for r in runner.requests} == {body}
+
+
+@attrs.frozen
+class Case:
+    """How runners treat an item, and how often it runs then."""
+
+    status: int
+    runs: int
+
+
+@pytest.mark.parametrize("case", [Case(422, 1), Case(500, 3)], ids=str)
+async def test_item_that_cannot_be_done_is_given_up(case):
+    """Guards against endless runs of an item, and against giving up early."""
+    async with gateway_world() as world:
+        for runner in world.of("llm"):
+            runner.behaviour.status = case.status
+        assert await submit(world, "job-1", items=1) == 202
+        (result,) = await wait_for_results(world, "job-1", 1)
+        assert result["State"] == "dead_letter"
+        assert sum(len(runner.requests) for runner in world.of("llm")) == case.runs
+
+
+async def test_ended_job_stops():
+    """Guards a cancelled job against runs that go on."""
+    async with gateway_world(hosts=2) as world:
+        for runner in world.of("llm"):
+            runner.behaviour.event_s = 0.5
+        assert await submit(world, "job-1", items=4) == 202
+        await until(lambda: sum(runner.running for runner in world.of("llm")) == 4)
+        reply = await world.request("/lots/job-1", method="DELETE", host=2)
+        assert reply.status == 200
+        await until(lambda: not any(runner.running for runner in world.of("llm")), 3)
+        reply = await world.request("/items/job-1?Id=item-1", method="GET")
+        assert reply.status == 404
+
+
+async def test_unknown_job_is_404_and_unreadable_store_503():
+    """Guards callers against "no such job" from a host that cannot know."""
+    async with gateway_world(hosts=2) as world:
+        assert await read_results(world, "job-9") == 404
+        world.store.faults.refusal_by_caller["*"] = "busy"
+        assert await read_results(world, "job-9", host=2) == 503
+
+
+async def test_submission_is_refused_truthfully_while_the_store_is_down():
+    """Guards refused jobs against being stored and run all the same."""
+    async with gateway_world() as world:
+        world.store.faults.refusal_by_caller["*"] = "busy"
+        assert await submit(world, "job-1") == 503
+        world.store.faults.refusal_by_caller.clear()
+        assert await read_results(world, "job-1") == 404
+
+
+async def test_lost_answers_of_the_store_neither_lose_nor_double_a_job():
+    """Guards acceptance and outcomes against answers that get lost."""
+    async with gateway_world() as world:
+        world.store.faults.lost_share = 0.5
+        assert await submit(world, "job-1", items=4) == 202
+        results = await wait_for_results(world, "job-1", 4)
+        assert len({item["Id"] for item in results}) == 4
+
+
+async def test_jobs_of_a_lost_host_go_on():
+    """Guards accepted jobs against the loss of the host that took them."""
+    async with gateway_world(hosts=3) as world:
+        for runner in world.of("llm"):
+            runner.behaviour.event_s = 0.4
+        assert await submit(world, "job-1", items=3) == 202
+        await until(lambda: sum(runner.running for runner in world.of("llm")) == 3)
+        await world.hosts.pop(0).kill()
+        for runner in world.of("llm"):
+            runner.behaviour.event_s = 0.01
+        results = await wait_for_results(world, "job-1", 3, host=2)
+        assert {item["Text"] for item in results} == {words(5)}
+
+
+async def test_stopping_host_hands_its_output_over():
+    """Guards a planned stop against whole runs of items done twice."""
+    async with gateway_world(hosts=3) as world:
+        for runner in world.of("llm"):
+            runner.behaviour.event_s = 0.25
+            runner.behaviour.events = 8
+        # Takeovers begin some seconds after the start of a host.
+        await asyncio.sleep(3.3)
+        assert await submit(world, "job-1", items=2) == 202
+        await until(lambda: sum(runner.running for runner in world.of("llm")) == 2)
+        await asyncio.sleep(0.7)
+        await world.hosts.pop(0).stop()
+        results = await wait_for_results(world, "job-1", 2, host=2)
+        assert {item["Text"] for item in results} == {words(8)}
+        resumed = [
+            request.header("Last-Event-Id")
+            for runner in world.of("llm")
+            for request in runner.requests[1:]
+        ]
+        assert resumed and all(resumed)
+
+
+async def test_items_give_way_to_online_requests():
+    """
+    Guards online requests against queueing behind batch.
+
+    The load: items fill all free slots, then online requests need them.
+    """
+    async with gateway_world(runners=1) as world:
+        (runner,) = world.of("llm")
+        runner.behaviour.event_s = 0.2
+        runner.behaviour.events = 20
+        assert await submit(world, "job-1", items=12) == 202
+        await until(lambda: runner.running == 7)
+        online = [
+            asyncio.create_task(
+                world.request("/chat/a", request_id=f"o{number}", data=b"x")
+            )
+            for number in range(6)
+        ]
+        await until(lambda: runner.running > 7)
+        await until(lambda: runner.running <= 8, 1.0)
+        for task in online:
+            task.cancel()
--- a/test/gateway/world.py
+++ b/test/gateway/world.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import contextlib
+import itertools
+import os
 import random
 import socket
 
@@ -23,11 +25,20 @@
 WAIT_S = 10.0
 
 
+# Below the range from which the system takes ports for outgoing connections.
+PORTS = itertools.cycle(range(20000 + os.getpid() % 10 * 1000, 31000))
+
+
 def free_port(kind=socket.SOCK_STREAM):
     """Return a port that is free on all loopback addresses."""
-    with socket.socket(socket.AF_INET, kind) as sock:
-        sock.bind(("0.0.0.0", 0))
-        return sock.getsockname()[1]
+    for port in PORTS:
+        with socket.socket(socket.AF_INET, kind) as sock:
+            try:
+                sock.bind(("0.0.0.0", port))
+            except OSError:
+                continue
+            return port
+    raise AssertionError("no free port")
 
 
 def make_route(name, kind, service, **fields):
