--- a/test/gateway/test_pacing.py
+++ b/test/gateway/test_pacing.py
@@ -74,7 +74,7 @@
 )
 def test_hosts_give_back_just_the_slots_that_online_needs(online, batch, expected):
     """Guards against hosts that all interrupt for the same online burst."""
-    batch_by_host = {host: 1 for host in HOSTS[:batch]}
+    batch_by_host = dict.fromkeys(HOSTS[:batch], 1)
     (load,) = make_loads(online, batch_by_host, servers=1)
     assert sum(plan_interrupts(load, host) for host in HOSTS) == expected
 
