Take over jobs of restarted hosts at once; log the start of items

Change: a host that is heard under another start, or is this one, counts as gone at once; the datagram socket is closed with the host.

--- a/galenascale/gateway/host.py
+++ b/galenascale/gateway/host.py
@@ -162,10 +162,11 @@
     async def _listen(self, settings):
         loop = asyncio.get_running_loop()
         host = split_address(settings.peer_listen)[0]
-        await loop.create_datagram_endpoint(
+        transport, _ = await loop.create_datagram_endpoint(
             lambda: self.presence.link,
             local_addr=(host, settings.peer_datagram_port),
         )
+        self.stack.callback(transport.close)
         ready = make_plain_server(self._answer_ready)
         await listen(self.stack, ready, settings.ready_listen)
         peers = make_plain_server(lambda request: answer_state(self.following, request))
--- a/galenascale/gateway/jobs/runner.py
+++ b/galenascale/gateway/jobs/runner.py
@@ -145,6 +145,7 @@
             waiting = waiting_by_service.get(service, [])
             for item, server in self._scheduler.starts(waiting, loads, now):
                 item.server = server
+                self._log_start(item, server, now)
                 item.task = group.create_task(self._run(item, server, route))
 
     def _route_of(self, item):
@@ -163,6 +164,20 @@
         self._finish(item, ItemState.GIVEN_UP, "no route" if not route else "too old")
         return True
 
+    def _log_start(self, item, server, now):
+        in_flight = self._parts.load.at(server.server_id, now)
+        self._parts.log.write(
+            "item_started",
+            job=item.state.job_id,
+            index=item.index,
+            request=item.state.job.items[item.index].item_id,
+            server=server.server_id,
+            online=in_flight.online,
+            batch=in_flight.batch,
+            resume_after=item.last_event_id,
+            due_in_s=(item.due_at_ms - self._parts.clock.wall_ms()) / 1000,
+        )
+
     def _interrupt(self, loads, now):
         running = [
             item
--- a/galenascale/gateway/jobs/takeover.py
+++ b/galenascale/gateway/jobs/takeover.py
@@ -6,8 +6,7 @@
 
 # Seconds between two looks for abandoned jobs.
 LOOK_INTERVAL_S = 0.5
-# Seconds after its start for which a host takes nothing over: it first hears
-# of the others.
+# Seconds after its start for which a host takes no jobs of silent hosts over.
 START_GRACE_S = 3.2
 
 
@@ -27,8 +26,7 @@
     def look(self, group):
         """Claim abandoned jobs in tasks of a group."""
         now = self._parts.clock.monotonic()
-        too_early = now - self._began_at < START_GRACE_S
-        if too_early or now - self._looked_at < LOOK_INTERVAL_S:
+        if now - self._looked_at < LOOK_INTERVAL_S:
             return
         self._looked_at = now
         for number in self._stewardship.partitions:
@@ -45,9 +43,13 @@
         if state.is_run_by(host_id, self._started_ms):
             return False
         now = self._parts.clock.monotonic()
-        return not self._parts.peers.is_running(
-            state.runner, state.runner_started_ms, now
-        )
+        peers = self._parts.peers
+        if peers.is_running(state.runner, state.runner_started_ms, now):
+            return False
+        # A silent host counts as gone only once this one heard the others; one
+        # that started anew or leaves does at once.
+        restarted = state.runner == host_id or peers.is_heard(state.runner, now)
+        return restarted or now - self._began_at >= START_GRACE_S
 
     async def _claim(self, partition, state):
         former = state.runner
--- a/galenascale/gateway/peers.py
+++ b/galenascale/gateway/peers.py
@@ -101,6 +101,11 @@
             and now - peer.heard_at <= GONE_AFTER_S
         )
 
+    def is_heard(self, host_id, now):
+        """Return True if any run of a host was heard lately."""
+        peer = self._by_host_id.get(host_id)
+        return peer is not None and now - peer.heard_at <= GONE_AFTER_S
+
     def best_informed(self, now):
         """
         Return the living peer whose state is the newest, or None.
--- a/test/gateway/test_jobs.py
+++ b/test/gateway/test_jobs.py
@@ -167,14 +167,29 @@
         assert {item["Text"] for item in results} == {words(5)}
 
 
+async def test_jobs_of_restarted_hosts_go_on_at_once():
+    """
+    Guards jobs against a pause after all hosts restart.
+
+    Found on trouble-3 of a site: jobs waited 4 s after all were killed.
+    """
+    async with gateway_world(hosts=2) as world:
+        for runner in world.of("llm"):
+            runner.behaviour.event_s = 0.4
+        assert await submit(world, "job-1", items=3) == 202
+        for host in world.hosts:
+            await host.kill()
+        world.hosts.clear()
+        await asyncio.gather(world.add_host(1), world.add_host(2))
+        await until(lambda: sum(runner.running for runner in world.of("llm")) == 3, 2)
+
+
 async def test_stopping_host_hands_its_output_over():
     """Guards a planned stop against whole runs of items done twice."""
     async with gateway_world(hosts=3) as world:
         for runner in world.of("llm"):
             runner.behaviour.event_s = 0.25
             runner.behaviour.events = 8
-        # Takeovers begin some seconds after the start of a host.
-        await asyncio.sleep(3.3)
         assert await submit(world, "job-1", items=2) == 202
         await until(lambda: sum(runner.running for runner in world.of("llm")) == 2)
         await asyncio.sleep(0.7)
