Add a fault soak of real gateway processes

Change: test/soak plays seeds of real processes under kills, pauses, stops, hang-ups, harmed links to the store and to servers, a store that is down, slow, loses answers or forgets, and servers that lose or spoil answers; it checks at most once, whole answers, true refusals, jobs kept, drain and configuration.

--- a/galenascale/standins/runner.py
+++ b/galenascale/standins/runner.py
@@ -59,6 +59,8 @@
     extra: bytes = b""
     # Never answer.
     hang: bool = False
+    # Name the request in each answer and event.
+    echo: bool = False
 
 
 class RunnerStandin:
@@ -151,6 +153,8 @@
         if request.header("X-Galenascale-Model") is not None:
             return await self._stream(request, behaviour, reader, writer)
         await asyncio.sleep(behaviour.work_s)
+        if behaviour.echo and behaviour.status == 200:
+            behaviour.body = b"answer to " + request.request_id.encode()
         if behaviour.without_length:
             writer.write(_head(request, behaviour.status, []) + behaviour.body)
             return False
@@ -182,7 +186,8 @@
             if gone.done():
                 self.left_early += 1
                 return False
-            event = b"id: %d\ndata: word%d\n\n" % (number, number)
+            name = request.request_id.encode() + b" " if behaviour.echo else b""
+            event = b"id: %d\ndata: %bword%d\n\n" % (number, name, number)
             writer.write(b"%x\r\n%b\r\n" % (len(event), event))
         gone.cancel()
         with contextlib.suppress(asyncio.CancelledError):
--- a/galenascale/standins/store_api.py
+++ b/galenascale/standins/store_api.py
@@ -41,7 +41,7 @@
         self.calls = []
         self.address = ""
         self._rng = rng
-        self._stopping = False
+        self._stopped = asyncio.Event()
         self._calls_by_path = {
             "/log-append": self._append,
             "/log-read": self._read,
@@ -55,7 +55,7 @@
     async def start(self, host="127.0.0.1"):
         """Listen on a free port of an address."""
         self._runner = web.ServerRunner(
-            web.Server(self._handle, access_log=None), shutdown_timeout=0
+            web.Server(self._handle, access_log=None), shutdown_timeout=0.1
         )
         await self._runner.setup()
         site = web.TCPSite(self._runner, host, 0)
@@ -65,7 +65,7 @@
 
     async def stop(self):
         """Stop listening; reads that wait end."""
-        self._stopping = True
+        self._stopped.set()
         await self._runner.cleanup()
 
     def write_key(self, topic, key, value):
@@ -95,7 +95,7 @@
         if refusal == "reset":
             request.transport.abort()
         if refusal == "silent":
-            await asyncio.sleep(3600)
+            await self._stopped.wait()
         return web.Response(status=429 if refusal == "many" else 503)
 
     async def _append(self, request):
@@ -122,7 +122,7 @@
         partition = self.state.partition(query["Topic"], int(query["part"]))
         start = int(query["From"])
         deadline = time.monotonic() + int(query.get("WaitMs", 0)) / 1000
-        while partition.end <= start and not self._stopping:
+        while partition.end <= start and not self._stopped.is_set():
             remaining_s = deadline - time.monotonic()
             if remaining_s <= 0:
                 break
--- /dev/null
+++ b/test/soak/faults.py
@@ -0,0 +1,189 @@
+"""The faults of one play, drawn by its seed."""
+
+import asyncio
+import signal
+
+import attrs
+
+from galenascale.standins.runner import Behaviour
+from test.gateway.world import until
+from test.soak.proxy import Harm
+
+# Seconds of the play in which faults begin.
+FIRST_S = 0.3
+LAST_S = 6.0
+MAX_DURATION_S = 2.5
+# Servers that lose their answers once in each play, and for how long.
+LOSING_RUNNERS = 4
+LOSING_S = 0.8
+
+
+@attrs.frozen
+class Fault:
+    """One fault with its time, its kind, its target and its duration."""
+
+    at_s: float
+    kind: str
+    target: int
+    duration_s: float
+    detail: str = ""
+
+
+def draw(rng, count):
+    """Return faults in the order of their times."""
+    kinds = sorted(_ACTIONS_BY_KIND.keys() - {"lose_answers"})
+    harms = [harm.value for harm in Harm if harm is not Harm.NONE]
+    faults = [
+        Fault(
+            at_s=round(rng.uniform(FIRST_S, LAST_S), 2),
+            kind=rng.choice(kinds),
+            target=rng.randrange(1000),
+            duration_s=round(rng.uniform(0.1, MAX_DURATION_S), 2),
+            detail=rng.choice(harms),
+        )
+        for _ in range(count)
+    ]
+    # Each play loses some answers, so that no seed leaves the promise of a
+    # true refusal untested.
+    for target in range(LOSING_RUNNERS):
+        at_s = round(rng.uniform(FIRST_S, LAST_S), 2)
+        faults.append(Fault(at_s, "lose_answers", target, LOSING_S))
+    return sorted(faults, key=lambda fault: fault.at_s)
+
+
+async def apply(fleet, fault):
+    """Let a fault happen and end."""
+    await _ACTIONS_BY_KIND[fault.kind](fleet, fault)
+
+
+def _pick(things, fault):
+    return things[fault.target % len(things)]
+
+
+async def _kill(fleet, fault):
+    process = _pick(fleet.processes, fault)
+    process.signal(signal.SIGKILL)
+    await asyncio.sleep(fault.duration_s)
+    _restart(process)
+
+
+def _restart(process):
+    if not process.running:
+        process.start()
+
+
+async def _kill_all(fleet, fault):
+    for process in fleet.processes:
+        process.signal(signal.SIGKILL)
+    await asyncio.sleep(fault.duration_s)
+    for process in fleet.processes:
+        _restart(process)
+
+
+async def _pause(fleet, fault):
+    process = _pick(fleet.processes, fault)
+    process.signal(signal.SIGSTOP)
+    await asyncio.sleep(fault.duration_s)
+    process.signal(signal.SIGCONT)
+
+
+async def _stop(fleet, fault):
+    process = _pick(fleet.processes, fault)
+    process.signal(signal.SIGTERM)
+    await until(lambda: not process.running)
+    _restart(process)
+
+
+async def _hang_up(fleet, fault):
+    _pick(fleet.processes, fault).signal(signal.SIGHUP)
+
+
+async def _harm_store_link(fleet, fault):
+    await _harm(_pick(fleet.processes, fault).store_proxy, fault)
+
+
+async def _harm_runner_link(fleet, fault):
+    proxies = sorted(fleet.proxies_by_runner.items())
+    await _harm(_pick(proxies, fault)[1], fault)
+
+
+async def _harm(proxy, fault):
+    proxy.set(Harm(fault.detail))
+    await asyncio.sleep(fault.duration_s)
+    proxy.set(Harm.NONE)
+    # Connections that lost bytes stay broken.
+    proxy.reset_all()
+
+
+async def _store_down(fleet, fault):
+    faults = fleet.store.faults
+    modes = ("busy", "many", "reset", "silent")
+    faults.refusal_by_caller["*"] = modes[fault.target % len(modes)]
+    await asyncio.sleep(fault.duration_s)
+    faults.refusal_by_caller.clear()
+
+
+async def _store_slow(fleet, fault):
+    fleet.store.faults.delay_s = 0.25
+    await asyncio.sleep(fault.duration_s)
+    fleet.store.faults.delay_s = 0.0
+
+
+async def _store_loses_answers(fleet, fault):
+    fleet.store.faults.lost_share = 0.4
+    await asyncio.sleep(fault.duration_s)
+    fleet.store.faults.lost_share = 0.0
+
+
+async def _store_forgets(fleet, fault):
+    for topic in ("keyed.servers", "keyed.op"):
+        partition = fleet.store.state.partition(topic, 0)
+        partition.trim(partition.end)
+
+
+async def _lose_answers(fleet, fault):
+    await _behave(_pick(fleet.runners, fault), "drop", True, fault)
+
+
+async def _runner_behaves(fleet, fault):
+    name, value = _BEHAVIOURS[fault.target % len(_BEHAVIOURS)]
+    await _behave(_pick(fleet.runners, fault), name, value, fault)
+
+
+async def _behave(runner, name, value, fault):
+    setattr(runner.behaviour, name, value)
+    await asyncio.sleep(fault.duration_s)
+    # Not the value before: another fault may have set it.
+    setattr(runner.behaviour, name, getattr(Behaviour(), name))
+
+
+_BEHAVIOURS = (
+    ("refuse", True),
+    ("drop", True),
+    ("reset", True),
+    ("cut_after_events", 2),
+    ("without_length", True),
+    ("status", 500),
+    (
+        "extra",
+        b"HTTP/1.1 200 OK\r\nX-Galenascale-Attempt-Id: other\r\n"
+        b"X-Galenascale-Response-Signature: s\r\nContent-Length: 3\r\n\r\nold",
+    ),
+    ("event_s", 0.3),
+)
+
+_ACTIONS_BY_KIND = {
+    "kill": _kill,
+    "kill_all": _kill_all,
+    "pause": _pause,
+    "stop": _stop,
+    "hang_up": _hang_up,
+    "harm_store_link": _harm_store_link,
+    "harm_runner_link": _harm_runner_link,
+    "store_down": _store_down,
+    "store_slow": _store_slow,
+    "store_loses_answers": _store_loses_answers,
+    "store_forgets": _store_forgets,
+    "runner_behaves": _runner_behaves,
+    "lose_answers": _lose_answers,
+}
--- /dev/null
+++ b/test/soak/fleet.py
@@ -0,0 +1,166 @@
+"""Real gateway processes, with stand-ins and proxies around them."""
+
+import asyncio
+import json
+import os
+import signal
+import subprocess
+import sys
+import tempfile
+from pathlib import Path
+
+import attrs
+
+from galenascale.standins.runner import RunnerStandin
+from galenascale.standins.store_api import StoreStandin
+from test.gateway.world import World
+from test.soak.proxy import Proxy
+
+ROOT = Path(__file__).resolve().parent.parent.parent
+START_S = 20.0
+
+
+@attrs.define
+class HostProcess:
+    """One gateway process and the proxy through which it reaches the store."""
+
+    number: int
+    settings_path: str
+    store_proxy: Proxy
+    environment: dict
+    process: object = None
+    log_file: object = None
+
+    @property
+    def address(self):
+        """Return the IP address of the host."""
+        return f"127.0.0.{self.number}"
+
+    @property
+    def running(self):
+        """Return True until the process ends."""
+        return self.process is not None and self.process.poll() is None
+
+    def start(self):
+        """Start the process."""
+        command = [
+            sys.executable,
+            "-m",
+            "test.soak.gateway_process",
+            "gateway",
+            "--settings",
+            self.settings_path,
+        ]
+        self.process = subprocess.Popen(
+            command, stdout=self.log_file, cwd=ROOT, env=os.environ | self.environment
+        )
+
+    def signal(self, number):
+        """Send a signal if the process runs."""
+        if self.running:
+            self.process.send_signal(number)
+
+    def end(self):
+        """Kill the process that this soak started."""
+        self.signal(signal.SIGCONT)
+        self.signal(signal.SIGKILL)
+        if self.process is not None:
+            self.process.wait()
+
+
+class Fleet(World):
+    """Stand-ins in this process, gateways in processes of their own."""
+
+    def __init__(self, directory, environment=None):
+        super().__init__()
+        self.store = StoreStandin(self.rng)
+        self.directory = Path(directory)
+        self.environment = environment or {}
+        self.processes = []
+        self.proxies_by_runner = {}
+
+    async def start_fleet(self, hosts, runners_by_service):
+        """Start everything and wait until all hosts are ready."""
+        await self.store.start()
+        for service, count in runners_by_service.items():
+            for number in range(count):
+                await self._add_proxied_runner(f"{service}-{number}", service)
+        self.write_config()
+        for number in range(2, hosts + 2):
+            await self.add_process(number)
+        await self.wait_until_ready(START_S)
+
+    async def wait_until_ready(self, wait_s):
+        """Wait until all hosts are ready; return False if some are not."""
+        give_up_at = asyncio.get_running_loop().time() + wait_s
+        for process in self.processes:
+            while not await self.is_ready(process):
+                if asyncio.get_running_loop().time() > give_up_at:
+                    return False
+                await asyncio.sleep(0.05)
+        return True
+
+    async def _add_proxied_runner(self, server_id, service):
+        runner = RunnerStandin(server_id, service)
+        await runner.start()
+        proxy = Proxy(runner.address)
+        await proxy.start()
+        # Hosts reach it through the proxy.
+        runner.address = proxy.address
+        runner.behaviour.echo = True
+        self.proxies_by_runner[server_id] = proxy
+        self.runners.append(runner)
+        self.register(runner)
+
+    async def add_process(self, number, skew_ms=0):
+        """Start a gateway process on an address of its own."""
+        proxy = Proxy(self.store.address)
+        await proxy.start()
+        settings = self.settings(number)
+        settings.store.address = proxy.address
+        settings.seeds = [f"127.0.0.2:{self.ports['peer']}"]
+        settings.bounds.stop_grace_s = 8.0
+        settings.log_level = "info"
+        path = self.directory / f"host-{number}.json"
+        path.write_text(json.dumps(attrs.asdict(settings)))
+        environment = dict(self.environment)
+        if skew_ms:
+            environment["GALENASCALE_SOAK_SKEW_MS"] = str(skew_ms)
+        log_file = (self.directory / f"host-{number}.log").open("ab")
+        process = HostProcess(number, str(path), proxy, environment, log_file=log_file)
+        process.start()
+        self.processes.append(process)
+        return process
+
+    async def is_ready(self, process):
+        """Return True if a host answers its readiness check with 200."""
+        try:
+            reader, writer = await asyncio.open_connection(
+                process.address, self.ports["ready"]
+            )
+        except OSError:
+            return False
+        try:
+            writer.write(b"GET /ready HTTP/1.1\r\nHost: x\r\n\r\n")
+            async with asyncio.timeout(0.5):
+                line = await reader.readline()
+        except (OSError, TimeoutError):
+            return False
+        finally:
+            writer.close()
+        return b" 200 " in line
+
+    async def end(self):
+        """End all processes of this fleet."""
+        for process in self.processes:
+            process.end()
+            process.log_file.close()
+            await process.store_proxy.stop()
+        for proxy in self.proxies_by_runner.values():
+            await proxy.stop()
+        await self.close()
+
+
+def make_directory():
+    """Return a directory for the settings and logs of one play."""
+    return tempfile.mkdtemp(prefix="galenascale-soak-")
--- /dev/null
+++ b/test/soak/play.py
@@ -0,0 +1,133 @@
+"""One play of the soak: load, faults, a calm end and the checks."""
+
+import asyncio
+import random
+import shutil
+
+import attrs
+
+from test.gateway.world import ROUTES, make_route
+from test.soak import faults
+from test.soak.checks import check_jobs, check_requests
+from test.soak.clients import EVENTS, Clients
+from test.soak.fleet import Fleet, make_directory
+
+# Seconds of load, and of calm after it for jobs to finish.
+LOAD_S = 9.0
+CALM_S = 14.0
+# Seconds in which a change is in force, or a leaving server is left alone.
+APPLY_S = 2.0
+DRAIN_S = 2.0
+# Requests on an added route at each host.
+CHANGE_REQUESTS = 4
+CALLERS = 6
+SUBMITTERS = 2
+
+
+@attrs.frozen
+class Size:
+    """How many processes, servers and faults a play has."""
+
+    hosts: int = 4
+    plain_runners: int = 2
+    engines: int = 4
+    faults: int = 8
+
+
+@attrs.define
+class Result:
+    """What a play showed."""
+
+    seed: int
+    directory: str
+    faults: list
+    broken: list = attrs.field(factory=list)
+    requests: int = 0
+    served: int = 0
+    jobs: int = 0
+
+
+async def play(seed, size=Size(), environment=None):
+    """Play a seed and return the Result; its logs stay if promises broke."""
+    rng = random.Random(seed)
+    directory = make_directory()
+    result = Result(seed, directory, faults.draw(rng, size.faults))
+    fleet = Fleet(directory, environment)
+    try:
+        runners = {"app": size.plain_runners, "llm": size.engines}
+        await fleet.start_fleet(size.hosts, runners)
+        for runner in fleet.runners:
+            runner.behaviour.events = EVENTS
+        await _play(fleet, rng, result)
+    finally:
+        await fleet.end()
+    if not result.broken:
+        shutil.rmtree(directory)
+    return result
+
+
+async def _play(fleet, rng, result):
+    clients = Clients(fleet, rng)
+    load = asyncio.create_task(clients.run(CALLERS, SUBMITTERS))
+    tasks = [asyncio.create_task(_later(fleet, fault)) for fault in result.faults]
+    await asyncio.sleep(LOAD_S)
+    clients.stopped = True
+    await load
+    await asyncio.gather(*tasks)
+    if not await fleet.wait_until_ready(CALM_S):
+        result.broken.append("a host is not ready long after the last fault")
+    await _read_jobs(fleet, clients)
+    result.broken.extend(check_requests(fleet, clients.requests))
+    result.broken.extend(check_jobs(fleet, clients.jobs))
+    result.broken.extend([line async for line in _check_changes(fleet, clients)])
+    result.requests = len(clients.requests)
+    result.served = sum(sent.status == 200 for sent in clients.requests)
+    result.jobs = sum(job.accepted for job in clients.jobs)
+
+
+async def _later(fleet, fault):
+    await asyncio.sleep(fault.at_s)
+    await faults.apply(fleet, fault)
+
+
+async def _read_jobs(fleet, clients):
+    """Read all jobs until they are complete or the calm is over."""
+    give_up_at = asyncio.get_running_loop().time() + CALM_S
+    while asyncio.get_running_loop().time() < give_up_at:
+        open_jobs = [
+            job
+            for job in clients.jobs
+            if job.accepted and job.ended_at is None and len(job.results) < job.items
+        ]
+        if not open_jobs:
+            break
+        for job in open_jobs:
+            await clients.read(job)
+        await asyncio.sleep(0.2)
+    for job in clients.jobs:
+        if job.accepted:
+            await clients.read(job)
+
+
+async def _check_changes(fleet, clients):
+    """
+    Yield a line for each host that follows a change too late.
+
+    All is calm: a route is added, another removed, a server drains.
+    """
+    leaving = fleet.of("app")[0]
+    fleet.register(leaving, state="draining")
+    fleet.write_config([*ROUTES[1:], make_route("added", "idempotent", "app")])
+    await asyncio.sleep(max(APPLY_S, DRAIN_S))
+    seen = len(leaving.requests)
+    expected_by_path = {f"/added/{n}": 200 for n in range(CHANGE_REQUESTS)}
+    expected_by_path["/plain/x"] = 404
+    for process in fleet.processes:
+        for path, expected in expected_by_path.items():
+            reply = await fleet.request(
+                path, request_id=f"change-{process.number}", host=process.number
+            )
+            if reply.status != expected:
+                yield f"host {process.number}: {path} got {reply.status}"
+    if len(leaving.requests) > seen:
+        yield "a server that drains got new requests"
