--- a/galenascale/gateway/decision_log.py
+++ b/galenascale/gateway/decision_log.py
@@ -33,6 +33,11 @@
         self._partial = b""
         self.dropped = 0
 
+    @property
+    def waiting(self):
+        """Return the number of lines that are not written yet."""
+        return len(self._lines)
+
     def set_level(self, level):
         """Write lines of a level and above from now on."""
         self._least = LEVELS.index(level)
--- a/galenascale/gateway/following.py
+++ b/galenascale/gateway/following.py
@@ -25,6 +25,7 @@
 
     log: object
     clock: object
+    metrics: object
     up: bool | None = None
     # Monotonic time in seconds of the last answer.
     answered_at: float | None = None
@@ -32,6 +33,7 @@
 
     def answered(self):
         """Note an answer of the store."""
+        self.metrics.store_calls.labels("answered").inc()
         now = self.clock.monotonic()
         if self.up is not True:
             self.log.write("store_found" if self.up is None else "store_regained")
@@ -42,6 +44,7 @@
 
     def failed(self, error):
         """Note a call that failed."""
+        self.metrics.store_calls.labels("failed").inc()
         if self.up is not False:
             self.log.write("store_lost", "warning", reason=str(error))
         self.up = False
--- a/galenascale/gateway/forwarding.py
+++ b/galenascale/gateway/forwarding.py
@@ -129,6 +129,7 @@
     def _log_send(self, candidate, outcome, answer):
         parts = self._parts
         now = parts.clock.monotonic()
+        parts.metrics.sends.labels(outcome).inc()
         parts.log.write(
             "send",
             request=self._request.request_id,
--- a/galenascale/gateway/host.py
+++ b/galenascale/gateway/host.py
@@ -79,7 +79,8 @@
         stack.callback(log.flush)
         session = await stack.enter_async_context(adapter.make_session())
         started_ms = clock.wall_ms()
-        link = StoreLink(log, clock)
+        metrics = GatewayMetrics()
+        link = StoreLink(log, clock, metrics)
         load = FleetLoad(settings.host_id)
         configuration = ConfigurationState()
         pool = BackendPool(adapter.dialect.read_answer_head)
@@ -93,7 +94,7 @@
             clock=clock,
             rng=random.Random(),
             log=log,
-            metrics=GatewayMetrics(),
+            metrics=metrics,
             configuration=configuration,
             servers=ServerList(),
             load=load,
@@ -200,6 +201,7 @@
         return web.Response(status=200 if self.ready else 503)
 
     async def _answer_metrics(self, request):
+        self.parts.metrics.log_lines_waiting.set(self.parts.log.waiting)
         self.parts.metrics.peers.set(
             len(self.parts.peers.alive(self.parts.clock.monotonic()))
         )
--- a/galenascale/gateway/metrics.py
+++ b/galenascale/gateway/metrics.py
@@ -19,7 +19,7 @@
             "sends", "Requests sent to backend servers by outcome.", ("outcome",)
         )
         self.store_calls = self._counter(
-            "store_calls", "Calls of the store by outcome.", ("call", "outcome")
+            "store_calls", "Calls of the store by outcome.", ("outcome",)
         )
         self.items = self._counter("items", "Runs of items by outcome.", ("outcome",))
         self.first_part_seconds = self._histogram(
