--- a/test/test_layering.py
+++ b/test/test_layering.py
@@ -23,8 +23,19 @@
     "galenascale.placement.planner",
     "galenascale.placement.replicas",
     "galenascale.placement.targets",
+    "galenascale.gateway.attempts",
+    "galenascale.gateway.balancing",
+    "galenascale.gateway.configuration",
+    "galenascale.gateway.event_stream",
+    "galenascale.gateway.health",
+    "galenascale.gateway.load",
+    "galenascale.gateway.servers",
+    "galenascale.gateway.jobs.pacing",
+    "galenascale.gateway.jobs.records",
+    "galenascale.gateway.jobs.state",
 )
 FORBIDDEN_IN_CORE = ("aiohttp", "asyncio", "galenascale.log_client")
+PLATFORM = "galenascale.platform"
 # The fold must give the same verdict on every host.
 FORBIDDEN_IN_FOLDS = ("time", "random", "secrets", "uuid", "galenascale.clock")
 FOLDS = ("galenascale.ledger", "galenascale.config_state")
@@ -88,6 +99,7 @@
         (CORE, FORBIDDEN_IN_CORE),
         (FOLDS, FORBIDDEN_IN_FOLDS),
         (("galenascale",), ("galenascale.commands",)),
+        (("galenascale.gateway",), (PLATFORM,)),
     ],
 )
 def test_no_module_reaches_what_its_layer_must_not(layer, forbidden):
@@ -108,6 +120,17 @@
     assert found == []
 
 
+def test_only_one_command_knows_the_platform():
+    """Guards the product against names and formats of one platform."""
+    users = {
+        name
+        for name in PATHS_BY_MODULE
+        if not is_in(name, (PLATFORM,))
+        and any(is_in(used, (PLATFORM,)) for used in imports_of(name))
+    }
+    assert users == {"galenascale.commands.gateway"}
+
+
 def test_modules_are_small():
     """Guards against modules that grow without a decision to let them."""
     lines_by_module = {
