--- a/test/platform/test_formats.py
+++ b/test/platform/test_formats.py
@@ -157,7 +157,7 @@
     ],
 )
 def test_malformed_job_is_refused_whole(body):
-    """Guards servers against smuggled headers, and jobs against half a list."""
+    """Guards servers against smuggled headers, jobs against half a list."""
     request = CallerRequest("j", "POST", "/jobs/", "a.example", (), body)
     with pytest.raises(UserError):
         jobs.read_submission(request)
