Relay hosts' states inside failure domains; keep sums of the load

Each host told all others up to 2.5 times a second, and each message led to sums over 45 servers and 60 hosts. Sums of the load are kept as reports come; only crowded servers are looked at when a report arrives.

--- a/galenascale/gateway/dispatch.py
+++ b/galenascale/gateway/dispatch.py
@@ -34,7 +34,7 @@
         now = parts.clock.monotonic()
         for service in service_order:
             candidates = [
-                self._candidate(entry, now)
+                self._candidate(entry)
                 for entry in parts.servers.usable(service, now)
                 if not plan.excludes(entry.incarnation)
             ]
@@ -43,9 +43,9 @@
                 return chosen
         return None
 
-    def _candidate(self, entry, now):
+    def _candidate(self, entry):
         parts = self._parts
-        in_flight = parts.load.at(entry.server_id, now)
+        in_flight = parts.load.at(entry.server_id)
         return Candidate(
             entry,
             online=in_flight.online,
@@ -55,11 +55,11 @@
             same_domain=entry.failure_domain == parts.settings.failure_domain,
         )
 
-    def _claim_slot(self, server, now):
+    def _claim_slot(self, server):
         """Tell the hosts whose items take the slot that is needed."""
-        in_flight = self._parts.load.at(server.server_id, now)
+        in_flight = self._parts.load.at(server.server_id)
         if in_flight.batch and in_flight.total > server.slots:
-            hosts = self._parts.load.batch_by_host(server.server_id, now)
+            hosts = self._parts.load.batch_by_host(server.server_id)
             for callback in self._parts.on_crowded:
                 callback(hosts)
 
@@ -89,7 +89,7 @@
         plan.sent(server.incarnation)
         parts.load.start(server.server_id, batch=self._batch)
         if not self._batch:
-            self._claim_slot(server, now)
+            self._claim_slot(server)
         send = Send(server, connection, now, plan.route.repeatable)
         parts.reachability.add(send)
         try:
--- a/galenascale/gateway/jobs/runner.py
+++ b/galenascale/gateway/jobs/runner.py
@@ -55,14 +55,11 @@
 
     def give_way(self):
         """Interrupt items at once where online requests need their slots."""
-        now = self._parts.clock.monotonic()
-        services = {
-            item.server.service
-            for item in self._items_by_key.values()
-            if item.task is not None
+        servers = {
+            item.server for item in self._items_by_key.values() if item.task is not None
         }
-        for service in services:
-            self._interrupt(self._scheduler.loads(service, now), now)
+        now = self._parts.clock.monotonic()
+        self._interrupt(self._scheduler.crowded(servers, now), now)
 
     async def run(self):
         """Follow partitions and run items until cancelled."""
@@ -149,7 +146,7 @@
             waiting = waiting_by_service.get(service, [])
             for item, server in self._scheduler.starts(waiting, loads, now):
                 item.server = server
-                self._log_start(item, server, now)
+                self._log_start(item, server)
                 item.task = group.create_task(self._run(item, server, route))
 
     def _route_of(self, item):
@@ -168,8 +165,8 @@
         self._finish(item, ItemState.GIVEN_UP, "no route" if not route else "too old")
         return True
 
-    def _log_start(self, item, server, now):
-        in_flight = self._parts.load.at(server.server_id, now)
+    def _log_start(self, item, server):
+        in_flight = self._parts.load.at(server.server_id)
         self._parts.log.write(
             "item_started",
             job=item.state.job_id,
--- a/galenascale/gateway/jobs/scheduler.py
+++ b/galenascale/gateway/jobs/scheduler.py
@@ -23,26 +23,33 @@
 
     def loads(self, service, now):
         """Return the ServerLoads of the usable servers of a service."""
+        servers = self._parts.servers.usable(service, now)
+        return [self._load(server, now) for server in servers]
+
+    def crowded(self, servers, now):
+        """Return the ServerLoads of those servers that have too few slots."""
+        return [
+            self._load(server, now)
+            for server in servers
+            if self._parts.load.at(server.server_id).total > server.slots
+        ]
+
+    def _load(self, server, now):
         parts = self._parts
-        loads = []
-        for entry in parts.servers.usable(service, now):
-            settling_until = self._settling_until.get(entry.server_id, now)
-            loads.append(
-                ServerLoad(
-                    entry,
-                    online=parts.load.at(entry.server_id, now).online,
-                    batch_by_host=parts.load.batch_by_host(entry.server_id, now),
-                    paused=parts.health.is_paused(entry.incarnation),
-                    settling=now < settling_until,
-                )
-            )
-        return loads
+        settling_until = self._settling_until.get(server.server_id, now)
+        return ServerLoad(
+            server,
+            online=parts.load.at(server.server_id).online,
+            batch_by_host=parts.load.batch_by_host(server.server_id),
+            paused=parts.health.is_paused(server.incarnation),
+            settling=now < settling_until,
+        )
 
     def starts(self, waiting, loads, now):
         """Return (item, server) pairs of the items that start now."""
         parts = self._parts
         servers = plan_starts(
-            loads, parts.settings.host_id, parts.load.hosts_with_waiting_items(now)
+            loads, parts.settings.host_id, parts.load.hosts_with_waiting_items()
         )
         ordered = sorted(waiting, key=self._order(start_order))
         pairs = list(zip(ordered, servers, strict=False))
--- a/galenascale/gateway/load.py
+++ b/galenascale/gateway/load.py
@@ -1,13 +1,18 @@
 """Requests in flight at backend servers, as all hosts report them."""
 
+import functools
+
 import attrs
 import xxhash
 
 # Peers tell their load at least once a second; a report that was missed thrice
 # says nothing of the present.
 PEER_REPORT_MAX_AGE_S = 3.0
+# Servers whose keys are kept.
+_KEYS = 1 << 16
 
 
+@functools.lru_cache(_KEYS)
 def server_key(server_id):
     """Return the 32-bit key of a server in messages between hosts."""
     value = xxhash.xxh32_intdigest(server_id.encode())
@@ -17,7 +22,7 @@
 
 @attrs.define
 class InFlight:
-    """Requests of one host at one backend server."""
+    """Requests of one host, or of all, at one backend server."""
 
     online: int = 0
     batch: int = 0
@@ -27,6 +32,11 @@
         """Return the requests of both kinds."""
         return self.online + self.batch
 
+    def add(self, other, sign):
+        """Add another one's counts, or subtract them with sign -1."""
+        self.online += sign * other.online
+        self.batch += sign * other.batch
+
 
 @attrs.define
 class _PeerReport:
@@ -36,12 +46,20 @@
 
 
 class FleetLoad:
-    """Counts of this host and the last report of each peer."""
+    """
+    Counts of this host and the last report of each peer.
+
+    Sums are kept as reports come, as they are read for each request and each
+    server.
+    """
 
     def __init__(self, host_id):
         self._host_id = host_id
         self._own_by_key = {}
         self._reports_by_host = {}
+        # Sums over all peers, and their items by host.
+        self._peers_by_key = {}
+        self._peer_batch_by_key = {}
         # Grows with each change of the own counts.
         self.changes = 0
         # Items of this host that wait for a slot.
@@ -70,19 +88,38 @@
         """Return this host's InFlight by server key."""
         return self._own_by_key
 
-    def own_at(self, server_id):
-        """Return this host's InFlight at a server."""
-        return self._own_by_key.get(server_key(server_id)) or InFlight()
-
     def report(self, host_id, in_flight_by_key, waiting_items, now):
         """Keep what a peer tells of its own requests and waiting items."""
+        self.forget(host_id)
         self._reports_by_host[host_id] = _PeerReport(
             now, in_flight_by_key, waiting_items
         )
+        for key, in_flight in in_flight_by_key.items():
+            self._peers_by_key.setdefault(key, InFlight()).add(in_flight, 1)
+            if in_flight.batch:
+                counts = self._peer_batch_by_key.setdefault(key, {})
+                counts[host_id] = in_flight.batch
 
     def forget(self, host_id):
-        """Drop the report of a peer that is gone."""
-        self._reports_by_host.pop(host_id, None)
+        """Drop the report of a peer."""
+        report = self._reports_by_host.pop(host_id, None)
+        if report is None:
+            return
+        for key, in_flight in report.in_flight_by_key.items():
+            total = self._peers_by_key[key]
+            total.add(in_flight, -1)
+            if not (total.online or total.batch):
+                del self._peers_by_key[key]
+            counts = self._peer_batch_by_key.get(key, {})
+            counts.pop(host_id, None)
+            if not counts:
+                self._peer_batch_by_key.pop(key, None)
+
+    def expire(self, now):
+        """Drop the reports that are too old."""
+        for host_id, report in list(self._reports_by_host.items()):
+            if now - report.at > PEER_REPORT_MAX_AGE_S:
+                self.forget(host_id)
 
     def set_waiting_items(self, count):
         """Set how many items wait for a slot on this host."""
@@ -90,41 +127,31 @@
             self.changes += 1
         self.waiting_items = count
 
-    def _recent_reports(self, now):
-        for host_id, report in self._reports_by_host.items():
-            if now - report.at <= PEER_REPORT_MAX_AGE_S:
-                yield host_id, report
-
-    def hosts_with_waiting_items(self, now):
+    def hosts_with_waiting_items(self):
         """Return the sorted ids of the hosts whose items wait for a slot."""
         hosts = [
             host_id
-            for host_id, report in self._recent_reports(now)
+            for host_id, report in self._reports_by_host.items()
             if report.waiting_items
         ]
         if self.waiting_items:
             hosts.append(self._host_id)
         return tuple(sorted(hosts))
 
-    def batch_by_host(self, server_id, now):
+    def batch_by_host(self, server_id):
         """Return the items at a server by the host that runs them."""
         key = server_key(server_id)
-        counts = {
-            host_id: report.in_flight_by_key[key].batch
-            for host_id, report in self._recent_reports(now)
-            if key in report.in_flight_by_key
-        }
-        counts[self._host_id] = self.own_at(server_id).batch
-        return {host_id: count for host_id, count in counts.items() if count}
-
-    def at(self, server_id, now):
+        counts = dict(self._peer_batch_by_key.get(key, ()))
+        own = self._own_by_key.get(key)
+        if own and own.batch:
+            counts[self._host_id] = own.batch
+        return counts
+
+    def at(self, server_id):
         """Return the InFlight of all hosts at a server."""
         key = server_key(server_id)
-        own = self._own_by_key.get(key)
-        total = InFlight(own.online, own.batch) if own else InFlight()
-        for _, report in self._recent_reports(now):
-            part = report.in_flight_by_key.get(key)
-            if part:
-                total.online += part.online
-                total.batch += part.batch
+        total = InFlight()
+        for part in (self._own_by_key.get(key), self._peers_by_key.get(key)):
+            if part is not None:
+                total.add(part, 1)
         return total
--- /dev/null
+++ b/galenascale/gateway/peer_table.py
@@ -0,0 +1,112 @@
+"""The other hosts, by what they sent and where they are said to be."""
+
+import attrs
+
+# Seconds of silence after which a host counts as gone.
+GONE_AFTER_S = 3.0
+# Seconds of silence after which a host's address is no longer tried.
+FORGET_AFTER_S = 60.0
+
+
+@attrs.define
+class Peer:
+    """One other host."""
+
+    address: str
+    heard_at: float
+    host_id: str = ""
+    failure_domain: str = ""
+    started_ms: int = 0
+    sequence: int = 0
+    config_version: int = 0
+    leaving: bool = False
+    store_up: bool = False
+
+    @classmethod
+    def from_status(cls, status, now):
+        """Return the host that a status describes."""
+        return cls(
+            address=status.address,
+            heard_at=now,
+            host_id=status.host_id,
+            failure_domain=status.failure_domain,
+            started_ms=status.started_ms,
+            sequence=status.sequence,
+            config_version=status.config_version,
+            leaving=status.leaving,
+            store_up=status.store_up,
+        )
+
+
+class PeerTable:
+    """Hosts by address and by id."""
+
+    def __init__(self, own_address):
+        self._own_address = own_address
+        self._by_address = {}
+        self._by_host_id = {}
+
+    def suggest(self, address, now):
+        """Add an address at which a host may be."""
+        if address != self._own_address and address not in self._by_address:
+            # Not heard yet; forgotten if it stays so.
+            self._by_address[address] = Peer(address, now)
+
+    def heard(self, status, now):
+        """Apply a status; return the Peer, or None if it is out of date."""
+        known = self._by_host_id.get(status.host_id)
+        if known is not None and (status.started_ms, status.sequence) <= (
+            known.started_ms,
+            known.sequence,
+        ):
+            return None
+        peer = Peer.from_status(status, now)
+        if known is not None and known.address != peer.address:
+            self._by_address.pop(known.address, None)
+        self._by_address[peer.address] = peer
+        self._by_host_id[peer.host_id] = peer
+        return peer
+
+    def addresses(self, now):
+        """Return all addresses at which a host may be."""
+        for address, peer in list(self._by_address.items()):
+            if now - peer.heard_at > FORGET_AFTER_S:
+                del self._by_address[address]
+                self._by_host_id.pop(peer.host_id, None)
+        return list(self._by_address)
+
+    def alive(self, now):
+        """Return the hosts that were heard lately."""
+        return [
+            peer
+            for peer in self._by_host_id.values()
+            if now - peer.heard_at <= GONE_AFTER_S
+        ]
+
+    def is_running(self, host_id, started_ms, now):
+        """Return True if a run of a host was heard lately and stays."""
+        peer = self._by_host_id.get(host_id)
+        return (
+            peer is not None
+            and peer.started_ms == started_ms
+            and not peer.leaving
+            and now - peer.heard_at <= GONE_AFTER_S
+        )
+
+    def is_heard(self, host_id, now):
+        """Return True if any run of a host was heard lately."""
+        peer = self._by_host_id.get(host_id)
+        return peer is not None and now - peer.heard_at <= GONE_AFTER_S
+
+    def best_informed(self, now):
+        """
+        Return the living peer whose state is the newest, or None.
+
+        That is one which the store answers, else one with the newest
+        configuration.
+        """
+        return max(
+            self.alive(now),
+            key=lambda peer: (peer.store_up, peer.config_version),
+            default=None,
+        )
--- a/galenascale/gateway/peers.py
+++ b/galenascale/gateway/peers.py
@@ -2,126 +2,31 @@
 
 import asyncio
 
-import attrs
-
 from galenascale.codec import decode, encode
 from galenascale.errors import DecodeError
+from galenascale.gateway.gossip import StatusRouter
 from galenascale.gateway.load import InFlight
+from galenascale.gateway.peer_table import PeerTable
 from galenascale.gateway.sockets import split_address
-from galenascale.generated.gateway_messages import HostStatus, ServerInFlight
-
-# Shortest time in seconds between two messages after a change of the load.
-CHANGE_INTERVAL_S = 0.1
-# Messages to all others that a host sends in a second at most; more hosts mean
-# fewer rounds, so that the cost does not grow with their square.
-MAX_SENDS_PER_S = 150
+from galenascale.generated.gateway_messages import (
+    HostStatus,
+    ServerInFlight,
+    StatusBatch,
+)
+
+# Shortest time in seconds between two messages in turn.
+INTERVAL_S = 0.1
+# Hosts for each second of the interval: more hosts mean fewer rounds, so that
+# what a host receives in a second stays the same.
+HOSTS_PER_INTERVAL_S = 400
 # Seconds between two messages without a change.
 IDLE_INTERVAL_S = 1.0
-# Seconds of silence after which a host counts as gone.
-GONE_AFTER_S = 3.0
-# Seconds of silence after which a host's address is no longer tried.
-FORGET_AFTER_S = 60.0
-
-
-@attrs.define
-class Peer:
-    """One other host."""
-
-    address: str
-    heard_at: float
-    host_id: str = ""
-    started_ms: int = 0
-    sequence: int = 0
-    config_version: int = 0
-    leaving: bool = False
-    store_up: bool = False
-
-
-class PeerTable:
-    """The other hosts, by what they sent and where they are said to be."""
-
-    def __init__(self, own_address):
-        self._own_address = own_address
-        self._by_address = {}
-        self._by_host_id = {}
-
-    def suggest(self, address, now):
-        """Add an address at which a host may be."""
-        if address != self._own_address and address not in self._by_address:
-            # Not heard yet; forgotten if it stays so.
-            self._by_address[address] = Peer(address, now)
-
-    def heard(self, address, status, now):
-        """Apply a status; return the Peer, or None if it is out of date."""
-        known = self._by_host_id.get(status.host_id)
-        if known is not None and (status.started_ms, status.sequence) <= (
-            known.started_ms,
-            known.sequence,
-        ):
-            return None
-        peer = Peer(
-            address,
-            now,
-            status.host_id,
-            status.started_ms,
-            status.sequence,
-            status.config_version,
-            status.leaving,
-            status.store_up,
-        )
-        if known is not None and known.address != address:
-            self._by_address.pop(known.address, None)
-        self._by_address[address] = peer
-        self._by_host_id[status.host_id] = peer
-        return peer
-
-    def addresses(self, now):
-        """Return the addresses to which messages are sent."""
-        for address, peer in list(self._by_address.items()):
-            if now - peer.heard_at > FORGET_AFTER_S:
-                del self._by_address[address]
-                self._by_host_id.pop(peer.host_id, None)
-        return list(self._by_address)
-
-    def alive(self, now):
-        """Return the hosts that were heard lately."""
-        return [
-            peer
-            for peer in self._by_host_id.values()
-            if now - peer.heard_at <= GONE_AFTER_S
-        ]
-
-    def is_running(self, host_id, started_ms, now):
-        """Return True if a run of a host was heard lately and stays."""
-        peer = self._by_host_id.get(host_id)
-        return (
-            peer is not None
-            and peer.started_ms == started_ms
-            and not peer.leaving
-            and now - peer.heard_at <= GONE_AFTER_S
-        )
-
-    def is_heard(self, host_id, now):
-        """Return True if any run of a host was heard lately."""
-        peer = self._by_host_id.get(host_id)
-        return peer is not None and now - peer.heard_at <= GONE_AFTER_S
-
-    def best_informed(self, now):
-        """
-        Return the living peer whose state is the newest, or None.
-
-        That is one which the store answers, else one with the newest
-        configuration.
-        """
-        return max(
-            self.alive(now),
-            key=lambda peer: (peer.store_up, peer.config_version),
-            default=None,
-        )
+# Bytes of one datagram, below what links carry in one piece.
+MAX_DATAGRAM_BYTES = 1300
 
 
 class PeerLink(asyncio.DatagramProtocol):
-    """Sends this host's status to all others and applies theirs."""
+    """Sends this host's state and those it relays, and applies others'."""
 
     def __init__(self, settings, started_ms, clock, log, load, configuration, link):
         self._settings = settings
@@ -136,10 +41,11 @@
         self._sent_changes = -1
         self._sent_at = float("-inf")
         self._alive = set()
-        own_host = split_address(settings.peer_listen)[0]
-        self.table = PeerTable(own_host)
+        self._own_address = split_address(settings.peer_listen)[0]
+        self._router = StatusRouter(settings.host_id, settings.failure_domain)
+        self.table = PeerTable(self._own_address)
         self.leaving = False
-        # Called after each message of another host.
+        # Called after a message that changed the known load.
         self.on_report = lambda: None
 
     def connection_made(self, transport):
@@ -147,23 +53,30 @@
 
     def datagram_received(self, data, addr):
         try:
-            status = decode(HostStatus, data)
+            batch = decode(StatusBatch, data)
         except DecodeError as error:
             self._log.write("peer_message_broken", "warning", reason=str(error))
             return
         now = self._clock.monotonic()
+        applied = [self._apply(status, now) for status in batch.statuses]
+        if any(applied):
+            self.on_report()
+
+    def _apply(self, status, now):
+        """Apply a host's state; return True if it is news."""
         if not status.host_id or status.host_id == self._settings.host_id:
-            return
-        peer = self.table.heard(addr[0], status, now)
-        if peer is None:
-            return
+            return False
+        if self.table.heard(status, now) is None:
+            return False
+        self._router.received(status)
         in_flight = {
             item.server_key: InFlight(item.online, item.batch)
             for item in status.in_flight
         }
         self._load.report(status.host_id, in_flight, status.waiting_items, now)
-        self._note_alive(now)
-        self.on_report()
+        if status.host_id not in self._alive:
+            self._note_alive(now)
+        return True
 
     def error_received(self, error):
         # A host that is away; its silence is noticed by the time.
@@ -182,41 +95,55 @@
         """Send messages until cancelled."""
         while True:
             now = self._clock.monotonic()
-            addresses = self.table.addresses(now)
             self._note_alive(now)
-            changed = self._load.changes != self._sent_changes
-            if changed or now - self._sent_at >= IDLE_INTERVAL_S:
-                self._send(addresses, now)
+            self._load.expire(now)
+            self._send_in_turn(now)
             await self._clock.sleep(
-                max(CHANGE_INTERVAL_S, len(addresses) / MAX_SENDS_PER_S)
+                max(INTERVAL_S, len(self._alive) / HOSTS_PER_INTERVAL_S)
             )
 
+    def _send_in_turn(self, now):
+        changed = self._load.changes != self._sent_changes
+        due = changed or now - self._sent_at >= IDLE_INTERVAL_S
+        own_status = None
+        if due:
+            own_status = self._status()
+            self._sent_changes = self._load.changes
+            self._sent_at = now
+        messages = self._router.messages(
+            own_status, self.table.alive(now), self.table.addresses(now)
+        )
+        encoded_by_statuses = {}
+        for message in messages:
+            # Most messages of a round carry the same states.
+            key = tuple(map(id, message.statuses))
+            if key not in encoded_by_statuses:
+                encoded_by_statuses[key] = _encode_batches(message.statuses)
+            for data in encoded_by_statuses[key]:
+                self._send(message.address, data)
+
     def announce(self):
-        """Send a message to all others at once."""
+        """Send the own state to all others at once."""
         now = self._clock.monotonic()
-        self._send(self.table.addresses(now), now)
+        self._send_own(self.table.addresses(now))
 
     def tell(self, host_ids):
-        """Send a message to some hosts at once; the others get it in turn."""
+        """Send the own state to some hosts at once; others get it in turn."""
         now = self._clock.monotonic()
-        addresses = [
+        self._send_own(
             peer.address for peer in self.table.alive(now) if peer.host_id in host_ids
-        ]
-        self._transmit(addresses)
-
-    def _send(self, addresses, now):
-        self._sent_changes = self._load.changes
-        self._sent_at = now
-        self._transmit(addresses)
+        )
 
-    def _transmit(self, addresses):
-        self._sequence += 1
-        data = encode(self._status())
-        port = self._settings.peer_datagram_port
+    def _send_own(self, addresses):
+        (data,) = _encode_batches((self._status(),))
         for address in addresses:
-            self._transport.sendto(data, (address, port))
+            self._send(address, data)
+
+    def _send(self, address, data):
+        self._transport.sendto(data, (address, self._settings.peer_datagram_port))
 
     def _status(self):
+        self._sequence += 1
         return HostStatus(
             host_id=self._settings.host_id,
             started_ms=self._started_ms,
@@ -225,8 +152,27 @@
             leaving=self.leaving,
             store_up=self._link.up is True,
             waiting_items=self._load.waiting_items,
+            failure_domain=self._settings.failure_domain,
+            address=self._own_address,
             in_flight=[
                 ServerInFlight(key, in_flight.online, in_flight.batch)
                 for key, in_flight in self._load.own().items()
             ],
         )
+
+
+def _encode_batches(statuses):
+    """Return datagrams with all states, each of them in one."""
+    datagrams = []
+    batch = []
+    size = 0
+    for status in statuses:
+        length = len(encode(status))
+        if batch and size + length > MAX_DATAGRAM_BYTES:
+            datagrams.append(encode(StatusBatch(batch)))
+            batch = []
+            size = 0
+        batch.append(status)
+        size += length
+    datagrams.append(encode(StatusBatch(batch)))
+    return datagrams
--- a/schema/gateway.thrift
+++ b/schema/gateway.thrift
@@ -121,6 +121,14 @@
   8: bool store_up = 0,
   /** Items of jobs that wait for a slot on this host. */
   9: i32 waiting_items = 0,
+  10: string failure_domain = "",
+  /** IP address of the host. */
+  11: string address = "",
+}
+
+/** One datagram: the states of some hosts, the sender's or relayed ones. */
+struct StatusBatch {
+  1: list<HostStatus> statuses,
 }
 
 /** One record of a keyed topic of the store; no value for a dropped key. */
--- /dev/null
+++ b/test/gateway/test_gossip.py
@@ -0,0 +1,106 @@
+"""Messages between hosts, in small and large fleets, without a network."""
+
+import collections
+
+import attrs
+import pytest
+
+from galenascale.gateway.gossip import DIRECT_LIMIT, StatusRouter
+from galenascale.gateway.load import FleetLoad, InFlight, server_key
+
+
+@attrs.frozen
+class Host:
+    """One host as the router sees it."""
+
+    host_id: str
+    failure_domain: str
+
+    @property
+    def address(self):
+        """Return the address of the host."""
+        return self.host_id
+
+
+def make_fleet(count):
+    """Return hosts and their routers by id, in three domains."""
+    hosts = [Host(f"h{number}", f"d{number % 3}") for number in range(count)]
+    routers = {host.host_id: StatusRouter(*attrs.astuple(host)) for host in hosts}
+    return hosts, routers
+
+
+def play_round(hosts, routers, changed, lost=()):
+    """Let each host send once; return (messages, hosts that each one heard)."""
+    sent = 0
+    heard = collections.defaultdict(set)
+    alive = [host for host in hosts if host.host_id not in lost]
+    deliveries = []
+    for host in alive:
+        peers = [other for other in hosts if other != host]
+        own = host if host in changed else None
+        addresses = [peer.address for peer in peers]
+        for message in routers[host.host_id].messages(own, peers, addresses):
+            sent += 1
+            deliveries.append(message)
+    for message in deliveries:
+        if message.address not in lost:
+            for status in message.statuses:
+                routers[message.address].received(status)
+                heard[message.address].add(status.host_id)
+    return sent, heard
+
+
+@pytest.mark.parametrize("lost_relay", [False, True])
+@pytest.mark.parametrize("count", [4, DIRECT_LIMIT + 1, 40, 120])
+def test_each_state_reaches_all_hosts_in_few_rounds(count, lost_relay):
+    """Guards hosts against blindness, also after the loss of one relay."""
+    hosts, routers = make_fleet(count)
+    lost = set()
+    if lost_relay:
+        relays = routers["h0"]._relays([host for host in hosts if host != hosts[0]])
+        lost = {relays["d0"][0]}
+    changed = hosts[:]
+    heard = collections.defaultdict(set)
+    for _ in range(3):
+        _, new = play_round(hosts, routers, changed, lost)
+        changed = []
+        for host_id, others in new.items():
+            heard[host_id] |= others
+    expected = {host.host_id for host in hosts} - lost
+    for host_id in expected:
+        assert heard[host_id] | {host_id} >= expected
+
+
+def test_messages_grow_with_the_hosts_and_not_with_their_square():
+    """
+    Guards large fleets against the cost of their own messages.
+
+    The load: 60 hosts, each of which told all others several times a second;
+    a day took more than its processor time.
+    """
+    counts = {}
+    for count in (60, 120, 240):
+        hosts, routers = make_fleet(count)
+        counts[count] = max(play_round(hosts, routers, hosts)[0] for _ in range(4))
+    assert counts[60] < 60 * 8
+    assert counts[240] < counts[60] * 6
+
+
+def test_sums_follow_reports_that_change_and_end():
+    """Guards the known load against reports that are counted twice or stay."""
+    load = FleetLoad("own")
+    load.start("s1")
+    load.start("s1", batch=True)
+    load.report("a", {server_key("s1"): InFlight(2, 3)}, 1, 10.0)
+    load.report("b", {server_key("s1"): InFlight(1, 0)}, 0, 10.5)
+    load.report("a", {server_key("s1"): InFlight(4, 1)}, 1, 11.0)
+    assert load.at("s1") == InFlight(6, 2)
+    assert load.batch_by_host("s1") == {"own": 1, "a": 1}
+    assert load.hosts_with_waiting_items() == ("a",)
+    load.expire(13.6)
+    assert load.at("s1") == InFlight(5, 2)
+    load.forget("a")
+    load.end("s1")
+    load.end("s1", batch=True)
+    assert load.at("s1") == InFlight()
+    assert load.batch_by_host("s1") == {}
