--- a/test/gateway/test_gossip.py
+++ b/test/gateway/test_gossip.py
@@ -30,7 +30,7 @@
 
 
 def play_round(hosts, routers, changed, lost=()):
-    """Let each host send once; return (messages, hosts that each one heard)."""
+    """Let each host send once; return (messages, hosts heard by each)."""
     sent = 0
     heard = collections.defaultdict(set)
     alive = [host for host in hosts if host.host_id not in lost]
