Run every accepted job, also one that its host did not read back

The host that had stored a job followed its partition for 5 s only; with the store away for longer it never learned that the job was its, and as it lived, no other host took it over. Change: a partition is followed until the record that was written is read. Hosts name the jobs that they run; a steward takes over one that its living host does not name for 2.5 s. The recorder goes on with what waits after any fault.

--- a/galenascale/gateway/jobs/acceptance.py
+++ b/galenascale/gateway/jobs/acceptance.py
@@ -25,7 +25,9 @@
 
     async def accept(self, submission, request, route, arrived_at):
         """
-        Store a job, unless it is; return True if it was stored now.
+        Store a job, unless it is; return its offset if it was stored now.
+
+        None is returned for a job that was stored before.
 
         Raise RequestEnded; it says "not run" only if nothing can have been
         stored.
@@ -81,9 +83,8 @@
         if job_id not in jobs_by_id:
             await self._partition.refresh()
         if job_id in jobs_by_id:
-            return False
-        await self._store(submission, job)
-        return True
+            return None
+        return await self._store(submission, job)
 
     async def _store(self, submission, job):
         records = _place_bodies(submission, job, self._parts.settings.store)
@@ -92,7 +93,7 @@
         job.bodies_offset = self._bodies_offset
         record = encode_record(JobRecordKind.JOB, submission.job_id, job)
         try:
-            await self._partition.append(record)
+            return await self._partition.append(record)
         except GalenascaleError as error:
             if error.execution is not Execution.NOT_RUN:
                 self._maybe_stored = True
--- a/galenascale/gateway/jobs/api.py
+++ b/galenascale/gateway/jobs/api.py
@@ -32,15 +32,15 @@
         """Accept a job."""
         request = exchange.request
         submission = self._parts.dialect.read_submission(request)
-        stored = await self._acceptance.accept(
+        offset = await self._acceptance.accept(
             submission, request, route, exchange.arrived_at
         )
-        if stored:
+        if offset is not None:
             self._bodies.keep(
                 submission.job_id, [item.body for item in submission.items]
             )
-            self._runner.watch(submission.job_id)
-        exchange.done("job_accepted", items=len(submission.items), stored=stored)
+            self._runner.watch(submission.job_id, offset)
+        exchange.done("job_accepted", items=len(submission.items), offset=offset)
         return web.Response(status=202, body=b"{}", content_type="application/json")
 
     async def answer_call(self, call, exchange):
--- a/galenascale/gateway/jobs/followers.py
+++ b/galenascale/gateway/jobs/followers.py
@@ -3,10 +3,6 @@
 from galenascale.gateway.jobs.partitions import FOLLOW_WAIT_S, RETRY_S
 from galenascale.store import STORE_ERRORS
 
-# Seconds for which the partition of a job that was just stored is followed,
-# until the job is read and needs it.
-WATCH_S = 5.0
-
 
 class Followers:
     """One task for each partition that is followed."""
@@ -16,25 +12,28 @@
         self._partitions = partitions
         self._on_change = on_change
         self._tasks_by_number = {}
-        self._watched_until = {}
+        # Offset by partition of a record that is still to be read.
+        self._awaited_offsets = {}
 
     def reset(self):
         """Forget tasks that have ended."""
         self._tasks_by_number.clear()
 
-    def watch(self, number):
-        """Follow a partition for a while."""
-        self._watched_until[number] = self._parts.clock.monotonic() + WATCH_S
+    def watch(self, number, offset):
+        """Follow a partition until the record at an offset was read."""
+        awaited = self._awaited_offsets.get(number, offset)
+        self._awaited_offsets[number] = max(awaited, offset)
 
     def numbers(self):
         """Return the numbers of the partitions that are followed."""
         return self._tasks_by_number.keys()
 
     def follow(self, group, numbers):
-        """Follow just these partitions and those that are watched."""
-        now = self._parts.clock.monotonic()
-        watched = {n for n, until in self._watched_until.items() if until > now}
-        needed = numbers | watched
+        """Follow just these partitions and those with awaited records."""
+        for number, offset in list(self._awaited_offsets.items()):
+            if self._partitions.get(number).position > offset:
+                del self._awaited_offsets[number]
+        needed = numbers | self._awaited_offsets.keys()
         for number in needed - self._tasks_by_number.keys():
             self._tasks_by_number[number] = group.create_task(self._follow(number))
         for number in self._tasks_by_number.keys() - needed:
--- a/galenascale/gateway/jobs/partitions.py
+++ b/galenascale/gateway/jobs/partitions.py
@@ -30,9 +30,10 @@
         self._fresh_at = float("-inf")
         self._changed = asyncio.Event()
 
-    def age_s(self, now):
-        """Return for how long changes may have been missed, in seconds."""
-        return now - self._fresh_at
+    @property
+    def position(self):
+        """Return the offset up to which records were applied."""
+        return self._position
 
     async def refresh(self, max_age_s=0.0):
         """
@@ -87,13 +88,14 @@
             )
 
     async def append(self, record):
-        """Append a record; raise as the store does."""
+        """Append a record and return its offset; raise as the store does."""
         try:
-            await self._parts.store.append(JOBS_TOPIC, self.number, [record])
+            offset = await self._parts.store.append(JOBS_TOPIC, self.number, [record])
         except STORE_ERRORS as error:
             self._link.failed(error)
             raise
         self._link.answered()
+        return offset
 
 
 class Partitions:
--- a/galenascale/gateway/jobs/recorder.py
+++ b/galenascale/gateway/jobs/recorder.py
@@ -41,14 +41,15 @@
     async def run(self):
         """Write outcomes until cancelled."""
         while True:
-            await self._wake.wait()
+            if not self._waiting_by_job:
+                await self._wake.wait()
             self._wake.clear()
             await self._parts.clock.sleep(GATHER_S)
-            while self._waiting_by_job:
-                try:
-                    await self.flush()
-                except STORE_ERRORS:
-                    await self._parts.clock.sleep(RETRY_S)
+            try:
+                await self.flush()
+            except STORE_ERRORS:
+                # The partition has logged that the store does not answer.
+                await self._parts.clock.sleep(RETRY_S)
 
     async def flush(self):
         """Write all waiting outcomes; raise as the store does."""
--- a/galenascale/gateway/jobs/runner.py
+++ b/galenascale/gateway/jobs/runner.py
@@ -12,6 +12,7 @@
 )
 from galenascale.gateway.jobs.scheduler import ItemScheduler
 from galenascale.gateway.jobs.takeover import Takeover
+from galenascale.gateway.load import hash_key as job_key
 from galenascale.generated.gateway_messages import ItemState
 from galenascale.store import STORE_ERRORS
 
@@ -44,9 +45,9 @@
         )
         self.stopping = False
 
-    def watch(self, job_id):
-        """Follow the partition of a job that was just stored here."""
-        self._followers.watch(self._partitions.of(job_id).number)
+    def watch(self, job_id, offset):
+        """Read the partition of a job up to a record that was written here."""
+        self._followers.watch(self._partitions.of(job_id).number, offset)
         self.wake()
 
     def wake(self):
@@ -107,6 +108,7 @@
                     wanted.update((state.job_id, i) for i in state.open_indexes())
         for key in self._items_by_key.keys() - wanted:
             self._drop(key)
+        self._parts.load.active_jobs = {job_key(job_id) for job_id, _ in wanted}
         for job_id, index in wanted - self._items_by_key.keys():
             state = self._partitions.of(job_id).state.jobs_by_id[job_id]
             if not self.stopping:
--- a/galenascale/gateway/jobs/takeover.py
+++ b/galenascale/gateway/jobs/takeover.py
@@ -1,6 +1,7 @@
 """Claiming of jobs whose host is gone."""
 
 from galenascale.gateway.jobs.records import encode_record
+from galenascale.gateway.load import hash_key as job_key
 from galenascale.generated.gateway_messages import JobClaim, JobRecordKind
 from galenascale.store import STORE_ERRORS
 
@@ -8,6 +9,9 @@
 LOOK_INTERVAL_S = 0.5
 # Seconds after its start for which a host takes no jobs of silent hosts over.
 START_GRACE_S = 3.2
+# Seconds after which a job is taken over that its living host does not name
+# among those it runs: it may not know that it is its.
+LEFT_LYING_S = 2.5
 
 
 class Takeover:
@@ -20,6 +24,8 @@
         self._started_ms = started_ms
         self._watch = watch
         self._claiming = set()
+        # Monotonic time by job since which its living host does not run it.
+        self._idle_since = {}
         self._began_at = parts.clock.monotonic()
         self._looked_at = float("-inf")
 
@@ -45,12 +51,21 @@
         now = self._parts.clock.monotonic()
         peers = self._parts.peers
         if peers.is_running(state.runner, state.runner_started_ms, now):
-            return False
+            return self._is_left_lying(state, now)
+        self._idle_since.pop(state.job_id, None)
         # A silent host counts as gone only once this one heard the others; one
         # that started anew or leaves does at once.
         restarted = state.runner == host_id or peers.is_heard(state.runner, now)
         return restarted or now - self._began_at >= START_GRACE_S
 
+    def _is_left_lying(self, state, now):
+        """Return True if the living host of a job does not run it for long."""
+        if self._parts.peers.runs_job(state.runner, job_key(state.job_id)):
+            self._idle_since.pop(state.job_id, None)
+            return False
+        since = self._idle_since.setdefault(state.job_id, now)
+        return now - since > LEFT_LYING_S
+
     async def _claim(self, partition, state):
         former = state.runner
         try:
@@ -75,6 +90,8 @@
         claim = JobClaim(
             runner=self._parts.settings.host_id, runner_started_ms=self._started_ms
         )
-        await partition.append(encode_record(JobRecordKind.CLAIM, state.job_id, claim))
-        self._watch(state.job_id)
+        offset = await partition.append(
+            encode_record(JobRecordKind.CLAIM, state.job_id, claim)
+        )
+        self._watch(state.job_id, offset)
         return "claimed"
--- a/galenascale/gateway/load.py
+++ b/galenascale/gateway/load.py
@@ -8,14 +8,14 @@
 # Peers tell their load at least once a second; a report that was missed thrice
 # says nothing of the present.
 PEER_REPORT_MAX_AGE_S = 3.0
-# Servers whose keys are kept.
+# Names whose keys are kept.
 _KEYS = 1 << 16
 
 
 @functools.lru_cache(_KEYS)
-def server_key(server_id):
-    """Return the 32-bit key of a server in messages between hosts."""
-    value = xxhash.xxh32_intdigest(server_id.encode())
+def hash_key(name):
+    """Return the 32-bit key of a name in messages between hosts."""
+    value = xxhash.xxh32_intdigest(name.encode())
     # Messages hold signed integers.
     return value - (1 << 32) if value >= 1 << 31 else value
 
@@ -64,6 +64,8 @@
         self.changes = 0
         # Items of this host that wait for a slot.
         self.waiting_items = 0
+        # Keys of the jobs that this host runs.
+        self.active_jobs = ()
 
     def start(self, server_id, *, batch=False):
         """Count a request that is sent to a server."""
@@ -74,7 +76,7 @@
         self._change(server_id, batch, -1)
 
     def _change(self, server_id, batch, step):
-        key = server_key(server_id)
+        key = hash_key(server_id)
         own = self._own_by_key.setdefault(key, InFlight())
         if batch:
             own.batch += step
@@ -140,7 +142,7 @@
 
     def batch_by_host(self, server_id):
         """Return the items at a server by the host that runs them."""
-        key = server_key(server_id)
+        key = hash_key(server_id)
         counts = dict(self._peer_batch_by_key.get(key, ()))
         own = self._own_by_key.get(key)
         if own and own.batch:
@@ -149,7 +151,7 @@
 
     def at(self, server_id):
         """Return the InFlight of all hosts at a server."""
-        key = server_key(server_id)
+        key = hash_key(server_id)
         total = InFlight()
         for part in (self._own_by_key.get(key), self._peers_by_key.get(key)):
             if part is not None:
--- a/galenascale/gateway/peer_table.py
+++ b/galenascale/gateway/peer_table.py
@@ -21,6 +21,8 @@
     config_version: int = 0
     leaving: bool = False
     store_up: bool = False
+    # Keys of the jobs that it runs.
+    active_jobs: frozenset = frozenset()
 
     @classmethod
     def from_status(cls, status, now):
@@ -35,6 +37,7 @@
             config_version=status.config_version,
             leaving=status.leaving,
             store_up=status.store_up,
+            active_jobs=frozenset(status.active_jobs),
         )
 
 
@@ -93,6 +96,11 @@
             and now - peer.heard_at <= GONE_AFTER_S
         )
 
+    def runs_job(self, host_id, job_key):
+        """Return True if a host named a job among those that it runs."""
+        peer = self._by_host_id.get(host_id)
+        return peer is not None and job_key in peer.active_jobs
+
     def is_heard(self, host_id, now):
         """Return True if any run of a host was heard lately."""
         peer = self._by_host_id.get(host_id)
--- a/galenascale/gateway/peers.py
+++ b/galenascale/gateway/peers.py
@@ -154,6 +154,7 @@
             waiting_items=self._load.waiting_items,
             failure_domain=self._settings.failure_domain,
             address=self._own_address,
+            active_jobs=list(self._load.active_jobs),
             in_flight=[
                 ServerInFlight(key, in_flight.online, in_flight.batch)
                 for key, in_flight in self._load.own().items()
--- a/schema/gateway.thrift
+++ b/schema/gateway.thrift
@@ -124,6 +124,8 @@
   10: string failure_domain = "",
   /** IP address of the host. */
   11: string address = "",
+  /** Hashes of the ids of the jobs that the host runs. */
+  12: list<i32> active_jobs,
 }
 
 /** One datagram: the states of some hosts, the sender's or relayed ones. */
--- a/test/gateway/test_gossip.py
+++ b/test/gateway/test_gossip.py
@@ -6,7 +6,7 @@
 import pytest
 
 from galenascale.gateway.gossip import DIRECT_LIMIT, StatusRouter
-from galenascale.gateway.load import FleetLoad, InFlight, server_key
+from galenascale.gateway.load import FleetLoad, InFlight, hash_key
 
 
 @attrs.frozen
@@ -91,9 +91,9 @@
     load = FleetLoad("own")
     load.start("s1")
     load.start("s1", batch=True)
-    load.report("a", {server_key("s1"): InFlight(2, 3)}, 1, 10.0)
-    load.report("b", {server_key("s1"): InFlight(1, 0)}, 0, 10.5)
-    load.report("a", {server_key("s1"): InFlight(4, 1)}, 1, 11.0)
+    load.report("a", {hash_key("s1"): InFlight(2, 3)}, 1, 10.0)
+    load.report("b", {hash_key("s1"): InFlight(1, 0)}, 0, 10.5)
+    load.report("a", {hash_key("s1"): InFlight(4, 1)}, 1, 11.0)
     assert load.at("s1") == InFlight(6, 2)
     assert load.batch_by_host("s1") == {"own": 1, "a": 1}
     assert load.hosts_with_waiting_items() == ("a",)
--- a/test/gateway/test_jobs.py
+++ b/test/gateway/test_jobs.py
@@ -167,6 +167,37 @@
         assert {item["Text"] for item in results} == {words(5)}
 
 
+async def test_accepted_job_runs_after_an_outage_of_the_store():
+    """
+    Guards accepted jobs against a host that never reads that they are its.
+
+    Found in an incident: the store went away just after it had taken a job,
+    for longer than the host looked for the record.
+    """
+    async with gateway_world() as world:
+        await until(lambda: world.hosts[0].runner._stewardship.partitions)
+        world.hosts[0].runner._stewardship.partitions = frozenset()
+        assert await submit(world, "job-1", items=2) == 202
+        world.store.faults.refusal_by_caller["*"] = "busy"
+        await asyncio.sleep(5.5)
+        world.store.faults.refusal_by_caller.clear()
+        assert len(await wait_for_results(world, "job-1", 2)) == 2
+
+
+async def test_job_that_its_living_host_forgot_is_taken_over():
+    """Guards accepted jobs against any fault that makes a host forget one."""
+    async with gateway_world(hosts=2) as world:
+        first, second = world.hosts
+        # It does not follow the job, neither as its host nor as a steward.
+        first.runner.watch = lambda job_id, offset: None
+        first.runner._needed_partitions = set
+        first.stewardship._renew = lambda: asyncio.sleep(0)
+        await first.stewardship.leave()
+        await until(lambda: len(second.stewardship.partitions) == 24)
+        assert await submit(world, "job-1", items=2) == 202
+        assert len(await wait_for_results(world, "job-1", 2, host=2)) == 2
+
+
 async def test_jobs_of_restarted_hosts_go_on_at_once():
     """
     Guards jobs against a pause after all hosts restart.
