Refuse once what would come too late, with the time to come back

Change: a stream whose wait is forecast to use up 0.8 of its objective at every server is refused at once with a Retry-After of 1.0 to 1.6 s; the hosts tell each other what was refused, by content, and admit it when it comes back. Full servers are chosen by weights instead of the shortest queue, which all hosts saw late.

--- a/galenascale/gateway/balancing.py
+++ b/galenascale/gateway/balancing.py
@@ -36,6 +36,9 @@
         return max(0, self.server.slots - self.online)
 
 
+# Weight of a server for each request more in its queue than in the shortest:
+# hosts that choose at the same moment do not all choose that one.
+QUEUE_WEIGHT = 0.4
 # Preference for the own failure domain once a send broke off: links between
 # domains fail for all servers behind them at once.
 RETRY_DOMAIN_WEIGHT = 30.0
@@ -48,7 +51,7 @@
     Hosts see each other's requests late, so the choice is random, weighted by
     the square of the free slots: hosts that choose at the same moment spread
     out. Slots of batch count a little, so that a burst does not fall on the
-    one server with a free slot. Without any slot the shortest queue counts.
+    one server with a free slot. Without any slot short queues are preferred.
     """
     usable = [item for item in candidates if not item.paused] or list(candidates)
     if not usable:
@@ -57,7 +60,9 @@
         domain_weight = RETRY_DOMAIN_WEIGHT if retry else OWN_DOMAIN_WEIGHT
         weights = [_weight(item, domain_weight) for item in usable]
         return rng.choices(usable, weights)[0]
-    return min(usable, key=lambda item: (_queue_share(item), rng.random()))
+    shortest = min(map(_queue, usable))
+    weights = [QUEUE_WEIGHT ** (_queue(item) - shortest) for item in usable]
+    return rng.choices(usable, weights)[0]
 
 
 def _weight(item, domain_weight):
@@ -66,5 +71,5 @@
     return weight * domain_weight if item.same_domain else weight
 
 
-def _queue_share(item):
-    return (item.online + 1) / (item.server.slots * item.quality)
+def _queue(item):
+    return (item.online + 1 - item.server.slots) / item.quality
--- a/galenascale/gateway/dispatch.py
+++ b/galenascale/gateway/dispatch.py
@@ -43,6 +43,16 @@
                 return chosen
         return None
 
+    def queues(self, service):
+        """Return (online requests, slots) of the servers in reach."""
+        parts = self._parts
+        now = parts.clock.monotonic()
+        return [
+            (parts.load.at(entry.server_id).online, entry.slots)
+            for entry in parts.servers.usable(service, now)
+            if not parts.health.is_paused(entry.incarnation)
+        ]
+
     def _candidate(self, entry):
         parts = self._parts
         in_flight = parts.load.at(entry.server_id)
--- a/galenascale/gateway/forwarding.py
+++ b/galenascale/gateway/forwarding.py
@@ -44,6 +44,8 @@
         is given up.
         """
         run = _Run(self._parts, self._dispatcher, request, route, plan, caller)
+        if route.kind is RequestKind.STREAMING:
+            run.admit()
         try:
             now = self._parts.clock.monotonic()
             async with asyncio.timeout(plan.remaining_s(now)):
@@ -67,6 +69,20 @@
         self._started = False
         self._last_failure = None
 
+    def admit(self):
+        """Raise RequestEnded for a request that is refused at once."""
+        now = self._parts.clock.monotonic()
+        service = self._services[0]
+        retry_after_s = self._parts.admission.retry_after_s(
+            self._request,
+            self._plan,
+            service,
+            self._dispatcher.queues(service),
+            now,
+        )
+        if retry_after_s is not None:
+            raise self._plan.end("queues are too long", now, retry_after_s)
+
     async def serve(self):
         while True:
             try:
@@ -196,6 +212,8 @@
                 self._parts.health.answered(send.server.incarnation)
             await self._deliver(head, data)
         send.complete = True
+        elapsed_s = self._parts.clock.monotonic() - send.sent_at
+        self._parts.admission.run_times.completed(send.server.service, elapsed_s)
         # A whole answer may end without a blank line.
         await self._deliver(head, splitter.pending)
         await self._caller.finish()
--- a/galenascale/gateway/host.py
+++ b/galenascale/gateway/host.py
@@ -11,6 +11,7 @@
 from aiohttp import web
 
 from galenascale.clock import Clock
+from galenascale.gateway.admission import Admission
 from galenascale.gateway.backend_pool import BackendPool
 from galenascale.gateway.configuration import CallerLimits, ConfigurationState
 from galenascale.gateway.decision_log import DecisionLog
@@ -81,29 +82,27 @@
         started_ms = clock.wall_ms()
         metrics = GatewayMetrics()
         link = StoreLink(log, clock, metrics)
-        load = FleetLoad(settings.host_id)
-        configuration = ConfigurationState()
+        rng = random.Random()
         pool = BackendPool(adapter.dialect.read_answer_head)
         stack.callback(pool.close)
-        peer_link = PeerLink(
-            settings, started_ms, clock, log, load, configuration, link
-        )
         parts = Parts(
             settings=settings,
             dialect=adapter.dialect,
             clock=clock,
-            rng=random.Random(),
+            rng=rng,
             log=log,
             metrics=metrics,
-            configuration=configuration,
+            configuration=ConfigurationState(),
             servers=ServerList(),
-            load=load,
+            load=FleetLoad(settings.host_id),
             health=ServerHealth(),
             pool=pool,
-            peers=peer_link.table,
+            admission=Admission(rng),
             store=adapter.make_store(settings.store, session),
         )
         parts.reachability = Reachability(parts)
+        peer_link = PeerLink(parts, started_ms, link)
+        parts.peers = peer_link.table
         partitions = Partitions(parts, link)
         bodies = BodyReader(parts, partitions)
         recorder = Recorder(parts, partitions)
--- a/galenascale/gateway/parts.py
+++ b/galenascale/gateway/parts.py
@@ -19,6 +19,7 @@
     health: object
     pool: object
     reachability: object = None
+    admission: object = None
     peers: object = None
     store: object = None
     # Called with the ids of hosts whose items take slots that online requests
--- a/galenascale/gateway/peers.py
+++ b/galenascale/gateway/peers.py
@@ -28,13 +28,15 @@
 class PeerLink(asyncio.DatagramProtocol):
     """Sends this host's state and those it relays, and applies others'."""
 
-    def __init__(self, settings, started_ms, clock, log, load, configuration, link):
+    def __init__(self, parts, started_ms, link):
+        settings = parts.settings
         self._settings = settings
         self._started_ms = started_ms
-        self._clock = clock
-        self._log = log
-        self._load = load
-        self._configuration = configuration
+        self._clock = parts.clock
+        self._log = parts.log
+        self._load = parts.load
+        self._admission = parts.admission
+        self._configuration = parts.configuration
         self._link = link
         self._transport = None
         self._sequence = 0
@@ -73,6 +75,7 @@
             item.server_key: InFlight(item.online, item.batch)
             for item in status.in_flight
         }
+        self._admission.learn_refusals(status.refused, now)
         self._load.report(status.host_id, in_flight, status.waiting_items, now)
         if status.host_id not in self._alive:
             self._note_alive(now)
@@ -155,6 +158,7 @@
             failure_domain=self._settings.failure_domain,
             address=self._own_address,
             active_jobs=list(self._load.active_jobs),
+            refused=self._admission.own_refusals.recent(self._clock.monotonic()),
             in_flight=[
                 ServerInFlight(key, in_flight.online, in_flight.batch)
                 for key, in_flight in self._load.own().items()
--- a/schema/gateway.thrift
+++ b/schema/gateway.thrift
@@ -126,6 +126,8 @@
   11: string address = "",
   /** Hashes of the ids of the jobs that the host runs. */
   12: list<i32> active_jobs,
+  /** Hashes of the contents of requests that were refused lately. */
+  13: list<i32> refused,
 }
 
 /** One datagram: the states of some hosts, the sender's or relayed ones. */
