Plan items by a hash ring, send states less often in large fleets; survive SIGHUP at the start

Cause: pacing hashed each free slot for each host with items, 20 times a second; 60 hosts applied each other's states 7 times a second. Change: slots are dealt by a hash ring; rounds are 0.4 s apart with 60 hosts; SIGHUP is ignored until the gateway has its handler. bench/gateway_slopes.py measures the slopes.

--- /dev/null
+++ b/bench/gateway_slopes.py
@@ -0,0 +1,159 @@
+"""
+Processor time of a gateway's own work by the number of hosts and servers.
+
+Prints microseconds for each kind of work at two sizes and the slope between
+them, for docs/CAPACITY.md.
+"""
+
+import random
+import time
+
+import attrs
+
+from galenascale.codec import decode, encode
+from galenascale.gateway.balancing import Candidate, choose
+from galenascale.gateway.gossip import StatusRouter
+from galenascale.gateway.jobs.pacing import ServerLoad, plan_interrupts, plan_starts
+from galenascale.gateway.load import FleetLoad, InFlight, hash_key
+from galenascale.gateway.peer_table import PeerTable
+from galenascale.gateway.servers import ServerEntry, ServerList
+from galenascale.generated.gateway_messages import (
+    HostStatus,
+    ServerInFlight,
+    StatusBatch,
+)
+
+SIZES = (50, 500)
+SERVERS_IN_STATUS = 8
+REPEATS = 30
+
+
+@attrs.frozen
+class Work:
+    """One kind of work: a function of a size that returns what is timed."""
+
+    name: str
+    unit: str
+    make: object
+
+
+def make_status(number, servers):
+    """Return the state of a host with some requests in flight."""
+    keys = [hash_key(f"s{(number + step) % servers}") for step in range(8)]
+    return HostStatus(
+        host_id=f"h{number}",
+        started_ms=1,
+        sequence=number,
+        failure_domain=f"d{number % 4}",
+        address=f"10.0.{number // 250}.{number % 250}",
+        in_flight=[ServerInFlight(key, 2, 1) for key in keys[:SERVERS_IN_STATUS]],
+    )
+
+
+def make_entry(number):
+    """Return the entry of a server."""
+    return ServerEntry(f"s{number}", "llm", f"10.1.0.1:{number}", "d1", 8, False, 1, 1)
+
+
+def receive_statuses(size):
+    """Return a function that applies the states of all hosts once."""
+    data = [encode(StatusBatch([make_status(n, size)])) for n in range(size)]
+    load = FleetLoad("own")
+    table = PeerTable("10.9.9.9")
+    round_number = 0
+
+    def run():
+        nonlocal round_number
+        round_number += 1
+        for item in data:
+            for status in decode(StatusBatch, item).statuses:
+                status.sequence += round_number * size
+                table.heard(status, 1.0)
+                parts = {
+                    part.server_key: InFlight(part.online, part.batch)
+                    for part in status.in_flight
+                }
+                load.report(status.host_id, parts, 1, 1.0)
+
+    return run
+
+
+def choose_server(size):
+    """Return a function that chooses a server for one request."""
+    servers = ServerList()
+    load = FleetLoad("own")
+    for number in range(size):
+        servers.apply(f"s{number}", number, make_entry(number), 1.0)
+        load.start(f"s{number}")
+    rng = random.Random(1)
+
+    def run():
+        candidates = [
+            Candidate(entry, load.at(entry.server_id).online)
+            for entry in servers.usable("llm", 2.0)
+        ]
+        choose(candidates, rng)
+
+    return run
+
+
+def pace_items(size):
+    """Return a function that plans starts and interruptions once."""
+    hosts = tuple(f"h{number}" for number in range(size))
+    loads = [
+        ServerLoad(make_entry(number), 3, {"h1": 1, "h2": 1}) for number in range(size)
+    ]
+
+    def run():
+        plan_starts(loads, "h1", hosts)
+        for load in loads:
+            plan_interrupts(load, "h1")
+
+    return run
+
+
+def route_statuses(size):
+    """Return a function that decides where states are sent."""
+    router = StatusRouter("h0", "d0")
+    table = PeerTable("10.9.9.9")
+    for number in range(1, size):
+        table.heard(make_status(number, size), 1.0)
+    own = make_status(0, size)
+
+    def run():
+        router.messages(own, table.alive(1.0), table.addresses(1.0))
+
+    return run
+
+
+WORKS = (
+    Work("receive one round of states", "host", receive_statuses),
+    Work("choose a server", "server", choose_server),
+    Work("pace items once", "server", pace_items),
+    Work("decide where states go", "host", route_statuses),
+)
+
+
+def measure_us(run):
+    """Return the microseconds of processor time of the fastest repeat."""
+    times = []
+    for _ in range(REPEATS):
+        started = time.process_time()
+        run()
+        times.append(time.process_time() - started)
+    return min(times) * 1e6
+
+
+def main():
+    """Print one line for each kind of work."""
+    for work in WORKS:
+        first, second = (measure_us(work.make(size)) for size in SIZES)
+        slope = (second - first) / (SIZES[1] - SIZES[0])
+        print(
+            f"{work.name}: {first:.0f} us at {SIZES[0]}, {second:.0f} us at "
+            f"{SIZES[1]}, {slope:.2f} us a {work.unit}"
+        )
+
+
+if __name__ == "__main__":
+    main()
--- a/galenascale/__main__.py
+++ b/galenascale/__main__.py
@@ -1,11 +1,17 @@
 """Entry point of the `galenascale` command."""
 
+import signal
 import sys
 
-import cyclopts
+# The platform may say at any moment that settings changed. Until the command
+# has its own handler that must not end a host which is still starting.
+if sys.argv[1:2] == ["gateway"]:
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
-from galenascale.commands import make_cli
-from galenascale.errors import GalenascaleError
+import cyclopts  # noqa: E402
+
+from galenascale.commands import make_cli  # noqa: E402
+from galenascale.errors import GalenascaleError  # noqa: E402
 
 EXIT_BAD_INPUT = 2
 
--- a/galenascale/gateway/jobs/pacing.py
+++ b/galenascale/gateway/jobs/pacing.py
@@ -3,14 +3,14 @@
 Engines admit requests as they come, so batch must leave the slots free that
 online requests are about to need, and gives slots back when online load rises.
 Hosts see each other's requests late. So each free slot has one host that may
-fill it, and each slot that is given back one host that does, by rendezvous
-hashing over what all hosts are told: hosts that decide at the same moment do
-not start or interrupt twice.
+fill it, and each slot that is given back one host that does, by hashing over
+what all hosts are told: hosts that decide at the same moment do not start or
+interrupt twice.
 """
 
 import attrs
 
-from galenascale.hashing import rendezvous_owner, rendezvous_rank
+from galenascale.hashing import HashRing, rendezvous_rank
 
 # Slots of each server that batch leaves free for online requests, which arrive
 # before the load of the last tenth of a second is known.
@@ -55,13 +55,13 @@
     Servers with the most free slots come first.
     """
     starts = []
+    ring = HashRing.of(hosts_with_items)
     for load in loads:
         if load.paused or load.settling:
             continue
         batch_slots = load.server.slots - RESERVED_SLOTS - load.online
         for unit in range(load.batch, batch_slots):
-            key = f"{load.server.server_id}/{unit}"
-            if rendezvous_owner(key, hosts_with_items) == host_id:
+            if ring.owner(load.server.server_id, unit) == host_id:
                 starts.append((batch_slots - unit, load.server))
     starts.sort(key=lambda start: start[0], reverse=True)
     return [server for _, server in starts]
@@ -75,6 +75,8 @@
     starting.
     """
     excess = min(load.online + load.batch - load.server.slots, load.batch)
+    if excess <= 0:
+        return 0
     for host in rendezvous_rank(load.server.server_id, load.batch_by_host):
         if excess <= 0:
             return 0
--- a/galenascale/gateway/peers.py
+++ b/galenascale/gateway/peers.py
@@ -18,7 +18,7 @@
 INTERVAL_S = 0.1
 # Hosts for each second of the interval: more hosts mean fewer rounds, so that
 # what a host receives in a second stays the same.
-HOSTS_PER_INTERVAL_S = 400
+HOSTS_PER_INTERVAL_S = 150
 # Seconds between two messages without a change.
 IDLE_INTERVAL_S = 1.0
 # Bytes of one datagram, below what links carry in one piece.
--- a/galenascale/hashing.py
+++ b/galenascale/hashing.py
@@ -1,5 +1,7 @@
 """Hashing for ownership, shards and content digests."""
 
+import bisect
+import functools
 import hashlib
 
 import xxhash
@@ -28,6 +30,51 @@
     )
 
 
+class HashRing:
+    """
+    Chooses one of some nodes for each of many slots.
+
+    Like rendezvous hashing it moves few slots when a node comes or goes, but a
+    choice takes a search in a sorted list instead of a hash for each node.
+    """
+
+    # More points spread the slots more evenly over the nodes.
+    POINTS_PER_NODE = 16
+
+    def __init__(self, node_ids):
+        points = sorted(
+            point for node_id in node_ids for point in _ring_points(node_id)
+        )
+        self._digests = [digest for digest, _ in points]
+        self._node_ids = [node_id for _, node_id in points]
+
+    @staticmethod
+    @functools.lru_cache(16)
+    def of(node_ids):
+        """Return the ring of a tuple of nodes, one made before if possible."""
+        return HashRing(node_ids)
+
+    def owner(self, name, number):
+        """Return the node of a numbered slot; None without nodes."""
+        if not self._digests:
+            return None
+        place = bisect.bisect(self._digests, _slot_digest(name, number))
+        return self._node_ids[place % len(self._node_ids)]
+
+
+@functools.lru_cache(1 << 12)
+def _ring_points(node_id):
+    return tuple(
+        (_digest(f"{node_id}\0{number}"), node_id)
+        for number in range(HashRing.POINTS_PER_NODE)
+    )
+
+
+@functools.lru_cache(1 << 16)
+def _slot_digest(name, number):
+    return _digest(f"{name}/{number}")
+
+
 def shard_of(key, shards):
     """Return the shard number of a key, from 0 to shards - 1."""
     return _digest(key) % shards
