--- a/galenascale/gateway/dispatch.py
+++ b/galenascale/gateway/dispatch.py
@@ -7,6 +7,10 @@
 from galenascale.errors import BackendError
 from galenascale.gateway.balancing import Candidate, choose
 
+# Servers that are compared for one request; of more a random part is, which
+# has nearly as free ones.
+MAX_CANDIDATES = 64
+
 
 @attrs.define(eq=False)
 class Send:
@@ -33,11 +37,14 @@
         parts = self._parts
         now = parts.clock.monotonic()
         for service in service_order:
-            candidates = [
-                self._candidate(entry)
+            entries = [
+                entry
                 for entry in parts.servers.usable(service, now)
                 if not plan.excludes(entry.incarnation)
             ]
+            if len(entries) > MAX_CANDIDATES:
+                entries = parts.rng.sample(entries, MAX_CANDIDATES)
+            candidates = list(map(self._candidate, entries))
             chosen = choose(candidates, parts.rng, retry=plan.was_broken)
             if chosen is not None:
                 return chosen
--- a/galenascale/gateway/peers.py
+++ b/galenascale/gateway/peers.py
@@ -14,8 +14,11 @@
     StatusBatch,
 )
 
-# Shortest time in seconds between two messages in turn.
+# Shortest and longest time in seconds between two messages in turn. A state
+# passes two of them before all hosts have it, well before its host counts as
+# gone.
 INTERVAL_S = 0.1
+MAX_INTERVAL_S = 0.6
 # Hosts for each second of the interval: more hosts mean fewer rounds, so that
 # what a host receives in a second stays the same.
 HOSTS_PER_INTERVAL_S = 150
@@ -101,9 +104,8 @@
             self._note_alive(now)
             self._load.expire(now)
             self._send_in_turn(now)
-            await self._clock.sleep(
-                max(INTERVAL_S, len(self._alive) / HOSTS_PER_INTERVAL_S)
-            )
+            interval_s = len(self._alive) / HOSTS_PER_INTERVAL_S
+            await self._clock.sleep(min(max(INTERVAL_S, interval_s), MAX_INTERVAL_S))
 
     def _send_in_turn(self, now):
         changed = self._load.changes != self._sent_changes
