Give items up only by a newer configuration and with a margin for clocks

Cause: found in reading: a host that had not read the version which added a route would have given the job's items up; a host whose clock runs ahead too early; and finished jobs were never dropped from memory. Change: the job names the version at its acceptance; clocks may differ by 5 s; jobs without open items are dropped 30 s after they must be readable.

--- a/galenascale/gateway/jobs/acceptance.py
+++ b/galenascale/gateway/jobs/acceptance.py
@@ -64,6 +64,7 @@
             runner_started_ms=self._started_ms,
             due_ms=int(route.due_s * 1000),
             give_up_ms=int(route.give_up_s * 1000),
+            config_version=self._parts.configuration.version,
         )
 
 
--- a/galenascale/gateway/jobs/item_runs.py
+++ b/galenascale/gateway/jobs/item_runs.py
@@ -10,6 +10,8 @@
 # An item has no deadline of a caller; a run longer than this is stuck.
 MAX_RUN_S = 120.0
 STATUS_CANNOT_BE_DONE = 422
+# Milliseconds by which the clocks of two hosts may differ.
+CLOCK_MARGIN_MS = 5000
 # Pauses in seconds before an item that was refused or broke off runs again.
 REFUSED_PAUSE_S = 0.1
 FAILED_PAUSE_S = 0.3
@@ -72,6 +74,21 @@
         self.not_before = now + min(first_s * 2 ** max(0, count - 1), MAX_PAUSE_S)
 
 
+def over_reason(job, route, config_version, now_ms):
+    """
+    Return why the items of a job may be given up; None if they may not.
+
+    A route counts as removed only by a newer configuration than that of the
+    acceptance: this host may not have read the one that added it yet.
+    """
+    if route is None and config_version > job.config_version:
+        return "no route"
+    age_ms = now_ms - job.accepted_ms
+    if job.give_up_ms and age_ms > job.give_up_ms + CLOCK_MARGIN_MS:
+        return "too old"
+    return None
+
+
 @attrs.frozen
 class RunEnd:
     """How a run ended: completed, cannot_be_done, failed, refused, broken."""
--- a/galenascale/gateway/jobs/partitions.py
+++ b/galenascale/gateway/jobs/partitions.py
@@ -14,6 +14,8 @@
 # the runs of an ended job must stop.
 FOLLOW_WAIT_S = 1.5
 RETRY_S = 0.25
+# Seconds for which a job is known beyond the time that it must be readable.
+EXTRA_RETENTION_S = 30.0
 
 
 class Partition:
@@ -72,9 +74,15 @@
             if offset >= self._position:
                 self._position = offset + 1
                 self._apply(offset, record)
+        self._forget_old_jobs()
         if self._position >= result.end_offset:
             self._fresh_at = max(self._fresh_at, started_at)
 
+    def _forget_old_jobs(self):
+        retention_s = self._parts.settings.bounds.job_retention_s + EXTRA_RETENTION_S
+        now_ms = self._parts.clock.wall_ms()
+        self.state.forget_older(now_ms - int(retention_s * 1000))
+
     def _apply(self, offset, record):
         try:
             self.state.apply(record)
--- a/galenascale/gateway/jobs/runner.py
+++ b/galenascale/gateway/jobs/runner.py
@@ -8,6 +8,7 @@
     FAILED_PAUSE_S,
     REFUSED_PAUSE_S,
     OpenItem,
+    over_reason,
     run_item,
 )
 from galenascale.gateway.jobs.scheduler import ItemScheduler
@@ -160,11 +161,15 @@
         """Give an item up whose time is over or whose route is gone."""
         if item.task is not None:
             return False
-        job = item.state.job
-        age_ms = self._parts.clock.wall_ms() - job.accepted_ms
-        if route is not None and (not job.give_up_ms or age_ms < job.give_up_ms):
+        reason = over_reason(
+            item.state.job,
+            route,
+            self._parts.configuration.version,
+            self._parts.clock.wall_ms(),
+        )
+        if reason is None:
             return False
-        self._finish(item, ItemState.GIVEN_UP, "no route" if not route else "too old")
+        self._finish(item, ItemState.GIVEN_UP, reason)
         return True
 
     def _log_start(self, item, server):
--- a/galenascale/gateway/jobs/state.py
+++ b/galenascale/gateway/jobs/state.py
@@ -97,9 +97,10 @@
         )
 
     def forget_older(self, accepted_before_ms):
-        """Drop jobs that were accepted before a time."""
+        """Drop jobs without open items that were accepted before a time."""
         for job_id, state in list(self.jobs_by_id.items()):
-            if state.job.accepted_ms < accepted_before_ms:
+            closed = state.ended or state.finished
+            if closed and state.job.accepted_ms < accepted_before_ms:
                 del self.jobs_by_id[job_id]
 
 
--- a/schema/gateway.thrift
+++ b/schema/gateway.thrift
@@ -64,6 +64,8 @@
   8: i64 due_ms = 0,
   /** Milliseconds after acceptance at which items may be given up. */
   9: i64 give_up_ms = 0,
+  /** Version of the configuration in force at acceptance. */
+  10: i64 config_version = 0,
 }
 
 /** A host takes over the items of a job. */
