--- a/galenascale/gateway/following.py
+++ b/galenascale/gateway/following.py
@@ -75,7 +75,10 @@
                 self._link.failed(error)
                 await self._clock.sleep(RETRY_S)
             except PartitionTrimmed:
+                # A snapshot may be older than what is deleted; another one
+                # at once would be as old.
                 self._position = None
+                await self._clock.sleep(RETRY_S)
             except DecodeError as error:
                 self._link.failed(error)
                 self._position = None
--- a/test/gateway/test_following.py
+++ b/test/gateway/test_following.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from galenascale.store import PartitionTrimmed
 from test.gateway.world import ROUTES, gateway_world, make_route, until
 
 
@@ -98,3 +99,17 @@
         parts = world.hosts[0].parts
         await until(lambda: parts.configuration.version == 3, 3.0)
         await until(lambda: len(parts.servers.all_entries()) == 3, 3.0)
+
+
+async def test_stale_snapshots_are_not_asked_for_without_a_pause(monkeypatch):
+    """Guards the store against calls in a loop while its reads are behind."""
+    async with gateway_world() as world:
+
+        async def read_trimmed(*args, **fields):
+            raise PartitionTrimmed(99)
+
+        store = world.hosts[0].parts.store
+        monkeypatch.setattr(store, "read_keyed", read_trimmed)
+        world.store.calls.clear()
+        await asyncio.sleep(1.5)
+        assert len(world.store.calls) < 40
