Stop requests whose content crashes each server that runs it

Cause: found in reading: runs that ended with their server did not count as attempts, so one request could have ended all servers of a service; and callers send such a request again at any host. Change: one such run at most does not count. A server that breaks off and then refuses connections is noted as crashed with the content that it ran; hosts tell each other, and a content on three crashed servers is not run again.

--- a/galenascale/gateway/admission.py
+++ b/galenascale/gateway/admission.py
@@ -102,9 +102,10 @@
         """Remember what another host refused."""
         self._known_refusals.add(keys, now)
 
-    def retry_after_s(self, request, plan, service, queues, now):
+    def retry_after_s(self, key, plan, service, queues, now):
         """
-        Return after how many seconds a request should come back.
+        Return after how many seconds a request with a content should come
+        back.
 
         `queues` are (online requests, slots) of the servers that may get it.
         None means that it is admitted.
@@ -115,7 +116,6 @@
         wait_s = min(queue_wait_s(online, slots, mean_s) for online, slots in queues)
         if wait_s <= plan.route.objective_s * MAX_WAIT_SHARE:
             return None
-        key = fingerprint(request)
         if self._known_refusals.take(key, now):
             return None
         longest_s = plan.remaining_s(now) * HONOURED_SHARE
--- a/galenascale/gateway/attempts.py
+++ b/galenascale/gateway/attempts.py
@@ -103,9 +103,10 @@
         """
         Note that a server that broke off has ended or is out of reach.
 
-        Such a run does not count among the attempts.
+        One such run does not count among the attempts. More might each be the
+        work of a request that crashes the servers.
         """
-        self.cut_off += 1
+        self.cut_off = 1
 
     def next_pause_s(self, now):
         """
--- a/galenascale/gateway/forwarding.py
+++ b/galenascale/gateway/forwarding.py
@@ -5,6 +5,7 @@
 import attrs
 
 from galenascale.errors import BackendError, DecodeError
+from galenascale.gateway.admission import fingerprint
 from galenascale.gateway.attempts import MIN_REMAINING_S, AttemptPlan, RequestEnded
 from galenascale.gateway.configuration import RequestKind
 from galenascale.gateway.dispatch import Dispatcher
@@ -68,19 +69,21 @@
         self._last_event_id = request.resume_after
         self._started = False
         self._last_failure = None
+        self._content_key = fingerprint(request)
 
     def admit(self):
         """Raise RequestEnded for a request that is refused at once."""
         now = self._parts.clock.monotonic()
         service = self._services[0]
         retry_after_s = self._parts.admission.retry_after_s(
-            self._request,
+            self._content_key,
             self._plan,
             service,
             self._dispatcher.queues(service),
             now,
         )
         if retry_after_s is not None:
+            self._parts.load.touch()
             raise self._plan.end("queues are too long", now, retry_after_s)
 
     async def serve(self):
@@ -111,6 +114,8 @@
                 raise plan.end("time is up", plan.deadline)
             if not plan.may_run():
                 raise plan.end("no further attempt is allowed", now)
+            if self._parts.crashes.is_dangerous(self._content_key, now):
+                raise plan.end("its content crashes servers", now)
             candidate = self._dispatcher.pick(self._route, plan, self._services)
             if candidate is not None:
                 return candidate
@@ -126,6 +131,7 @@
         self._plan.was_broken = True
         server = candidate.server
         self._parts.health.failed(server.incarnation)
+        self._parts.reachability.check_for_crash(server, self._content_key)
         if self._route.repeatable and not self._plan.may_run():
             await self._check_cut_off(server)
 
--- a/galenascale/gateway/host.py
+++ b/galenascale/gateway/host.py
@@ -14,6 +14,7 @@
 from galenascale.gateway.admission import Admission
 from galenascale.gateway.backend_pool import BackendPool
 from galenascale.gateway.configuration import CallerLimits, ConfigurationState
+from galenascale.gateway.crashes import CrashMemory
 from galenascale.gateway.decision_log import DecisionLog
 from galenascale.gateway.following import Following, StoreLink
 from galenascale.gateway.forwarding import Forwarder
@@ -98,6 +99,7 @@
             health=ServerHealth(),
             pool=pool,
             admission=Admission(rng),
+            crashes=CrashMemory(),
             store=adapter.make_store(settings.store, session),
         )
         parts.reachability = Reachability(parts)
--- a/galenascale/gateway/jobs/item_runs.py
+++ b/galenascale/gateway/jobs/item_runs.py
@@ -3,6 +3,7 @@
 import attrs
 
 from galenascale.errors import BackendError, DecodeError
+from galenascale.gateway.admission import fingerprint
 from galenascale.gateway.attempts import AttemptPlan
 from galenascale.gateway.event_stream import EventSplitter
 from galenascale.gateway.requests import CallerRequest
@@ -36,6 +37,8 @@
     task: object = None
     # It was interrupted for online requests and goes on later.
     interrupted: bool = False
+    # Key of its content once a run broke off.
+    content_key: int | None = None
     # Its outcome is known, but not yet read back from the store.
     finished: bool = False
 
@@ -117,6 +120,8 @@
         if error.step == "connect":
             return RunEnd("refused", error.message)
         parts.health.failed(server.incarnation)
+        item.content_key = fingerprint(request)
+        parts.reachability.check_for_crash(server, item.content_key)
         return RunEnd("broken", error.message)
 
 
--- a/galenascale/gateway/jobs/runner.py
+++ b/galenascale/gateway/jobs/runner.py
@@ -139,7 +139,7 @@
                 continue
             service = max(route.splits, key=lambda split: split.weight).service
             routes_by_service[service] = route
-            if item.task is None and item.not_before <= now:
+            if self._scheduler.may_start(item, now):
                 waiting_by_service.setdefault(service, []).append(item)
         waiting_count = sum(map(len, waiting_by_service.values()))
         self._parts.load.set_waiting_items(waiting_count)
--- a/galenascale/gateway/jobs/scheduler.py
+++ b/galenascale/gateway/jobs/scheduler.py
@@ -21,6 +21,13 @@
         self._settling_until = {}
         self.estimate = RunEstimate()
 
+    def may_start(self, item, now):
+        """Return True if an item waits and its content is not dangerous."""
+        if item.task is not None or item.not_before > now:
+            return False
+        key = item.content_key
+        return key is None or not self._parts.crashes.is_dangerous(key, now)
+
     def loads(self, service, now):
         """Return the ServerLoads of the usable servers of a service."""
         servers = self._parts.servers.usable(service, now)
--- a/galenascale/gateway/load.py
+++ b/galenascale/gateway/load.py
@@ -86,6 +86,10 @@
             del self._own_by_key[key]
         self.changes += 1
 
+    def touch(self):
+        """Let the peers be told soon, as something beside the load changed."""
+        self.changes += 1
+
     def own(self):
         """Return this host's InFlight by server key."""
         return self._own_by_key
--- a/galenascale/gateway/parts.py
+++ b/galenascale/gateway/parts.py
@@ -20,6 +20,7 @@
     pool: object
     reachability: object = None
     admission: object = None
+    crashes: object = None
     peers: object = None
     store: object = None
     # Called with the ids of hosts whose items take slots that online requests
--- a/galenascale/gateway/peers.py
+++ b/galenascale/gateway/peers.py
@@ -39,6 +39,7 @@
         self._log = parts.log
         self._load = parts.load
         self._admission = parts.admission
+        self._crashes = parts.crashes
         self._configuration = parts.configuration
         self._link = link
         self._transport = None
@@ -79,6 +80,7 @@
             for item in status.in_flight
         }
         self._admission.learn_refusals(status.refused, now)
+        self._crashes.learn(status.host_id, status.crashed)
         self._load.report(status.host_id, in_flight, status.waiting_items, now)
         if status.host_id not in self._alive:
             self._note_alive(now)
@@ -160,6 +162,7 @@
             failure_domain=self._settings.failure_domain,
             address=self._own_address,
             active_jobs=list(self._load.active_jobs),
+            crashed=self._crashes.recent(self._clock.monotonic()),
             refused=self._admission.own_refusals.recent(self._clock.monotonic()),
             in_flight=[
                 ServerInFlight(key, in_flight.online, in_flight.batch)
--- a/galenascale/gateway/reachability.py
+++ b/galenascale/gateway/reachability.py
@@ -27,6 +27,8 @@
         self._sends_by_incarnation = {}
         self._checked_at = {}
         self._checking = set()
+        # Servers that broke off, with the content that they ran.
+        self._broken = []
 
     def add(self, send):
         """Watch a request at its server."""
@@ -45,6 +47,8 @@
         """Check servers until cancelled."""
         async with asyncio.TaskGroup() as group:
             while True:
+                while self._broken:
+                    group.create_task(self._check_broken(*self._broken.pop()))
                 for server in self._due():
                     self._checking.add(server.incarnation)
                     group.create_task(self._check(server))
@@ -107,6 +111,28 @@
             parts.log.write("server_regained", server=server.server_id)
         parts.health.reached(incarnation)
 
+    def check_for_crash(self, server, content_key):
+        """See in the background whether a server that broke off crashed."""
+        self._broken.append((server, content_key))
+
+    async def _check_broken(self, server, content_key):
+        try:
+            await self.check(server)
+        except BackendError as error:
+            if error.code == "connect_timeout":
+                # The link is cut; the server may be well.
+                return
+            parts = self._parts
+            parts.crashes.add(content_key, parts.clock.monotonic())
+            parts.load.touch()
+            parts.log.write(
+                "server_crashed",
+                "warning",
+                server=server.server_id,
+                content=content_key,
+                reason=error.message,
+            )
+
     def note_unreachable(self, server, error):
         """Note that a connection to a server was not accepted."""
         parts = self._parts
--- a/galenascale/standins/runner.py
+++ b/galenascale/standins/runner.py
@@ -57,6 +57,8 @@
     without_length: bool = False
     # Bytes sent after each answer.
     extra: bytes = b""
+    # End with all connections when a request comes.
+    crash: bool = False
     # Never answer.
     hang: bool = False
     # Name the request in each answer and event.
@@ -147,6 +149,10 @@
             return False
         if behaviour.drop:
             return False
+        if behaviour.crash:
+            await self.stop()
+            writer.transport.abort()
+            return False
         if behaviour.reset:
             writer.transport.abort()
             return False
--- a/schema/gateway.thrift
+++ b/schema/gateway.thrift
@@ -130,6 +130,8 @@
   12: list<i32> active_jobs,
   /** Hashes of the contents of requests that were refused lately. */
   13: list<i32> refused,
+  /** Hashes of the contents that ran on servers when they crashed. */
+  14: list<i32> crashed,
 }
 
 /** One datagram: the states of some hosts, the sender's or relayed ones. */
--- a/test/gateway/test_admission.py
+++ b/test/gateway/test_admission.py
@@ -10,6 +10,7 @@
     REMEMBERED_S,
     RETRY_AFTER_S,
     Admission,
+    fingerprint,
     queue_wait_s,
 )
 from galenascale.gateway.requests import CallerRequest
@@ -37,7 +38,7 @@
     """Return the decision on a request that just arrived."""
     plan = attrs.evolve(make_plan(), arrived_at=now, deadline=now + 5.0)
     request = request or make_request()
-    return admission.retry_after_s(request, plan, "llm", queues, now)
+    return admission.retry_after_s(fingerprint(request), plan, "llm", queues, now)
 
 
 @pytest.mark.parametrize(
@@ -88,7 +89,7 @@
     plan = make_plan()
     late = plan.deadline - 2.0
     queues = [(20, SLOTS)]
-    assert admission.retry_after_s(make_request(), plan, "llm", queues, late) is None
+    assert admission.retry_after_s(1, plan, "llm", queues, late) is None
 
 
 def test_nothing_is_refused_before_runs_are_known():
--- a/test/gateway/test_attempts.py
+++ b/test/gateway/test_attempts.py
@@ -33,8 +33,9 @@
         Case(RequestKind.STREAMING, False, ("broken",), False, 502),
         Case(RequestKind.STREAMING, True, ("broken",), True, 502),
         Case(RequestKind.STREAMING, True, ("broken", "broken"), False, 502),
-        # A server that ended does not use up an attempt.
+        # A server that ended does not use up an attempt, but only once.
         Case(RequestKind.STREAMING, True, ("broken", "cut_off"), True, 502),
+        Case(RequestKind.STREAMING, True, ("broken", "cut_off", "cut_off"), False, 502),
         Case(RequestKind.IDEMPOTENT, False, ("refused", "broken"), True, 502),
         Case(RequestKind.IDEMPOTENT, False, ("broken", "broken"), False, 502),
     ],
