--- a/test/soak/faults.py
+++ b/test/soak/faults.py
@@ -21,6 +21,10 @@
 # Servers that lose their answers once in each play, and for how long.
 LOSING_RUNNERS = 4
 LOSING_S = 0.8
+# Seconds for which an engine cuts its streams off once in each play.
+CUTTING_S = 2.0
+# Kinds that are in each play and are not drawn.
+CERTAIN_KINDS = {"lose_answers", "cut_streams"}
 
 
 @attrs.frozen
@@ -36,7 +40,7 @@
 
 def draw(rng, count):
     """Return faults in the order of their times."""
-    kinds = sorted(_ACTIONS_BY_KIND.keys() - {"lose_answers"})
+    kinds = sorted(_ACTIONS_BY_KIND.keys() - CERTAIN_KINDS)
     harms = [harm.value for harm in Harm if harm is not Harm.NONE]
     faults = [
         Fault(
@@ -48,11 +52,13 @@
         )
         for _ in range(count)
     ]
-    # Each play loses some answers, so that no seed leaves the promise of a
-    # true refusal untested.
+    # Each play loses some answers and cuts some streams off, so that no seed
+    # leaves true refusals and visible breaks untested.
     for target in range(LOSING_RUNNERS):
         at_s = round(rng.uniform(FIRST_S, LAST_S), 2)
         faults.append(Fault(at_s, "lose_answers", target, LOSING_S))
+        at_s = round(rng.uniform(FIRST_S, LAST_S), 2)
+        faults.append(Fault(at_s, "cut_streams", target, CUTTING_S))
     return sorted(faults, key=lambda fault: fault.at_s)
 
 
@@ -161,6 +167,10 @@
     await _behave(_pick(fleet.runners, fault), "drop", True, fault)
 
 
+async def _cut_streams(fleet, fault):
+    await _behave(_pick(fleet.of("llm"), fault), "cut_after_events", 2, fault)
+
+
 async def _runner_behaves(fleet, fault):
     name, value = _BEHAVIOURS[fault.target % len(_BEHAVIOURS)]
     await _behave(_pick(fleet.runners, fault), name, value, fault)
@@ -202,4 +212,5 @@
     "store_forgets": _store_forgets,
     "runner_behaves": _runner_behaves,
     "lose_answers": _lose_answers,
+    "cut_streams": _cut_streams,
 }
