--- a/galenascale/gateway/following.py
+++ b/galenascale/gateway/following.py
@@ -84,10 +84,6 @@
                 self._position = None
                 await self._clock.sleep(RETRY_S)
 
-    def resync(self):
-        """Take a new snapshot at the next step."""
-        self._position = None
-
     async def _step(self, on_snapshot, on_record, on_read):
         now = self._clock.monotonic()
         if self._position is None or now - self._snapshot_at > SNAPSHOT_INTERVAL_S:
--- a/galenascale/gateway/jobs/partitions.py
+++ b/galenascale/gateway/jobs/partitions.py
@@ -30,7 +30,6 @@
         self._lock = asyncio.Lock()
         # Monotonic time at which the last read began that reached the end.
         self._fresh_at = float("-inf")
-        self._changed = asyncio.Event()
 
     @property
     def position(self):
--- a/galenascale/standins/store_api.py
+++ b/galenascale/standins/store_api.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import base64
-import contextlib
 import struct
 import time
 
@@ -13,15 +12,14 @@
 
 MAX_NEWEST_ITEMS = 500
 POLL_S = 0.01
-# How calls are refused: 503, 429, a reset connection or no answer.
-REFUSALS = ("busy", "many", "reset", "silent")
 
 
 class StoreFaults:
     """Faults that tests switch on."""
 
     def __init__(self):
-        # Refusal by caller's address; "*" for all callers.
+        # Refusal by caller's address, "*" for all callers: busy (503),
+        # many (429), reset or silent.
         self.refusal_by_caller = {}
         self.delay_s = 0.0
         # Share of the writes that are done and not answered.
@@ -196,14 +194,3 @@
     return web.Response(
         status=status, body=orjson.dumps(fields), content_type="application/json"
     )
-
-
-@contextlib.asynccontextmanager
-async def serving_store(rng, host="127.0.0.1", partitions=24):
-    """Run a StoreStandin and yield it."""
-    standin = StoreStandin(rng, partitions)
-    await standin.start(host)
-    try:
-        yield standin
-    finally:
-        await standin.stop()
