Heed servers that say they leave; bound bytes that become no answer

Cause: nothing read the header by which a server says in its answers that it leaves, so a host whose store is away sent it requests for as long as its entry said ready.

Change: the word of a server holds for its run (id and start), is told to the other hosts and is looked at again directly before each send. Bodies of the store's and of hosts' answers are read up to a limit.

--- a/galenascale/gateway/backend_connection.py
+++ b/galenascale/gateway/backend_connection.py
@@ -12,17 +12,23 @@
 import httptools
 
 from galenascale.errors import BackendError, Execution
+from galenascale.gateway.answer_bounds import AnswerBounds
 from galenascale.gateway.sockets import guard_against_silence
 
 # Unread bytes of an answer at which reading from the socket pauses.
-PAUSE_BYTES = 1 << 18
-MAX_HEADER_BYTES = 1 << 16
+PAUSE_BYTES = 1 << 16
+MAX_HEADERS = 256
+# Received bytes are parsed before the next ones come, on any connection, so
+# that all of them share one buffer. A parser makes objects of many times the
+# size of what it reads; so it reads a part at a time.
+_RECEIVE_BUFFER = memoryview(bytearray(1 << 16))
+PARSE_BYTES = 1 << 13
 _END = object()
 # Statuses of final answers without a body (RFC 9110, section 6.4.1).
 _NO_BODY = frozenset((204, 304))
 
 
-class BackendConnection(asyncio.Protocol):
+class BackendConnection(asyncio.BufferedProtocol):
     """Sends one request at a time and reads the answer to it."""
 
     def __init__(self, read_head):
@@ -35,12 +41,12 @@
         self._request_id = None
         self._method = ""
         self._headers = []
-        self._header_bytes = 0
+        self._bounds = AnswerBounds()
+        # Pieces of the body in the bytes that are being parsed.
+        self._pieces = []
         self._has_length = False
         self._skipping = False
-        self._in_message = False
         self._head_seen = False
-        self._error = None
         self.closed = False
         # Requests that were sent on this connection.
         self.requests = 0
@@ -58,16 +64,28 @@
         self._transport = transport
         guard_against_silence(transport)
 
-    def data_received(self, data):
+    def get_buffer(self, sizehint):
+        return _RECEIVE_BUFFER
+
+    def buffer_updated(self, size):
         if self._request_id is None:
             # Nothing was asked for: such bytes belong to no request.
             self.abort()
             return
         self.active_at = asyncio.get_running_loop().time()
         try:
-            self._parser.feed_data(data)
+            for start in range(0, size, PARSE_BYTES):
+                self._parse(_RECEIVE_BUFFER[start : min(size, start + PARSE_BYTES)])
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             self._fail(f"answer cannot be parsed: {error}")
+        except BackendError as error:
+            self._fail(error.message)
+
+    def _parse(self, data):
+        self._bounds.received(len(data))
+        self._parser.feed_data(data)
+        self._push_body()
+        self._bounds.check()
 
     def eof_received(self):
         self._end_of_input(None)
@@ -97,20 +115,17 @@
             self.reusable = False
             self._skipping = True
             return
-        self._in_message = True
         self._head_seen = False
         self._skipping = False
         self._has_length = False
         self._headers = []
-        self._header_bytes = 0
 
     def on_header(self, name, value):
-        self._header_bytes += len(name) + len(value)
-        if self._header_bytes > MAX_HEADER_BYTES:
-            raise ValueError("header is too large")
         if name.lower() in (b"content-length", b"transfer-encoding"):
             self._has_length = True
         self._headers.append((name, value))
+        if len(self._headers) > MAX_HEADERS:
+            raise ValueError("answer has too many headers")
 
     def on_headers_complete(self):
         if self._request_id is None:
@@ -140,17 +155,29 @@
         return self.requests == 1 or not self._request_id
 
     def on_body(self, body):
-        if not self._skipping and self._request_id is not None:
-            self._buffered += len(body)
-            self._push(body)
-            if self._buffered > PAUSE_BYTES:
-                self._transport.pause_reading()
+        if self._request_id is None:
+            return
+        if self._skipping:
+            self._bounds.skipped(len(body))
+        else:
+            self._bounds.body(len(body))
+            self._pieces.append(body)
+
+    def _push_body(self):
+        """Hand the pieces of the body on as one: chunks may be tiny."""
+        if not self._pieces:
+            return
+        body = b"".join(self._pieces)
+        self._pieces.clear()
+        self._buffered += len(body)
+        self._push(body)
+        if self._buffered > PAUSE_BYTES:
+            self._transport.pause_reading()
 
     def on_message_complete(self):
         if self._request_id is None:
             return
         if self._skipping:
-            self._in_message = False
             return
         if self._head_seen:
             self._finish()
@@ -159,7 +186,7 @@
         if self._request_id is None:
             return
         self._request_id = None
-        self._in_message = False
+        self._push_body()
         self._push(_END)
 
     def _fail(self, message):
@@ -185,6 +212,8 @@
         self._request_id = request_id
         self._method = method
         self._events.clear()
+        self._pieces.clear()
+        self._bounds.start()
         self._buffered = 0
         self.requests += 1
         self.reusable = False
--- a/galenascale/gateway/dispatch.py
+++ b/galenascale/gateway/dispatch.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from galenascale.errors import BackendError
+from galenascale.errors import BackendError, Execution
 from galenascale.gateway.balancing import Candidate, choose
 
 # Servers that are compared for one request; of more a random part is, which
@@ -21,9 +21,32 @@
     sent_at: float
     # It may run again elsewhere if the server is out of reach.
     repeatable: bool
+    # Called with the server if its answer says that it leaves.
+    on_leaving: object
     # The answer was read to its end, so the connection may be used again.
     complete: bool = False
 
+    async def read_head(self):
+        """Return the AnswerHead; raise BackendError if it breaks off."""
+        head = await self.connection.read()
+        if head.leaving:
+            self.on_leaving(self.server)
+        return head
+
+    async def read_body(self, limit):
+        """Return the whole body; raise BackendError beyond so many bytes."""
+        pieces = []
+        size = 0
+        while (piece := await self.connection.read()) is not None:
+            size += len(piece)
+            if size > limit:
+                raise BackendError(
+                    f"answer has more than {limit} bytes", code="answer_too_large"
+                )
+            pieces.append(piece)
+        self.complete = True
+        return b"".join(pieces)
+
 
 class Dispatcher:
     """Chooses servers, sends requests and keeps what their answers show."""
@@ -87,6 +110,12 @@
             for callback in self._parts.on_crowded:
                 callback(hosts)
 
+    def _note_leaving(self, server):
+        parts = self._parts
+        if parts.servers.note_leaving(server, parts.clock.monotonic()):
+            # The other hosts are told in the next round of messages.
+            parts.load.touch()
+
     @contextlib.asynccontextmanager
     async def send(self, request, server, plan, resume_after):
         """
@@ -107,6 +136,17 @@
                 parts.reachability.note_unreachable(server, error)
             raise
         now = parts.clock.monotonic()
+        if not parts.servers.is_usable(server, now):
+            # It left while a body was read or a connection was opened.
+            plan.was_unreachable(server.incarnation)
+            parts.pool.release(server, connection)
+            raise BackendError(
+                "server leaves",
+                code="server_left",
+                step="connect",
+                peer=server.server_id,
+                execution=Execution.NOT_RUN,
+            )
         headers = parts.dialect.backend_headers(
             request, server.server_id, plan.remaining_s(now), resume_after
         )
@@ -114,7 +154,7 @@
         parts.load.start(server.server_id, batch=self._batch)
         if not self._batch:
             self._claim_slot(server)
-        send = Send(server, connection, now, plan.route.repeatable)
+        send = Send(server, connection, now, plan.route.repeatable, self._note_leaving)
         parts.reachability.add(send)
         try:
             connection.send(
--- a/galenascale/gateway/forwarding.py
+++ b/galenascale/gateway/forwarding.py
@@ -11,9 +11,6 @@
 from galenascale.gateway.dispatch import Dispatcher
 from galenascale.gateway.event_stream import EventSplitter
 
-# Largest answer of a request that is not a stream.
-MAX_ANSWER_BYTES = 64 << 20
-
 
 @attrs.frozen
 class Answer:
@@ -70,6 +67,7 @@
         self._started = False
         self._last_failure = None
         self._content_key = fingerprint(request)
+        self._held_bytes = parts.settings.held_answer_bytes
 
     def admit(self):
         """Raise RequestEnded for a request that is refused at once."""
@@ -101,11 +99,18 @@
                     answer, done = await self._read_answer(send)
             except BackendError as error:
                 await self._note_broken(candidate, error)
+                self._end_if_not_replaceable()
                 continue
             self._log_send(candidate, "answered" if done else "refused", answer)
             if done:
                 return answer
 
+    def _end_if_not_replaceable(self):
+        """Raise RequestEnded if a part of a plain answer was sent."""
+        if self._started and self._route.kind is not RequestKind.STREAMING:
+            now = self._parts.clock.monotonic()
+            raise self._plan.end("answer broke off after its first part", now)
+
     async def _next_candidate(self):
         plan = self._plan
         while True:
@@ -170,9 +175,9 @@
 
     async def _read_answer(self, send):
         """Return (Answer or None, whether the request is served)."""
-        head = await send.connection.read()
+        head = await send.read_head()
         if head.not_run:
-            body = await _read_body(send)
+            body = await send.read_body(self._held_bytes)
             self._plan.was_refused(send.server.incarnation)
             return Answer(head, body), False
         if self._route.kind is RequestKind.STREAMING and head.status == 200:
@@ -181,25 +186,36 @@
         return await self._read_whole(send, head)
 
     async def _read_whole(self, send, head):
-        answer = Answer(head, await _read_body(send))
+        if head.status < 500 and head.length and head.length > self._held_bytes:
+            await self._relay_whole(send, head)
+            return None, True
+        answer = Answer(head, await send.read_body(self._held_bytes))
         parts = self._parts
         incarnation = send.server.incarnation
         if head.status < 500:
             parts.health.answered(incarnation)
-            self._refuse_late_failure(answer)
+            self._refuse_late_failure(answer.head)
             return answer, True
         parts.health.failed(incarnation)
-        self._refuse_late_failure(answer)
+        self._refuse_late_failure(answer.head)
         # Another server may do what this one failed to do.
         self._last_failure = answer
         return answer, not self._plan.may_run()
 
-    def _refuse_late_failure(self, answer):
+    async def _relay_whole(self, send, head):
+        """Pass a long answer on as it comes; it can no longer be replaced."""
+        self._refuse_late_failure(head)
+        self._parts.health.answered(send.server.incarnation)
+        while (piece := await send.connection.read()) is not None:
+            await self._deliver(head, piece)
+        send.complete = True
+        await self._caller.finish()
+
+    def _refuse_late_failure(self, head):
         if self._started:
             # The events of an earlier run were sent; this is no part of them.
             raise BackendError(
-                f"run that goes on was answered {answer.head.status}",
-                code="resume_failed",
+                f"run that goes on was answered {head.status}", code="resume_failed"
             )
 
     async def _relay_events(self, send, head):
@@ -237,18 +253,6 @@
             await self._caller.send(data)
 
 
-async def _read_body(send):
-    pieces = []
-    size = 0
-    while (piece := await send.connection.read()) is not None:
-        size += len(piece)
-        if size > MAX_ANSWER_BYTES:
-            raise BackendError("answer is too large", code="answer_too_large")
-        pieces.append(piece)
-    send.complete = True
-    return b"".join(pieces)
-
-
 def service_order(route, rng):
     """Return the services of a route, one drawn by weight first."""
     splits = [split for split in route.splits if split.weight > 0]
--- a/galenascale/gateway/host.py
+++ b/galenascale/gateway/host.py
@@ -143,9 +143,10 @@
         return host
 
     def _on_server_change(self, change, entry):
+        if change in ("removed", "leaving"):
+            self.parts.pool.forget(entry.incarnation)
         if change == "removed":
             self.parts.health.forget(entry.incarnation)
-            self.parts.pool.forget(entry.incarnation)
             self.parts.reachability.forget(entry.incarnation)
         self.parts.log.write(
             f"server_{change}",
--- a/galenascale/gateway/jobs/item_runs.py
+++ b/galenascale/gateway/jobs/item_runs.py
@@ -1,6 +1,7 @@
 """One run of an item at a backend server."""
 
 import asyncio
+import contextlib
 
 import attrs
 
@@ -12,9 +13,9 @@
 
 # An item has no deadline of a caller; a run longer than this is stuck.
 MAX_RUN_S = 120.0
-# Longest wait in seconds for the next part of an answer. Items start in free
-# slots, so the first event comes soon; an item that no server works on must
-# not wait for 5 s.
+# Longest wait in seconds for the head of an answer or for its next event.
+# Items start in free slots, so the first event comes soon; an item that no
+# server works on must not wait for 5 s.
 SILENCE_TIMEOUT_S = 4.0
 # Seconds for which an item is not sent to a server that was silent on it.
 AVOID_SILENT_S = 10.0
@@ -148,37 +149,53 @@
         return RunEnd("broken", error.message)
 
 
-async def _next_part(send):
-    """Return the next part of an answer, None at its end."""
+@contextlib.asynccontextmanager
+async def _progress_expected(since):
+    """Raise BackendError in the body after a time without progress."""
     try:
-        async with asyncio.timeout(SILENCE_TIMEOUT_S):
-            return await send.connection.read()
+        async with asyncio.timeout_at(since + SILENCE_TIMEOUT_S):
+            yield
     except TimeoutError as error:
         raise BackendError(
-            f"no part of the answer for {SILENCE_TIMEOUT_S} s", code="server_silent"
+            f"no progress for {SILENCE_TIMEOUT_S} s", code="server_silent"
         ) from error
 
 
 async def _read(parts, item, send):
-    head = await _next_part(send)
-    if head.status != 200 or head.not_run:
-        while await _next_part(send) is not None:
-            pass
-        send.complete = True
-        if head.not_run:
-            return RunEnd("refused", f"status {head.status}")
-        if head.status == STATUS_CANNOT_BE_DONE:
-            return RunEnd("cannot_be_done")
-        parts.health.failed(send.server.incarnation)
-        return RunEnd("failed", f"status {head.status}")
+    now = asyncio.get_running_loop().time
+    async with _progress_expected(now()):
+        head = await send.read_head()
+    if head.status == 200 and not head.not_run:
+        await _read_events(item, send)
+        return RunEnd("completed")
+    async with _progress_expected(now()):
+        await send.read_body(parts.settings.held_answer_bytes)
+    if head.not_run:
+        return RunEnd("refused", f"status {head.status}")
+    if head.status == STATUS_CANNOT_BE_DONE:
+        return RunEnd("cannot_be_done")
+    parts.health.failed(send.server.incarnation)
+    return RunEnd("failed", f"status {head.status}")
+
+
+async def _read_events(item, send):
+    """Read events to the end; bytes without a new event are no progress."""
+    now = asyncio.get_running_loop().time
     splitter = EventSplitter()
-    while (piece := await _next_part(send)) is not None:
+    progress_at = now()
+    while True:
+        async with _progress_expected(progress_at):
+            piece = await send.connection.read()
+        if piece is None:
+            break
+        before = item.last_event_id
         for event in splitter.feed(piece):
             _add(item, event)
+        if item.last_event_id != before:
+            progress_at = now()
     send.complete = True
-    if splitter.pending.strip():
+    if splitter.is_inside_event:
         raise BackendError("output ends inside an event", code="connection_broken")
-    return RunEnd("completed")
 
 
 def _add(item, event):
--- a/galenascale/gateway/jobs/store_access.py
+++ b/galenascale/gateway/jobs/store_access.py
@@ -5,6 +5,7 @@
 
 from galenascale.codec import decode, encode
 from galenascale.errors import DecodeError
+from galenascale.gateway.http_bodies import read_limited
 from galenascale.gateway.jobs.partitions import BODIES_TOPIC, JOBS_TOPIC
 from galenascale.gateway.sockets import peer_url
 from galenascale.generated.gateway_messages import (
@@ -29,6 +30,8 @@
 CONNECT_TIMEOUT_S = 0.5
 # Larger calls are not taken by another host's listener.
 MAX_CALL_BYTES = 1 << 20
+# Largest answer of another host: a read of the store in one message.
+MAX_ANSWER_BYTES = 4 << 20
 
 
 class StoreAccess:
@@ -115,7 +118,8 @@
                 url, data=encode(call), timeout=timeout
             ) as response:
                 if response.status == 200:
-                    answer = decode(StoreAnswer, await response.read())
+                    body = await read_limited(response, MAX_ANSWER_BYTES)
+                    answer = decode(StoreAnswer, body)
                 else:
                     answer = _not_done(f"host answered {response.status}")
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
--- a/galenascale/gateway/peers.py
+++ b/galenascale/gateway/peers.py
@@ -41,6 +41,7 @@
         self._slot_shares = parts.slot_shares
         self._admission = parts.admission
         self._crashes = parts.crashes
+        self._servers = parts.servers
         self._configuration = parts.configuration
         self._link = link
         self._transport = None
@@ -82,11 +83,20 @@
         }
         self._admission.learn_refusals(status.refused, now)
         self._crashes.learn(status.host_id, status.crashed)
+        self._learn_leaving(status, now)
         self._load.report(status.host_id, in_flight, status.waiting_items, now)
         if status.host_id not in self._alive:
             self._note_alive(now)
         return True
 
+    def _learn_leaving(self, status, now):
+        if self._servers.learn_leaving(status.leaving_servers, now):
+            self._log.write(
+                "servers_leaving_told",
+                peer=status.host_id,
+                servers=status.leaving_servers,
+            )
+
     def error_received(self, error):
         # A host that is away; its silence is noticed by the time.
         self._log.write("peer_send_failed", "debug", reason=repr(error))
@@ -167,6 +177,7 @@
             active_jobs=list(self._load.active_jobs),
             crashed=self._crashes.recent(self._clock.monotonic()),
             refused=self._admission.own_refusals.recent(self._clock.monotonic()),
+            leaving_servers=self._servers.told_leaving(self._clock.monotonic()),
             in_flight=[
                 ServerInFlight(key, in_flight.online, in_flight.batch)
                 for key, in_flight in self._load.own().items()
--- a/galenascale/gateway/relay.py
+++ b/galenascale/gateway/relay.py
@@ -5,6 +5,7 @@
 
 from galenascale.codec import decode, encode
 from galenascale.errors import DecodeError
+from galenascale.gateway.http_bodies import read_limited
 from galenascale.gateway.sockets import peer_url
 from galenascale.generated.gateway_messages import RelayedState
 
@@ -12,6 +13,8 @@
 # Seconds between two questions to other hosts while the store does not answer.
 ASK_INTERVAL_S = 0.6
 ASK_TIMEOUT_S = 1.0
+# A configuration and the entries of some thousand servers.
+MAX_STATE_BYTES = 8 << 20
 # Seconds without an answer of the store after which other hosts are asked.
 STORE_SILENCE_S = 1.5
 
@@ -52,7 +55,8 @@
         timeout = aiohttp.ClientTimeout(total=ASK_TIMEOUT_S)
         try:
             async with self._session.get(url, timeout=timeout) as response:
-                state = decode(RelayedState, await response.read())
+                body = await read_limited(response, MAX_STATE_BYTES)
+                state = decode(RelayedState, body)
         except (TimeoutError, aiohttp.ClientError, OSError, DecodeError) as error:
             self._parts.log.write(
                 "peer_state_failed", "warning", peer=peer.host_id, reason=repr(error)
--- a/galenascale/gateway/requests.py
+++ b/galenascale/gateway/requests.py
@@ -45,8 +45,12 @@
     request_id: str = ""
     # The server states that it did not run the request.
     not_run: bool = False
+    # The server states that it leaves and wants no further request.
+    leaving: bool = False
     # Idle time in seconds after which the server closes the connection.
     keep_alive_s: float | None = None
+    # Bytes of the body, if the server states them.
+    length: int | None = None
 
 
 class JobCallKind(enum.Enum):
--- a/galenascale/gateway/servers.py
+++ b/galenascale/gateway/servers.py
@@ -2,6 +2,13 @@
 
 import attrs
 
+from galenascale.gateway.load import hash_key
+
+# Seconds for which a server that said that it leaves gets no request, whatever
+# its entry says, and for which the other hosts are told.
+LEAVING_REMEMBERED_S = 600.0
+LEAVING_TOLD_S = 60.0
+
 
 @attrs.frozen
 class ServerEntry:
@@ -24,6 +31,11 @@
         """Return the key of this run of the server."""
         return (self.server_id, self.started_ms, self.address)
 
+    @property
+    def run_key(self):
+        """Return the 32-bit key of this run in messages between hosts."""
+        return hash_key(f"{self.server_id}/{self.started_ms}")
+
 
 @attrs.define
 class _Known:
@@ -50,6 +62,10 @@
         self._position = 0
         self._grace_until = float("-inf")
         self._listeners = []
+        # Monotonic time by run key since which a server is known to leave from
+        # its own word, to this host or to another.
+        self._left_at_by_key = {}
+        self._told_here = {}
         self.loaded = False
         # Monotonic time in seconds of the last successful read.
         self.read_at = None
@@ -63,8 +79,8 @@
         """
         Call `callback(change, entry)` when a server is added, drains or ends.
 
-        `change` is "added", "draining" or "removed"; the entry of an ended run
-        is the last one.
+        `change` is "added", "draining", "leaving" (from the server's own word)
+        or "removed"; the entry of an ended run is the last one.
         """
         self._listeners.append(callback)
 
@@ -134,6 +150,36 @@
                 known.removed_at = None
                 self._notify("removed", entry)
 
+    def note_leaving(self, entry, now):
+        """Note a server's word that it leaves; return True if it is new."""
+        self._told_here[entry.run_key] = now
+        if not self.learn_leaving((entry.run_key,), now):
+            return False
+        self._notify("leaving", entry)
+        return True
+
+    def learn_leaving(self, run_keys, now):
+        """Note runs of servers that leave; return True if one is new."""
+        known = len(self._left_at_by_key)
+        self._left_at_by_key.update(dict.fromkeys(run_keys, now))
+        return len(self._left_at_by_key) > known
+
+    def told_leaving(self, now):
+        """Return the keys of the runs that told this host that they leave."""
+        for key, at in list(self._told_here.items()):
+            if now - at > LEAVING_TOLD_S:
+                del self._told_here[key]
+        return list(self._told_here)
+
+    def _is_open(self, entry, now):
+        """Return True unless the server's entry or its word says it leaves."""
+        if entry.draining:
+            return False
+        if not self._left_at_by_key:
+            return True
+        left_at = self._left_at_by_key.get(entry.run_key)
+        return left_at is None or now - left_at > LEAVING_REMEMBERED_S
+
     def usable(self, service, now):
         """Return the entries of a service that may get new requests."""
         self.expire(now)
@@ -142,9 +188,20 @@
             for known in self._known_by_id.values()
             if known.entry is not None
             and known.entry.service == service
-            and not known.entry.draining
+            and self._is_open(known.entry, now)
         ]
 
+    def is_usable(self, entry, now):
+        """Return True if this run of a server may still get new requests."""
+        self.expire(now)
+        known = self._known_by_id.get(entry.server_id)
+        return (
+            known is not None
+            and known.entry is not None
+            and known.entry.incarnation == entry.incarnation
+            and self._is_open(known.entry, now)
+        )
+
     def all_entries(self):
         """Return all entries that are not removed."""
         return [known.entry for known in self._known_by_id.values() if known.entry]
--- a/galenascale/platform/headers.py
+++ b/galenascale/platform/headers.py
@@ -12,6 +12,7 @@
 # Named after usage, but states the prompt's tokens and the most to generate.
 _TOKENS = b"x-galenascale-token-usage"
 _NOT_RUN = b"x-galenascale-not-executed"
+_LEAVING = b"server-leaving"
 _WAIT_MS = b"x-galenascale-wait-ms"
 
 # Statuses with which a backend server itself states that it ran nothing.
@@ -123,10 +124,13 @@
 def read_answer_head(status, headers):
     """Return the AnswerHead of a backend server's answer."""
     keep_alive = _KEEP_ALIVE_TIMEOUT.search(find(headers, b"keep-alive") or b"")
+    length = find(headers, b"content-length")
     return AnswerHead(
         status=status,
         headers=drop_connection_headers(headers),
         request_id=(find(headers, _REQUEST_ID) or b"").decode("latin-1"),
         not_run=find(headers, _NOT_RUN) is not None or status == _MISDIRECTED,
+        leaving=find(headers, _LEAVING) == b"1",
         keep_alive_s=float(keep_alive[1]) if keep_alive else None,
+        length=int(length) if length and length.isdigit() else None,
     )
--- a/galenascale/platform/store.py
+++ b/galenascale/platform/store.py
@@ -7,6 +7,7 @@
 import orjson
 
 from galenascale.errors import DecodeError
+from galenascale.gateway.http_bodies import read_limited
 from galenascale.platform.fields import get, load_object
 from galenascale.platform.records import (
     frame,
@@ -32,6 +33,9 @@
 # to wait. A host that the store answers again must not hang in a read from
 # before for the 3 s after which it is held to its bounds.
 LONG_POLL_GRACE_S = 1.0
+# Largest answer of the store: a page of newest records has 1 MB, and a read
+# may have a record more than it asked for.
+MAX_ANSWER_BYTES = 4 << 20
 # Statuses by which the store states that nothing was done.
 _NOTHING_DONE = frozenset((429, 503, 507))
 
@@ -179,7 +183,8 @@
             async with self._session.request(
                 method, self._url + path, params=params, data=body, timeout=timeout
             ) as response:
-                return _Answer(response.status, await response.read())
+                body = await read_limited(response, MAX_ANSWER_BYTES)
+                return _Answer(response.status, body)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             raise StoreUnavailable(
                 f"store cannot be reached: {error!r}", step=path, peer=self._url
--- a/galenascale/standins/runner.py
+++ b/galenascale/standins/runner.py
@@ -22,6 +22,8 @@
     target: bytes = b""
     headers: list = attrs.field(factory=list)
     body: bytes = b""
+    # Header lines of its answer beside the usual ones.
+    answer_lines: tuple = ()
 
     def header(self, name):
         """Return the value of a header, or None."""
@@ -63,6 +65,8 @@
     hang: bool = False
     # Name the request in each answer and event.
     echo: bool = False
+    # Say in each answer that the runner leaves.
+    leaving: bool = False
 
 
 class RunnerStandin:
@@ -81,6 +85,7 @@
         self.connections = 0
         self.left_early = 0
         self.sequence = 0
+        self.started_ms = 1
         self.address = ""
 
     async def start(self, host="127.0.0.1", port=0):
@@ -110,7 +115,7 @@
                 "State": state,
                 "ColdLeftMs": 0,
                 "Seq": self.sequence,
-                "born": 1,
+                "born": self.started_ms,
             }
         )
 
@@ -127,6 +132,8 @@
 
     async def _answer(self, request, reader, writer):
         behaviour = attrs.evolve(self.behaviour)
+        if behaviour.leaving:
+            request.answer_lines = ("Server-Leaving: 1",)
         target = request.header("X-Galenascale-Target-Instance")
         if target and target != self.server_id:
             _write_whole(writer, request, 421, b"", signed=False)
@@ -236,6 +243,7 @@
     lines = [
         f"HTTP/1.1 {status} Status",
         f"X-Galenascale-Attempt-Id: {request.request_id}",
+        *request.answer_lines,
         *lines,
     ]
     if signed:
--- a/schema/gateway.thrift
+++ b/schema/gateway.thrift
@@ -66,6 +66,8 @@
   9: i64 give_up_ms = 0,
   /** Version of the configuration in force at acceptance. */
   10: i64 config_version = 0,
+  /** Name of the route that accepted the job. */
+  11: string route = "",
 }
 
 /** A host takes over the items of a job. */
@@ -97,6 +99,31 @@
   1: list<ItemProgress> items,
 }
 
+/** What a record of a route's quota does. */
+enum QuotaRecordKind {
+  /** Takes tokens for a job that is about to be stored, if they fit. */
+  RESERVE = 1,
+  /** Counts a job that was stored while the route had no limit. */
+  COUNT = 2,
+  /** Lowers the tokens of a job to those of its open items. */
+  RELEASE = 3,
+}
+
+/** One record of the log of a route's quota. */
+struct QuotaRecord {
+  1: i32 schema_version = 1,
+  2: i32 kind = 0,
+  3: string job_id = "",
+  /** Tokens of the job's items without an outcome. */
+  4: i64 tokens = 0,
+  /** Tokens that may be open on the route; 0 for no limit. */
+  5: i64 limit = 0,
+  /** Version of the configuration that states the limit. */
+  6: i64 config_version = 0,
+  /** Wall time in milliseconds at which the record was made. */
+  7: i64 written_ms = 0,
+}
+
 // --- Messages between hosts ---------------------------------------------------
 
 /** Requests that a host has in flight at one backend server. */
@@ -132,6 +159,8 @@
   13: list<i32> refused,
   /** Hashes of the contents that ran on servers when they crashed. */
   14: list<i32> crashed,
+  /** Keys of the runs of backend servers that say that they leave. */
+  15: list<i32> leaving_servers,
 }
 
 /** One datagram: the states of some hosts, the sender's or relayed ones. */
@@ -255,4 +284,7 @@
   11: LimitsInTime bounds,
   /** Lowest level of log lines. */
   12: string log_level = "info",
+  /** Largest answer without a stated length, in bytes, and the largest one that
+      is held whole, so that another server can replace it if it breaks off. */
+  13: i32 held_answer_bytes = 262144,
 }
--- /dev/null
+++ b/test/gateway/test_leaving.py
@@ -0,0 +1,171 @@
+"""Servers that say in their answers that they leave."""
+
+import asyncio
+
+import attrs
+import pytest
+
+from galenascale.gateway.servers import (
+    LEAVING_REMEMBERED_S,
+    LEAVING_TOLD_S,
+    ServerEntry,
+    ServerList,
+)
+from test.gateway.test_jobs import submit, wait_for_results
+from test.gateway.world import gateway_world, until
+
+
+def make_entry(server_id="s", started_ms=1, sequence=1, draining=False):
+    """Return the entry of a server."""
+    return ServerEntry(
+        server_id, "llm", "10.0.0.1:1", "a", 8, draining, started_ms, sequence
+    )
+
+
+@attrs.frozen
+class Case:
+    """What is read of a server after its word, and whether it is used."""
+
+    name: str
+    entry: ServerEntry
+    after_s: float
+    used: bool
+
+
+@pytest.mark.parametrize(
+    "case",
+    [
+        Case("no new entry", None, 1.0, False),
+        Case("still ready in the store", make_entry(sequence=2), 1.0, False),
+        Case("restarted under its id", make_entry(started_ms=9), 1.0, True),
+        Case("another server", make_entry("t"), 1.0, True),
+        Case("long ago", None, LEAVING_REMEMBERED_S + 1, True),
+    ],
+    ids=lambda case: case.name,
+)
+def test_word_of_a_server_holds_for_its_run(case):
+    """Guards leaving servers against entries that say otherwise."""
+    servers = ServerList()
+    servers.apply("s", 1, make_entry(), 0.0)
+    assert servers.note_leaving(make_entry(), 0.0)
+    if case.entry is not None:
+        servers.apply(case.entry.server_id, 2, case.entry, 0.0)
+    usable = servers.usable("llm", case.after_s)
+    assert bool(usable) is case.used
+    assert all(servers.is_usable(entry, case.after_s) for entry in usable)
+
+
+def test_word_is_news_once_and_told_for_a_while():
+    """Guards the log and the messages between hosts against repeats."""
+    servers = ServerList()
+    changes = []
+    servers.on_change(lambda change, entry: changes.append(change))
+    servers.apply("s", 1, make_entry(), 0.0)
+    assert servers.note_leaving(make_entry(), 0.0)
+    assert not servers.note_leaving(make_entry(), 1.0)
+    assert changes == ["added", "leaving"]
+    assert servers.told_leaving(1.0) == [make_entry().run_key]
+    assert servers.told_leaving(2.0 + LEAVING_TOLD_S) == []
+    assert not servers.learn_leaving((), 3.0)
+    assert not servers.is_usable(make_entry(), 3.0)
+
+
+@pytest.mark.parametrize("path", ["/plain/a", "/once/a", "/chat/a", "/talk/a"])
+async def test_leaving_server_gets_no_request_from_any_host(path):
+    """Guards a leaving server while the store is away and names it ready."""
+    service = "llm" if path[1:] in ("chat/a", "talk/a") else "app"
+    async with gateway_world(hosts=2) as world:
+        first, second = world.of(service)
+        second.behaviour.refuse = True
+        first.behaviour.leaving = True
+        world.store.faults.refusal_by_caller["*"] = "busy"
+        reply = await world.request(path, data=b"x")
+        assert reply.status == 200
+        second.behaviour.refuse = False
+        servers = world.hosts[1].parts.servers
+        await until(lambda: len(servers.usable(service, 0.0)) == 1)
+        for number in range(6):
+            request_id = f"later{number}"
+            for host in (1, 2):
+                reply = await world.request(path, request_id=request_id, host=host)
+                assert reply.status == 200
+        assert len(first.requests) == 1
+
+
+async def test_refusal_of_a_leaving_server_counts_as_its_word():
+    """Guards retries: a refusal says as well that the server leaves."""
+    async with gateway_world() as world:
+        leaving, sound = world.of("app")
+        leaving.behaviour.leaving = leaving.behaviour.refuse = True
+        for number in range(20):
+            reply = await world.request("/plain/a", request_id=f"r{number}")
+            assert reply.status == 200
+        assert len(world.hosts[0].parts.servers.usable("app", 0.0)) == 1
+        # Its connections are closed with its leaving.
+        await until(lambda: leaving.connections == 0 or not leaving.running)
+        assert len(sound.requests) == 20
+
+
+async def test_items_and_resumed_runs_leave_a_leaving_server():
+    """Guards a leaving server against items, new and interrupted ones."""
+    async with gateway_world() as world:
+        leaving, sound = world.of("llm")
+        leaving.behaviour.leaving = True
+        sound.behaviour.refuse = True
+        assert await submit(world, "job-1", items=1) == 202
+        await until(lambda: leaving.requests)
+        sound.behaviour.refuse = False
+        await wait_for_results(world, "job-1", 1)
+        assert await submit(world, "job-2", items=6) == 202
+        await wait_for_results(world, "job-2", 6)
+        assert len(leaving.requests) == 1
+
+
+async def test_restarted_server_is_used_again():
+    """Guards a server that starts anew under its id and address."""
+    async with gateway_world(runners=1) as world:
+        (runner,) = world.of("app")
+        runner.behaviour.leaving = True
+        assert (await world.request("/plain/a")).status == 200
+        assert (await world.request("/plain/a", request_id="r2")).status == 503
+        runner.behaviour.leaving = False
+        runner.started_ms = 2
+        world.register(runner)
+        servers = world.hosts[0].parts.servers
+        await until(lambda: servers.usable("app", 0.0))
+        assert (await world.request("/plain/a", request_id="r3")).status == 200
+
+
+async def test_item_whose_body_comes_late_is_not_sent_to_a_server_that_left():
+    """
+    Guards a server that left between the choice of it and the send.
+
+    The body of an item that another host took over is read from the store
+    first, which may take seconds.
+    """
+    async with gateway_world() as world:
+        first, second = world.of("llm")
+        host = world.hosts[0]
+        bodies = host.runner._bodies
+        read = bodies.read
+        reading = asyncio.Event()
+        go_on = asyncio.Event()
+
+        async def read_late(state, index):
+            reading.set()
+            await go_on.wait()
+            return await read(state, index)
+
+        bodies.read = read_late
+        assert await submit(world, "job-1", items=1) == 202
+        await reading.wait()
+        (item,) = host.runner._items_by_key.values()
+        chosen = next(
+            r for r in (first, second) if r.server_id == item.server.server_id
+        )
+        world.register(chosen, "draining")
+        servers = host.parts.servers
+        await until(lambda: len(servers.usable("llm", 0.0)) == 1)
+        go_on.set()
+        await wait_for_results(world, "job-1", 1)
+        assert not chosen.requests
