Keep the limit of a route's open batch tokens

Cause: the limit of the tokens that may wait on a batch route was not read at all, so every job was accepted, however many waited.

--- a/galenascale/gateway/attempts.py
+++ b/galenascale/gateway/attempts.py
@@ -25,12 +25,12 @@
         self.retry_after_s = retry_after_s
 
 
-def not_run(message, *, code, retry_after_s=None):
+def not_run(message, *, code, retry_after_s=None, http_status=503):
     """Return the end of a request that surely has not run."""
     return RequestEnded(
         message,
         code=code,
-        http_status=503,
+        http_status=http_status,
         retry_after_s=retry_after_s,
         execution=Execution.NOT_RUN,
     )
--- a/galenascale/gateway/configuration.py
+++ b/galenascale/gateway/configuration.py
@@ -48,6 +48,9 @@
     # Batch: time after submission after which items may be given up, in
     # seconds.
     give_up_s: float = 0.0
+    # Batch: tokens of accepted items that may be open at a time; 0 for no
+    # limit.
+    max_open_tokens: int = 0
 
     @property
     def repeatable(self):
--- a/galenascale/gateway/following.py
+++ b/galenascale/gateway/following.py
@@ -186,6 +186,11 @@
                 before=before,
                 version=configuration.version,
                 routes=len(configuration.routes),
+                quotas={
+                    route.name: route.max_open_tokens
+                    for route in configuration.routes
+                    if route.max_open_tokens
+                },
             )
 
     async def follow_servers(self):
--- a/galenascale/gateway/host.py
+++ b/galenascale/gateway/host.py
@@ -24,6 +24,7 @@
 from galenascale.gateway.jobs.api import JobsApi
 from galenascale.gateway.jobs.bodies import BodyReader
 from galenascale.gateway.jobs.partitions import Partitions
+from galenascale.gateway.jobs.quotas import Quotas
 from galenascale.gateway.jobs.recorder import Recorder
 from galenascale.gateway.jobs.runner import JobRunner
 from galenascale.gateway.jobs.stewardship import Stewardship
@@ -120,6 +121,7 @@
         bodies = BodyReader(parts, partitions)
         recorder = Recorder(parts, partitions)
         stewardship = Stewardship(parts, link)
+        parts.quotas = Quotas(parts, partitions, stewardship)
         runner = JobRunner(parts, partitions, bodies, recorder, stewardship, started_ms)
         acceptance = Acceptance(parts, partitions, started_ms)
         jobs = JobsApi(parts, partitions, acceptance, bodies, runner)
@@ -173,6 +175,7 @@
         self._spawn("relay", relay.run)
         self._spawn("stewardship", self.stewardship.run)
         self._spawn("recorder", self.recorder.run)
+        self._spawn("quotas", self.parts.quotas.run)
         self._spawn("reachability", self.parts.reachability.run)
         self._spawn("jobs", self.runner.run)
         self._spawn("idle_connections", self._close_idle)
--- a/galenascale/gateway/jobs/acceptance.py
+++ b/galenascale/gateway/jobs/acceptance.py
@@ -3,6 +3,7 @@
 from galenascale.errors import Execution, GalenascaleError
 from galenascale.gateway.attempts import may_have_run, not_run
 from galenascale.gateway.jobs.partitions import BODIES_TOPIC, try_until
+from galenascale.gateway.jobs.quota_repair import RESERVED_FOR_S
 from galenascale.gateway.jobs.records import cut, encode_record, group_by_size, pack
 from galenascale.generated.gateway_messages import Job, JobItem, JobRecordKind
 from galenascale.store import STORE_ERRORS, StoreFenced
@@ -35,7 +36,7 @@
         """
         patience_s = request.patience_s or DEFAULT_PATIENCE_S
         deadline = arrived_at + patience_s * PATIENCE_SHARE
-        storing = _Storing(self._parts, self._partitions.of(submission.job_id))
+        storing = _Storing(self._parts, self._partitions.of(submission.job_id), route)
 
         async def step():
             job = self._make_job(submission, request, route)
@@ -44,7 +45,7 @@
         try:
             return await try_until(self._parts.clock, deadline, step, _RETRIED)
         except _RETRIED as error:
-            raise storing.end(error) from error
+            raise storing.end(submission.job_id, error) from error
 
     def _make_job(self, submission, request, route):
         return Job(
@@ -65,15 +66,19 @@
             due_ms=int(route.due_s * 1000),
             give_up_ms=int(route.give_up_s * 1000),
             config_version=self._parts.configuration.version,
+            route=route.name,
         )
 
 
 class _Storing:
     """The tries to store one job."""
 
-    def __init__(self, parts, partition):
+    def __init__(self, parts, partition, route):
         self._parts = parts
         self._partition = partition
+        self._route = route
+        # Monotonic time in seconds until which reserved tokens surely are so.
+        self._reserved_until = float("-inf")
         self._bodies_offset = None
         # An append of the job's record may have taken effect.
         self._maybe_stored = False
@@ -85,8 +90,18 @@
             await self._partition.refresh()
         if job_id in jobs_by_id:
             return None
+        if not self._maybe_stored:
+            await self._reserve(job_id, job)
         return await self._store(submission, job)
 
+    async def _reserve(self, job_id, job):
+        now = self._parts.clock.monotonic()
+        if now < self._reserved_until:
+            return
+        tokens = sum(item.tokens for item in job.items)
+        await self._parts.quotas.reserve(self._route, job_id, tokens)
+        self._reserved_until = now + RESERVED_FOR_S / 2
+
     async def _store(self, submission, job):
         records = _place_bodies(submission, job, self._parts.settings.store)
         if self._bodies_offset is None:
@@ -113,11 +128,12 @@
             end += len(group)
         return first
 
-    def end(self, error):
+    def end(self, job_id, error):
         """Return the truthful end of the submission."""
         reason = f"store does not answer: {error.message}"
         if self._maybe_stored:
             return may_have_run(reason, code="job_unknown", http_status=504)
+        self._parts.quotas.release(self._route.name, job_id, 0)
         return not_run(reason, code="store_unavailable", retry_after_s=RETRY_AFTER_S)
 
 
--- a/galenascale/gateway/jobs/api.py
+++ b/galenascale/gateway/jobs/api.py
@@ -136,5 +136,6 @@
                     code="end_unknown",
                     http_status=504,
                 ) from error
+            self._parts.quotas.release(state.job.route, state.job_id, 0)
             self._runner.wake()
         return web.Response(body=b"{}", content_type="application/json")
--- a/galenascale/gateway/jobs/partitions.py
+++ b/galenascale/gateway/jobs/partitions.py
@@ -9,6 +9,7 @@
 
 JOBS_TOPIC = "jobs"
 BODIES_TOPIC = "bodies"
+QUOTAS_TOPIC = "quotas"
 # Wait of one read for new records of a partition that is followed, in seconds.
 # A connection that falls silent is noticed after it, inside the 3 s in which
 # the runs of an ended job must stop.
@@ -37,9 +38,10 @@
 class Partition:
     """The state of one partition up to the position that was read."""
 
-    def __init__(self, number, parts):
+    def __init__(self, parts, topic, number, state):
+        self.topic = topic
         self.number = number
-        self.state = PartitionState()
+        self.state = state
         self._parts = parts
         self._position = 0
         self._lock = asyncio.Lock()
@@ -65,6 +67,11 @@
             while self._fresh_at < asked_at:
                 await self._read(0.0)
 
+    async def read_past(self, offset):
+        """Read the record at an offset; raise as `refresh` does."""
+        while self._position <= offset:
+            await self.refresh()
+
     async def wait(self, wait_s):
         """Read once, waiting for a new record."""
         await self._read(wait_s)
@@ -74,7 +81,7 @@
         position = self._position
         try:
             result = await self._parts.job_store.read(
-                JOBS_TOPIC, self.number, position, wait_s=wait_s
+                self.topic, self.number, position, wait_s=wait_s
             )
         except PartitionTrimmed as error:
             self._position = max(self._position, error.first_kept_offset)
@@ -83,11 +90,11 @@
             if offset >= self._position:
                 self._position = offset + 1
                 self._apply(offset, record)
-        self._forget_old_jobs()
+        self._forget_old()
         if self._position >= result.next_offset:
             self._fresh_at = max(self._fresh_at, started_at)
 
-    def _forget_old_jobs(self):
+    def _forget_old(self):
         retention_s = self._parts.settings.bounds.job_retention_s + EXTRA_RETENTION_S
         now_ms = self._parts.clock.wall_ms()
         self.state.forget_older(now_ms - int(retention_s * 1000))
@@ -99,6 +106,7 @@
             self._parts.log.write(
                 "job_record_broken",
                 "error",
+                topic=self.topic,
                 partition=self.number,
                 offset=offset,
                 reason=error.message,
@@ -106,7 +114,11 @@
 
     async def append(self, record):
         """Append a record and return its offset; raise as the store does."""
-        return await self._parts.job_store.append(JOBS_TOPIC, self.number, [record])
+        return await self.append_all([record])
+
+    async def append_all(self, records):
+        """Append all records or none; return the offset of the first."""
+        return await self._parts.job_store.append(self.topic, self.number, records)
 
 
 class Partitions:
@@ -124,5 +136,7 @@
     def get(self, number):
         """Return a partition by its number."""
         if number not in self._by_number:
-            self._by_number[number] = Partition(number, self._parts)
+            self._by_number[number] = Partition(
+                self._parts, JOBS_TOPIC, number, PartitionState()
+            )
         return self._by_number[number]
--- a/galenascale/gateway/jobs/recorder.py
+++ b/galenascale/gateway/jobs/recorder.py
@@ -75,12 +75,21 @@
             JobRecordKind.OUTCOMES, job_id, JobOutcomes(outcomes=group)
         )
         await partition.append(record)
+        self._release(partition, job_id, group)
         self._parts.log.write(
             "outcomes_recorded",
             job=job_id,
             items=[outcome.index for outcome in group],
         )
 
+    def _release(self, partition, job_id, group):
+        """Give the tokens of items back whose outcomes are in the store."""
+        state = partition.state.jobs_by_id.get(job_id)
+        if state is not None:
+            finished = {outcome.index for outcome in group}
+            tokens = state.open_tokens(finished)
+            self._parts.quotas.release(state.job.route, job_id, tokens)
+
     async def record_progress(self, job_id, items):
         """Write the output of unfinished items; raise as the store does."""
         progress = [
--- a/galenascale/gateway/jobs/state.py
+++ b/galenascale/gateway/jobs/state.py
@@ -42,6 +42,20 @@
         """Return the number of items."""
         return len(self.job.items)
 
+    def open_tokens(self, finished=()):
+        """
+        Return the tokens of the items that are still to be done.
+
+        `finished` are indexes of items whose outcomes are not read back yet.
+        """
+        if self.ended:
+            return 0
+        return sum(
+            item.tokens
+            for index, item in enumerate(self.job.items)
+            if index not in self.outcomes_by_index and index not in finished
+        )
+
     @property
     def finished(self):
         """Return True if every item has an outcome."""
--- a/galenascale/gateway/jobs/store_access.py
+++ b/galenascale/gateway/jobs/store_access.py
@@ -6,7 +6,11 @@
 from galenascale.codec import decode, encode
 from galenascale.errors import DecodeError
 from galenascale.gateway.http_bodies import read_limited
-from galenascale.gateway.jobs.partitions import BODIES_TOPIC, JOBS_TOPIC
+from galenascale.gateway.jobs.partitions import (
+    BODIES_TOPIC,
+    JOBS_TOPIC,
+    QUOTAS_TOPIC,
+)
 from galenascale.gateway.sockets import peer_url
 from galenascale.generated.gateway_messages import (
     StoreAnswer,
@@ -23,7 +27,7 @@
 
 CALL_PATH = "/store"
 # Topics that a host may ask of another one.
-_TOPICS = frozenset((JOBS_TOPIC, BODIES_TOPIC))
+_TOPICS = frozenset((JOBS_TOPIC, BODIES_TOPIC, QUOTAS_TOPIC))
 # Seconds for the answer of another host beside the time that a read waits: the
 # longest that its own call of the store may take, and some way.
 ANSWER_TIMEOUT_S = 2.5
--- a/galenascale/gateway/metrics.py
+++ b/galenascale/gateway/metrics.py
@@ -29,6 +29,9 @@
             "request_seconds", "Arrival to the end of the answer.", ("route",)
         )
         self.config_version = self._gauge("config_version", "Version in force.")
+        self.quota_open_tokens = self._gauge(
+            "quota_open_tokens", "Tokens of unfinished items by route.", ("route",)
+        )
         self.peers = self._gauge("peers", "Hosts heard of lately.")
         self.log_lines_waiting = self._gauge(
             "log_lines_waiting", "Log lines not yet written."
@@ -39,8 +42,10 @@
             name, text, labels, namespace="galenascale", registry=self.registry
         )
 
-    def _gauge(self, name, text):
-        return Gauge(name, text, namespace="galenascale", registry=self.registry)
+    def _gauge(self, name, text, labels=()):
+        return Gauge(
+            name, text, labels, namespace="galenascale", registry=self.registry
+        )
 
     def _histogram(self, name, text, labels):
         return Histogram(
--- a/galenascale/platform/configuration.py
+++ b/galenascale/platform/configuration.py
@@ -56,6 +56,8 @@
         due_s=get_seconds(fields, "DueMs", 0.0),
         # Not a lifetime: the time after which an item may be given up.
         give_up_s=get(fields, "ItemTtlS", float, 0.0),
+        # Named after a queue, but counts items until they are finished.
+        max_open_tokens=get(fields, "MaxQueueTokens", int, 0),
     )
 
 
--- a/schema/gateway.thrift
+++ b/schema/gateway.thrift
@@ -122,6 +122,8 @@
   6: i64 config_version = 0,
   /** Wall time in milliseconds at which the record was made. */
   7: i64 written_ms = 0,
+  /** Name of the route; routes may share a partition. */
+  8: string route = "",
 }
 
 // --- Messages between hosts ---------------------------------------------------
