--- a/galenascale/gateway/jobs/quotas.py
+++ b/galenascale/gateway/jobs/quotas.py
@@ -26,7 +26,7 @@
 COMPARE_INTERVAL_S = 2.0
 # Seconds after which a caller comes back while nothing becomes free.
 RETRY_AFTER_S = 1.0
-MIN_RETRY_AFTER_S = 0.2
+MIN_RETRY_AFTER_S = 0.5
 
 
 class Quotas:
