--- /dev/null
+++ b/test/gateway/test_reported_faults.py
@@ -0,0 +1,333 @@
+"""
+Faults that operators of similar systems reported, on whole hosts.
+
+docs/testing.md lists them with all their tests.
+"""
+
+import asyncio
+import contextlib
+import socket
+
+import attrs
+import pytest
+
+from galenascale.gateway import peer_table
+from galenascale.gateway.sockets import split_address
+from galenascale.standins.runner import RunnerStandin
+from test.gateway.test_jobs import read_results, submit, wait_for_results, words
+from test.gateway.world import gateway_world, make_headers, until
+
+SECOND_COPY = (
+    b"HTTP/1.1 200 OK\r\n%b"
+    b"X-Galenascale-Response-Signature: old\r\nContent-Length: 3\r\n\r\nold"
+)
+
+
+class LateRunner(RunnerStandin):
+    """Sends a second answer to a request where the next answer is due."""
+
+    copy = b""
+
+    async def _run(self, request, behaviour, reader, writer):
+        if len(self.requests) > 1:
+            writer.write(self.copy)
+            await asyncio.sleep(0.02)
+        return await super()._run(request, behaviour, reader, writer)
+
+
+@pytest.mark.parametrize("path", ["/plain/a", "/once/a", "/chat/a"])
+@pytest.mark.parametrize(
+    "name", [b"X-Galenascale-Attempt-Id: r0\r\n", b""], ids=["id", "no id"]
+)
+async def test_late_second_answer_reaches_no_other_caller(path, name):
+    """Guards the next caller on a connection against the one before."""
+    service = "llm" if path == "/chat/a" else "app"
+    async with gateway_world(runners=0) as world:
+        runner = LateRunner("late", service)
+        runner.copy = SECOND_COPY % name
+        runner.behaviour.echo = True
+        await runner.start()
+        world.runners.append(runner)
+        world.register(runner)
+        await until(lambda: world.hosts[0].parts.servers.usable(service, 0.0))
+        for number in range(6):
+            reply = await world.request(path, request_id=f"r{number}", data=b"x")
+            assert b"old" not in reply.body
+            if reply.status == 200 and reply.complete:
+                assert b"r%d" % number in reply.body
+                assert reply.headers["X-Galenascale-Response-Signature"] == "signed"
+        # The copies did come on connections that were in use again.
+        assert runner.connections < len(runner.requests)
+
+
+async def test_planned_stop_under_load_answers_all_that_was_accepted():
+    """Guards requests that come in while a host stops."""
+    async with gateway_world(hosts=1) as world:
+        for runner in world.runners:
+            runner.behaviour.work_s = 0.05
+            runner.behaviour.event_s = 0.03
+        host = world.hosts[0]
+        address, port = split_address(world.settings(1).caller_listen)
+        cut = []
+        answered = []
+
+        async def call(number):
+            path = ("/plain/a", "/chat/a", "/once/a")[number % 3]
+            try:
+                reader, writer = await asyncio.open_connection(address, port)
+            except OSError:
+                return False
+            headers = make_headers(f"r{number}", path) | {"Connection": "close"}
+            lines = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
+            writer.write(f"GET {path} HTTP/1.1\r\n{lines}\r\n".encode())
+            with contextlib.suppress(ConnectionError):
+                answer = await reader.read()
+                if answer:
+                    answered.append(number)
+                else:
+                    cut.append(number)
+            writer.close()
+            return True
+
+        stop = asyncio.create_task(host.stop())
+        calls = []
+        for number in range(400):
+            calls.append(asyncio.create_task(call(number)))
+            await asyncio.sleep(0.01)
+            if not host._caller_listener.is_serving():
+                break
+        await asyncio.gather(*calls)
+        await stop
+        assert cut == []
+        assert len(answered) > 50
+
+
+class DribblingRunner(RunnerStandin):
+    """Begins a stream and then sends one byte of a comment now and then."""
+
+    async def _stream(self, request, behaviour, reader, writer):
+        if behaviour.refuse:
+            return False
+        writer.write(
+            b"HTTP/1.1 200 OK\r\nX-Galenascale-Attempt-Id: %b\r\n"
+            b"X-Galenascale-Response-Signature: s\r\n\r\nid: 1\ndata: word1\n\n"
+            % request.request_id.encode()
+        )
+        try:
+            while True:
+                writer.write(b":\n\n")
+                await writer.drain()
+                await asyncio.sleep(0.05)
+        except ConnectionError:
+            self.left_early += 1
+        return False
+
+
+async def add_dribbling(world):
+    """Add a server whose streams stall; the sound one refuses at first."""
+    runner = DribblingRunner("dribbling", "llm")
+    await runner.start()
+    world.runners.append(runner)
+    world.register(runner)
+    servers = world.hosts[0].parts.servers
+    await until(lambda: len(servers.usable("llm", 0.0)) == 2)
+    return runner
+
+
+async def test_slow_stream_is_not_cut():
+    """Guards sound streams with long pauses, also before their first event."""
+    async with gateway_world(runners=1) as world:
+        (runner,) = world.of("llm")
+        runner.behaviour.events = 3
+        runner.behaviour.event_s = 0.9
+        reply = await world.request("/chat/a", data=b"x")
+        assert (reply.status, reply.complete) == (200, True)
+        assert reply.body.count(b"data: word") == 3
+        assert len(runner.requests) == 1
+
+
+async def test_stalled_stream_ends_with_the_time_of_its_caller():
+    """Guards callers against streams that send a byte now and then."""
+    async with gateway_world(runners=1) as world:
+        (sound,) = world.of("llm")
+        runner = await add_dribbling(world)
+        sound.behaviour.refuse = True
+        async with asyncio.timeout(4.0):
+            reply = await world.request("/talk/a", data=b"x")
+        assert not reply.complete
+        await until(lambda: runner.left_early, 1.0)
+
+
+async def test_stalled_item_goes_on_elsewhere():
+    """Guards items against servers that send a byte now and then."""
+    async with gateway_world(runners=1) as world:
+        (sound,) = world.of("llm")
+        runner = await add_dribbling(world)
+        sound.behaviour.refuse = True
+        assert await submit(world, "job-1", items=1) == 202
+        await until(lambda: runner.requests)
+        sound.behaviour.refuse = False
+        (result,) = await wait_for_results(world, "job-1", 1)
+        assert result["Text"] == words(5)
+        assert sound.requests[-1].header("Last-Event-Id") == "1"
+        await until(lambda: runner.left_early, 1.0)
+
+
+def mute(host):
+    """Let a host send no more messages to other hosts."""
+    host.presence.link._send = lambda address, data: None
+
+
+async def test_two_hosts_that_both_run_a_job_record_each_item_once():
+    """Guards results around a takeover from a host that lives on."""
+    async with gateway_world(hosts=2) as world:
+        first, second = world.hosts
+        await until(lambda: second.stewardship.partitions)
+        for runner in world.of("llm"):
+            runner.behaviour.event_s = 0.4
+            runner.behaviour.events = 12
+        partitions = second.runner._partitions
+        # A job which the other host would take over.
+        job_id = next(
+            name
+            for name in map("job-{}".format, range(100))
+            if partitions.of(name).number in second.stewardship.partitions
+        )
+        assert await submit(world, job_id, items=4) == 202
+        await until(lambda: sum(runner.running for runner in world.of("llm")) == 4)
+        mute(first)
+        jobs_by_id = partitions.of(job_id).state.jobs_by_id
+        await until(lambda: job_id in jobs_by_id)
+        await until(lambda: jobs_by_id[job_id].runner == "host-2")
+        # The first one learns of the claim and stops; until then both ran.
+        await until(lambda: not first.runner._items_by_key)
+        results = await wait_for_results(world, job_id, 4)
+        assert sorted(item["Id"] for item in results) == [f"item-{n}" for n in range(4)]
+        assert {item["Text"] for item in results} == {words(12)}
+        assert results == (await read_results(world, job_id, host=2))["Outputs"]
+
+
+async def test_host_that_is_silent_for_a_while_keeps_its_work():
+    """Guards running items against a host that reports late."""
+    async with gateway_world(hosts=2) as world:
+        first = world.hosts[0]
+        for runner in world.of("llm"):
+            runner.behaviour.event_s = 0.5
+            runner.behaviour.events = 8
+        assert await submit(world, "job-1", items=4) == 202
+        await until(lambda: sum(runner.running for runner in world.of("llm")) == 4)
+        send = first.presence.link._send
+        mute(first)
+        await asyncio.sleep(peer_table.GONE_AFTER_S * 0.7)
+        first.presence.link._send = send
+        await wait_for_results(world, "job-1", 4)
+        assert sum(len(runner.requests) for runner in world.of("llm")) == 4
+
+
+async def test_server_whose_entry_lapses_keeps_its_work():
+    """Guards running streams against a server that reports late."""
+    async with gateway_world(runners=1) as world:
+        (runner,) = world.of("llm")
+        runner.behaviour.event_s = 0.3
+        task = asyncio.create_task(world.request("/chat/a", data=b"x"))
+        await until(lambda: runner.running)
+        world.unregister(runner)
+        servers = world.hosts[0].parts.servers
+        await until(lambda: not servers.usable("llm", 0.0))
+        reply = await task
+        assert (reply.status, reply.complete) == (200, True)
+        assert len(runner.requests) == 1
+
+
+@attrs.frozen
+class Garbage:
+    """Bytes that somebody sends to a listener of a host."""
+
+    name: str
+    data: bytes
+
+
+GARBAGE = [
+    Garbage("nothing", b""),
+    Garbage("zeros", bytes(64)),
+    Garbage("text", b"hello\r\n\r\n"),
+    Garbage("half a request", b"POST /store HTTP/1.1\r\nContent-Length: 9\r\n\r\nx"),
+    Garbage("wrong length", b"POST /store HTTP/1.1\r\nContent-Length: -1\r\n\r\n"),
+    Garbage(
+        "store call of bytes", b"POST /store HTTP/1.1\r\nContent-Length: 3\r\n\r\nabc"
+    ),
+    Garbage("high bytes", bytes(range(128, 256))),
+]
+
+
+def send_datagram(world, data):
+    """Send a datagram to the first host."""
+    address = split_address(world.settings(1).peer_listen)[0]
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+        sock.sendto(data, (address, world.ports["datagram"]))
+
+
+async def send_bytes(address, data):
+    """Send bytes to a listener and wait shortly for what it answers."""
+    reader, writer = await asyncio.open_connection(*split_address(address))
+    writer.write(data)
+    with contextlib.suppress(TimeoutError, ConnectionError):
+        async with asyncio.timeout(0.05):
+            await reader.read()
+    writer.close()
+
+
+@pytest.mark.parametrize("garbage", GARBAGE, ids=lambda garbage: garbage.name)
+async def test_malformed_message_takes_nothing_down(garbage):
+    """Guards the process against one message, wherever it comes in."""
+    async with gateway_world() as world:
+        host = world.hosts[0]
+        settings = world.settings(1)
+        send_datagram(world, garbage.data)
+        for address in (
+            settings.caller_listen,
+            settings.ready_listen,
+            settings.peer_listen,
+        ):
+            await send_bytes(address, garbage.data)
+        for number in range(world.store.state.partitions):
+            for topic in ("jobs", "quotas"):
+                world.store.state.append(topic, number, [garbage.data])
+        world.store.write_key("keyed.servers", "broken", garbage.data)
+        world.store.write_key("keyed.op", "config", garbage.data)
+        world.write_config()
+        await until(lambda: host.parts.configuration.version == world.version)
+        assert (await world.request("/plain/a", data=b"x")).status == 200
+        assert await submit(world, "job-1", items=2) == 202
+        await wait_for_results(world, "job-1", 2)
+
+
+async def test_unexpected_error_in_any_task_ends_neither_it_nor_the_process():
+    """Guards the process against a fault of its own in a background task."""
+    async with gateway_world() as world:
+        host = world.hosts[0]
+        names = {task.get_name() for task in host._tasks}
+        assert len(names) >= 11
+        host.parts.log.set_level("error")
+
+        def fail(*args):
+            raise RuntimeError("fault of a test")
+
+        faults = [
+            (host.parts.servers, "expire"),
+            (host.recorder, "flush"),
+            (host.parts.quotas, "_is_comparison_due"),
+            (host.runner, "_sync"),
+            (host.presence.link, "_send_in_turn"),
+            (host.parts.pool, "close_idle"),
+        ]
+        originals = [getattr(part, name) for part, name in faults]
+        for part, name in faults:
+            setattr(part, name, fail)
+        await asyncio.sleep(0.5)
+        for (part, name), original in zip(faults, originals, strict=True):
+            setattr(part, name, original)
+        assert {task.get_name() for task in host._tasks if not task.done()} == names
+        assert (await world.request("/plain/a", data=b"x")).status == 200
+        assert await submit(world, "job-1", items=2) == 202
+        await wait_for_results(world, "job-1", 2)
