Let servers' failures fade; play servers that leave and endless bytes in the soak

Cause: the soak's new check never saw its broken program: after the faults all requests of the calm went to one engine of four. A server's share of successes moved by its own answers only, and below the quality at which its slots are preferred it got none while others were free; so it stayed judged for ever.

Change: failures lose weight with time (e-fold in 8 s). The soak draws four kinds of endless bytes and checks that a server which says that it leaves is left alone, in the calm, with a broken program that ignores the word.

--- a/galenascale/gateway/dispatch.py
+++ b/galenascale/gateway/dispatch.py
@@ -67,7 +67,7 @@
             ]
             if len(entries) > MAX_CANDIDATES:
                 entries = parts.rng.sample(entries, MAX_CANDIDATES)
-            candidates = list(map(self._candidate, entries))
+            candidates = [self._candidate(entry, now) for entry in entries]
             chosen = choose(
                 candidates,
                 parts.rng,
@@ -88,7 +88,7 @@
             if not parts.health.is_paused(entry.incarnation)
         ]
 
-    def _candidate(self, entry):
+    def _candidate(self, entry, now):
         parts = self._parts
         in_flight = parts.load.at(entry.server_id)
         return Candidate(
@@ -97,7 +97,7 @@
             batch=in_flight.batch,
             own_online=parts.load.own_at(entry.server_id).online,
             own_slots=parts.slot_shares.of(entry),
-            quality=parts.health.quality(entry.incarnation),
+            quality=parts.health.quality(entry.incarnation, now),
             paused=parts.health.is_paused(entry.incarnation),
             same_domain=entry.failure_domain == parts.settings.failure_domain,
         )
--- a/galenascale/gateway/forwarding.py
+++ b/galenascale/gateway/forwarding.py
@@ -69,9 +69,12 @@
         self._content_key = fingerprint(request)
         self._held_bytes = parts.settings.held_answer_bytes
 
+    def _now(self):
+        return self._parts.clock.monotonic()
+
     def admit(self):
         """Raise RequestEnded for a request that is refused at once."""
-        now = self._parts.clock.monotonic()
+        now = self._now()
         service = self._services[0]
         retry_after_s = self._parts.admission.retry_after_s(
             self._content_key,
@@ -108,13 +111,13 @@
     def _end_if_not_replaceable(self):
         """Raise RequestEnded if a part of a plain answer was sent."""
         if self._started and self._route.kind is not RequestKind.STREAMING:
-            now = self._parts.clock.monotonic()
+            now = self._now()
             raise self._plan.end("answer broke off after its first part", now)
 
     async def _next_candidate(self):
         plan = self._plan
         while True:
-            now = self._parts.clock.monotonic()
+            now = self._now()
             if plan.remaining_s(now) < MIN_REMAINING_S:
                 raise plan.end("time is up", plan.deadline)
             if not plan.may_run():
@@ -135,7 +138,7 @@
             return
         self._plan.was_broken = True
         server = candidate.server
-        self._parts.health.failed(server.incarnation)
+        self._parts.health.failed(server.incarnation, self._now())
         self._parts.reachability.check_for_crash(server, self._content_key)
         if self._route.repeatable and not self._plan.may_run():
             await self._check_cut_off(server)
@@ -193,10 +196,10 @@
         parts = self._parts
         incarnation = send.server.incarnation
         if head.status < 500:
-            parts.health.answered(incarnation)
+            parts.health.answered(incarnation, self._now())
             self._refuse_late_failure(answer.head)
             return answer, True
-        parts.health.failed(incarnation)
+        parts.health.failed(incarnation, self._now())
         self._refuse_late_failure(answer.head)
         # Another server may do what this one failed to do.
         self._last_failure = answer
@@ -205,7 +208,7 @@
     async def _relay_whole(self, send, head):
         """Pass a long answer on as it comes; it can no longer be replaced."""
         self._refuse_late_failure(head)
-        self._parts.health.answered(send.server.incarnation)
+        self._parts.health.answered(send.server.incarnation, self._now())
         while (piece := await send.connection.read()) is not None:
             await self._deliver(head, piece)
         send.complete = True
@@ -228,10 +231,10 @@
                 continue
             if first:
                 first = False
-                self._parts.health.answered(send.server.incarnation)
+                self._parts.health.answered(send.server.incarnation, self._now())
             await self._deliver(head, data)
         send.complete = True
-        elapsed_s = self._parts.clock.monotonic() - send.sent_at
+        elapsed_s = self._now() - send.sent_at
         self._parts.admission.run_times.completed(send.server.service, elapsed_s)
         # A whole answer may end without a blank line.
         await self._deliver(head, splitter.pending)
--- a/galenascale/gateway/health.py
+++ b/galenascale/gateway/health.py
@@ -1,5 +1,7 @@
 """Backend servers that fail, as seen from the answers to requests."""
 
+import math
+
 import attrs
 
 # Seconds after a server was found out of reach until it is checked again;
@@ -9,6 +11,9 @@
 MAX_CHECK_S = 1.2
 # Weight of the newest outcome in the share of successes.
 OUTCOME_WEIGHT = 0.15
+# Seconds in which the failures of the past lose weight by a factor of e: a
+# server that others are preferred to gets no request that could clear it.
+RECOVERY_S = 8.0
 # A server is never judged so faulty that it gets no request by which it could
 # show that it has recovered.
 MIN_QUALITY = 0.1
@@ -17,10 +22,23 @@
 @attrs.define
 class _Health:
     success_share: float = 1.0
+    # Monotonic time in seconds of the last outcome.
+    judged_at: float = 0.0
     # Checks that failed since it was last reached; 0 while it is in reach.
     failed_checks: int = 0
     next_check_at: float = float("-inf")
 
+    def share(self, now):
+        """Return the share of successes, older failures weighing less."""
+        faded = math.exp(-max(0.0, now - self.judged_at) / RECOVERY_S)
+        return 1.0 - (1.0 - self.success_share) * faded
+
+    def judge(self, outcome, now):
+        """Take an outcome in, 1 for a success and 0 for a failure."""
+        share = self.share(now)
+        self.success_share = share + OUTCOME_WEIGHT * (outcome - share)
+        self.judged_at = now
+
 
 class ServerHealth:
     """What requests and checks showed of each run of a backend server."""
@@ -31,16 +49,15 @@
     def _get(self, incarnation):
         return self._by_incarnation.setdefault(incarnation, _Health())
 
-    def answered(self, incarnation):
+    def answered(self, incarnation, now):
         """Note a good answer."""
         health = self._get(incarnation)
         health.failed_checks = 0
-        health.success_share += OUTCOME_WEIGHT * (1.0 - health.success_share)
+        health.judge(1.0, now)
 
-    def failed(self, incarnation):
+    def failed(self, incarnation, now):
         """Note an answer that reports a failure or that broke off."""
-        health = self._get(incarnation)
-        health.success_share -= OUTCOME_WEIGHT * health.success_share
+        self._get(incarnation).judge(0.0, now)
 
     def reached(self, incarnation):
         """Note that a connection to a server was accepted."""
@@ -70,12 +87,12 @@
         health = self._by_incarnation.get(incarnation)
         return self.is_paused(incarnation) and now >= health.next_check_at
 
-    def quality(self, incarnation):
+    def quality(self, incarnation, now):
         """Return the weight of a server by its successes, at most 1."""
         health = self._by_incarnation.get(incarnation)
         if health is None:
             return 1.0
-        return max(MIN_QUALITY, health.success_share**2)
+        return max(MIN_QUALITY, health.share(now) ** 2)
 
     def forget(self, incarnation):
         """Drop what is known of a run that ended."""
--- a/galenascale/gateway/jobs/item_runs.py
+++ b/galenascale/gateway/jobs/item_runs.py
@@ -139,7 +139,7 @@
     except BackendError as error:
         if error.step == "connect":
             return RunEnd("refused", error.message)
-        parts.health.failed(server.incarnation)
+        parts.health.failed(server.incarnation, parts.clock.monotonic())
         if error.code == "server_silent":
             avoided_until = parts.clock.monotonic() + AVOID_SILENT_S
             item.avoided_until[server.incarnation] = avoided_until
@@ -174,7 +174,7 @@
         return RunEnd("refused", f"status {head.status}")
     if head.status == STATUS_CANNOT_BE_DONE:
         return RunEnd("cannot_be_done")
-    parts.health.failed(send.server.incarnation)
+    parts.health.failed(send.server.incarnation, parts.clock.monotonic())
     return RunEnd("failed", f"status {head.status}")
 
 
--- a/galenascale/standins/runner.py
+++ b/galenascale/standins/runner.py
@@ -12,6 +12,9 @@
 import orjson
 
 SIGNATURE = "signed"
+# Bytes after which a source of endless bytes stops, and those of one write.
+MAX_POURED_BYTES = 48 << 20
+_POUR_BYTES = 1 << 16
 
 
 @attrs.define
@@ -38,6 +41,16 @@
         return self.header("X-Galenascale-Attempt-Id") or ""
 
 
+@attrs.frozen
+class EndlessBytes:
+    """Bytes without end in place of an answer."""
+
+    # First bytes, in which @ID stands for the request's id.
+    first: bytes
+    # Bytes that follow until the connection closes.
+    then: bytes
+
+
 @attrs.define
 class Behaviour:
     """How a runner answers; tests change it while it runs."""
@@ -67,6 +80,7 @@
     echo: bool = False
     # Say in each answer that the runner leaves.
     leaving: bool = False
+    endless: EndlessBytes | None = None
 
 
 class RunnerStandin:
@@ -84,6 +98,8 @@
         self.max_running = 0
         self.connections = 0
         self.left_early = 0
+        # Answers without end that were broken off by the other side.
+        self.endless_closed = 0
         self.sequence = 0
         self.started_ms = 1
         self.address = ""
@@ -156,6 +172,11 @@
             return False
         if behaviour.drop:
             return False
+        if behaviour.endless is not None:
+            self.endless_closed += await pour(
+                behaviour.endless, request.request_id, writer
+            )
+            return False
         if behaviour.crash:
             await self.stop()
             writer.transport.abort()
@@ -209,6 +230,23 @@
         return True
 
 
+async def pour(source, request_id, writer):
+    """
+    Send EndlessBytes until the connection closes.
+
+    Return False if the other side takes more than anybody should.
+    """
+    writer.write(source.first.replace(b"@ID", request_id.encode()))
+    pattern = source.then * (_POUR_BYTES // len(source.then))
+    for _ in range(MAX_POURED_BYTES // len(pattern)):
+        try:
+            writer.write(pattern)
+            await writer.drain()
+        except ConnectionError:
+            return True
+    return False
+
+
 class _RequestReader:
     def __init__(self):
         self.request = RunnerRequest()
--- a/test/gateway/test_endless_bytes.py
+++ b/test/gateway/test_endless_bytes.py
@@ -12,12 +12,10 @@
 from galenascale.gateway.jobs.store_access import call_store
 from galenascale.generated.gateway_messages import StoreCall, StoreOutcome
 from galenascale.platform.store import StoreClient
-from galenascale.standins.runner import RunnerStandin
+from galenascale.standins.runner import EndlessBytes, RunnerStandin, pour
 from test.gateway.test_jobs import submit, wait_for_results, words
 from test.gateway.world import gateway_world, until
 
-# Bytes after which a source that nobody closes gives up.
-SOURCE_BYTES = 48 << 20
 # Memory that a host may need for one such connection, for its other work in
 # the test, and for the stand-ins, which share its process.
 MEMORY_BYTES = 900 << 10
@@ -76,37 +74,10 @@
     return pytest.mark.parametrize("source", sources, ids=lambda source: source.name)
 
 
-async def pour(source, request_id, writer):
-    """Send the bytes of a source until the connection closes; return True."""
-    writer.write(source.first.replace(b"@ID", request_id.encode()))
-    pattern = source.then * (65536 // len(source.then))
-    for _ in range(SOURCE_BYTES // len(pattern)):
-        try:
-            writer.write(pattern)
-            await writer.drain()
-        except ConnectionError:
-            return True
-    return False
-
-
-class EndlessRunner(RunnerStandin):
-    """Answers each request with the bytes of a source."""
-
-    source = None
-    closed = 0
-
-    async def _answer(self, request, reader, writer):
-        if self.behaviour.refuse:
-            return await super()._answer(request, reader, writer)
-        self.requests.append(request)
-        self.closed += await pour(self.source, request.request_id, writer)
-        return False
-
-
 async def add_endless(world, service, source):
     """Add a server with endless answers."""
-    runner = EndlessRunner(f"{service}-endless", service)
-    runner.source = source
+    runner = RunnerStandin(f"{service}-endless", service)
+    runner.behaviour.endless = EndlessBytes(source.first, source.then)
     await runner.start()
     world.runners.append(runner)
     world.register(runner)
@@ -130,7 +101,7 @@
         _, peak = tracemalloc.get_traced_memory()
     finally:
         tracemalloc.stop()
-    await until(lambda: endless.closed, CLOSED_IN_S)
+    await until(lambda: endless.endless_closed, CLOSED_IN_S)
     assert peak < MEMORY_BYTES
     return result
 
@@ -184,12 +155,10 @@
     """Guards kept connections and those of checks, where nothing is asked."""
     async with gateway_world(runners=1) as world:
         (runner,) = world.of("app")
-        endless = EndlessRunner("x", "x")
-        endless.source = HEADS[3]
         closed = []
 
         async def serve(reader, writer):
-            closed.append(await pour(endless.source, "", writer))
+            closed.append(await pour(HEADS[3], "", writer))
 
         server = await asyncio.start_server(serve, "127.0.0.1", 0)
         port = server.sockets[0].getsockname()[1]
--- a/test/soak/faults.py
+++ b/test/soak/faults.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from galenascale.standins.runner import Behaviour
+from galenascale.standins.runner import Behaviour, EndlessBytes
 from test.soak.proxy import Harm
 
 # Seconds of the play in which faults begin.
@@ -26,6 +26,11 @@
 # Kinds that are in each play and are not drawn.
 CERTAIN_KINDS = {"lose_answers", "cut_streams"}
 
+ANSWER = (
+    b"HTTP/1.1 200 OK\r\nX-Galenascale-Attempt-Id: @ID\r\n"
+    b"X-Galenascale-Response-Signature: s\r\n\r\n"
+)
+
 
 @attrs.frozen
 class Fault:
@@ -196,6 +201,10 @@
         b"X-Galenascale-Response-Signature: s\r\nContent-Length: 3\r\n\r\nold",
     ),
     ("event_s", 0.3),
+    ("endless", EndlessBytes(b"HTTP/1.1 200 OK\r\nX-A: ", b"a")),
+    ("endless", EndlessBytes(b"", b"HTTP/1.1 103 Early\r\n\r\n")),
+    ("endless", EndlessBytes(ANSWER, b"a")),
+    ("endless", EndlessBytes(ANSWER + b"id: 1\ndata: a\n\n", b":\n\n")),
 )
 
 _ACTIONS_BY_KIND = {
--- a/test/soak/gateway_process.py
+++ b/test/soak/gateway_process.py
@@ -41,6 +41,12 @@
         return usable(servers, service, now) + drained
 
     ServerList.usable = all_usable
+    ServerList.is_usable = lambda servers, entry, now: True
+
+
+def _ignore_word_of_servers():
+    ServerList.note_leaving = lambda servers, entry, now: False
+    ServerList.learn_leaving = lambda servers, run_keys, now: False
 
 
 def _forget_outcomes():
@@ -73,6 +79,7 @@
     "repeat_everything": _repeat_everything,
     "deny_runs": _deny_runs,
     "ignore_draining": _ignore_draining,
+    "ignore_word_of_servers": _ignore_word_of_servers,
     "forget_outcomes": _forget_outcomes,
     "keep_first_configuration": _keep_first_configuration,
     "complete_broken_streams": _complete_broken_streams,
--- a/test/soak/play.py
+++ b/test/soak/play.py
@@ -21,6 +21,8 @@
 DRAIN_S = 2.0
 # Requests on an added route at each host.
 CHANGE_REQUESTS = 4
+# Requests at most until a server gets one in which it can say that it leaves.
+WORD_REQUESTS = 60
 CALLERS = 6
 SUBMITTERS = 2
 
@@ -81,6 +83,7 @@
     result.broken.extend(check_requests(fleet, clients.requests))
     result.broken.extend(check_jobs(fleet, clients.jobs))
     result.broken.extend([line async for line in _check_changes(fleet, clients)])
+    result.broken.extend([line async for line in _check_word(fleet)])
     result.requests = len(clients.requests)
     result.served = sum(sent.status == 200 for sent in clients.requests)
     result.jobs = sum(job.accepted for job in clients.jobs)
@@ -139,3 +142,35 @@
                 yield f"host {process.number}: {path} got {status}"
     if len(leaving.requests) > seen:
         yield "a server that drains got new requests"
+
+
+async def _check_word(fleet):
+    """Yield a line if a server that says that it leaves is still used."""
+    host = fleet.processes[0].number
+    leaving = await _serving_engine(fleet, host)
+    if leaving is None:
+        yield "no engine serves a request in the calm"
+        return
+    leaving.behaviour.leaving = True
+    said = len(leaving.requests) + 1
+    for number in range(WORD_REQUESTS):
+        await _try_request(fleet, host, f"/chat/{number}")
+        if len(leaving.requests) >= said:
+            break
+    await asyncio.sleep(DRAIN_S)
+    for process in fleet.processes:
+        for number in range(CHANGE_REQUESTS):
+            await _try_request(fleet, process.number, f"/chat/{number}")
+    if len(leaving.requests) > said:
+        yield "a server that said that it leaves got new requests"
+
+
+async def _serving_engine(fleet, host):
+    """Return the engine to which a host sends a request, or None."""
+    engines = fleet.of("llm")
+    before = [len(engine.requests) for engine in engines]
+    await _try_request(fleet, host, "/chat/first")
+    for engine, count in zip(engines, before, strict=True):
+        if len(engine.requests) > count:
+            return engine
+    return None
