--- a/bench/gateway_slopes.py
+++ b/bench/gateway_slopes.py
@@ -14,17 +14,25 @@
 from galenascale.gateway.balancing import Candidate, choose
 from galenascale.gateway.gossip import StatusRouter
 from galenascale.gateway.jobs.pacing import ServerLoad, plan_interrupts, plan_starts
+from galenascale.gateway.jobs.quota_repair import QuotaRepair
+from galenascale.gateway.jobs.quota_state import OpenJob, QuotaState
+from galenascale.gateway.jobs.state import JobState
 from galenascale.gateway.load import FleetLoad, InFlight, hash_key
 from galenascale.gateway.peer_table import PeerTable
 from galenascale.gateway.servers import ServerEntry, ServerList
 from galenascale.generated.gateway_messages import (
     HostStatus,
+    Job,
+    JobItem,
+    QuotaRecord,
+    QuotaRecordKind,
     ServerInFlight,
     StatusBatch,
 )
 
 SIZES = (50, 500)
 SERVERS_IN_STATUS = 8
+ITEMS = 10
 REPEATS = 30
 
 
@@ -126,11 +134,43 @@
     return run
 
 
+def fold_quota(size):
+    """Return a function that reads the reservations and ends of jobs."""
+    kinds = (QuotaRecordKind.RESERVE, QuotaRecordKind.RELEASE)
+    data = [
+        encode(QuotaRecord(kind=int(kind), job_id=f"j{n}", tokens=tokens, route="r"))
+        for n in range(size)
+        for kind, tokens in zip(kinds, (9000, 0), strict=True)
+    ]
+
+    def run():
+        state = QuotaState("r")
+        for record in data:
+            state.apply(record)
+
+    return run
+
+
+def compare_quota(size):
+    """Return a function that compares a quota with the open jobs once."""
+    items = [JobItem(tokens=900) for _ in range(ITEMS)]
+    jobs = {f"j{n}": JobState(f"j{n}", Job(items=items), "h", 1) for n in range(size)}
+    open_by_job = {job_id: OpenJob(900 * ITEMS, 0) for job_id in jobs}
+    repair = QuotaRepair()
+
+    def run():
+        repair.corrections(open_by_job, jobs, lambda _: True, 1.0)
+
+    return run
+
+
 WORKS = (
     Work("receive one round of states", "host", receive_statuses),
     Work("choose a server", "server", choose_server),
     Work("pace items once", "server", pace_items),
     Work("decide where states go", "host", route_statuses),
+    Work("fold a quota", "job", fold_quota),
+    Work("compare a quota", "job", compare_quota),
 )
 
 
