Answer HEAD for long answers

Cause: an answer too long to be held is passed on as it comes; one to HEAD states a length and has no body, so the caller's answer was ended before it began (500). Change: answers to HEAD are always held. Measured: test_head_of_a_long_answer_is_passed_on failed before.

--- a/galenascale/gateway/forwarding.py
+++ b/galenascale/gateway/forwarding.py
@@ -189,7 +189,7 @@
         return await self._read_whole(send, head)
 
     async def _read_whole(self, send, head):
-        if head.status < 500 and head.length and head.length > self._held_bytes:
+        if self._is_too_long_to_hold(head):
             await self._relay_whole(send, head)
             return None, True
         answer = Answer(head, await send.read_body(self._held_bytes))
@@ -205,6 +205,11 @@
         self._last_failure = answer
         return answer, not self._plan.may_run()
 
+    def _is_too_long_to_hold(self, head):
+        if head.status >= 500 or self._request.method == "HEAD":
+            return False
+        return head.length is not None and head.length > self._held_bytes
+
     async def _relay_whole(self, send, head):
         """Pass a long answer on as it comes; it can no longer be replaced."""
         self._refuse_late_failure(head)
--- a/test/gateway/test_endless_bytes.py
+++ b/test/gateway/test_endless_bytes.py
@@ -179,6 +179,15 @@
         assert (reply.status, reply.complete, reply.body) == (200, True, body)
 
 
+async def test_head_of_a_long_answer_is_passed_on():
+    """Guards questions for the length of an answer, which has no body."""
+    async with gateway_world() as world:
+        for runner in world.of("app"):
+            runner.behaviour.body = bytes(3 << 20)
+        reply = await world.request("/plain/a", method="HEAD")
+        assert (reply.status, reply.complete, reply.body) == (200, True, b"")
+
+
 async def test_long_answer_that_breaks_off_does_not_look_complete():
     """Guards callers against two halves of two answers."""
     source = Source("half", SIGNED + b"Content-Length: 1000000000\r\n\r\n", b"a")
