Let the soak's endless comments follow a true first event

Seeds 3005 and 3007 of 24 (3000 to 3023) failed: texts of results began with the event 'a', which the new fault sends as the first one of a stream before its endless comments. The gateway went on rightly after it; the fault itself was wrong. Both seeds are regression cases now.

--- a/test/soak/faults.py
+++ b/test/soak/faults.py
@@ -204,7 +204,7 @@
     ("endless", EndlessBytes(b"HTTP/1.1 200 OK\r\nX-A: ", b"a")),
     ("endless", EndlessBytes(b"", b"HTTP/1.1 103 Early\r\n\r\n")),
     ("endless", EndlessBytes(ANSWER, b"a")),
-    ("endless", EndlessBytes(ANSWER + b"id: 1\ndata: a\n\n", b":\n\n")),
+    ("endless", EndlessBytes(ANSWER + b"id: 1\ndata: @ID word1\n\n", b":\n\n")),
 )
 
 _ACTIONS_BY_KIND = {
--- a/test/soak/test_soak.py
+++ b/test/soak/test_soak.py
@@ -19,6 +19,9 @@
 REGRESSIONS = {
     2010: "jobs whose caller asked for their end and lost the answer as all hosts "
     "were killed counted as owing results; shown for one of two",
+    3005: "a fault of the soak: its endless comments followed a first event that was "
+    "not the request's own, and the stream went on rightly after it",
+    3007: "as 3005",
 }
 SMALL = Size(hosts=3, faults=6)
 
