Keep the events that come before bytes that are none; look one server up alone

Cause: pieces of a body were handed on once a whole part was parsed, so that an error in the part lost the events before it. The check before a send expired the entries of all servers.

--- a/galenascale/gateway/backend_connection.py
+++ b/galenascale/gateway/backend_connection.py
@@ -83,8 +83,11 @@
 
     def _parse(self, data):
         self._bounds.received(len(data))
-        self._parser.feed_data(data)
-        self._push_body()
+        try:
+            self._parser.feed_data(data)
+        finally:
+            # What came before bytes that are no answer is a part of it.
+            self._push_body()
         self._bounds.check()
 
     def eof_received(self):
--- a/galenascale/gateway/servers.py
+++ b/galenascale/gateway/servers.py
@@ -193,14 +193,12 @@
 
     def is_usable(self, entry, now):
         """Return True if this run of a server may still get new requests."""
-        self.expire(now)
         known = self._known_by_id.get(entry.server_id)
-        return (
-            known is not None
-            and known.entry is not None
-            and known.entry.incarnation == entry.incarnation
-            and self._is_open(known.entry, now)
-        )
+        if known is None or known.entry is None:
+            return False
+        is_removed = known.removed_at is not None and known.removed_at <= now
+        is_same_run = known.entry.incarnation == entry.incarnation
+        return is_same_run and not is_removed and self._is_open(known.entry, now)
 
     def all_entries(self):
         """Return all entries that are not removed."""
--- a/test/gateway/test_jobs.py
+++ b/test/gateway/test_jobs.py
@@ -7,6 +7,7 @@
 import orjson
 import pytest
 
+from galenascale.standins.runner import EndlessBytes
 from test.gateway.world import gateway_world, until
 
 TOKENS = {"X-Galenascale-Model": "m", "X-Galenascale-Token-Usage": "100,80"}
@@ -131,6 +132,27 @@
         assert hanging.running == 0
 
 
+async def test_events_before_bytes_that_are_none_are_kept():
+    """Guards output that was read against what spoils the rest of it."""
+    events = b"".join(b"id: %d\ndata: word%d\n\n" % (n, n) for n in range(1, 4))
+    spoilt = EndlessBytes(
+        b"HTTP/1.1 200 OK\r\nX-Galenascale-Attempt-Id: @ID\r\n"
+        b"X-Galenascale-Response-Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n"
+        b"%x\r\n%b\r\n" % (len(events), events),
+        b"zz\r\n",
+    )
+    async with gateway_world() as world:
+        first, second = world.of("llm")
+        first.behaviour.endless = spoilt
+        second.behaviour.refuse = True
+        assert await submit(world, "job-1", items=1) == 202
+        await until(lambda: first.requests)
+        first.behaviour.refuse, second.behaviour.refuse = True, False
+        (result,) = await wait_for_results(world, "job-1", 1)
+        assert result["Text"] == words(5)
+        assert second.requests[-1].header("Last-Event-Id") == "3"
+
+
 async def test_ended_job_stops():
     """Guards a cancelled job against runs that go on."""
     async with gateway_world(hosts=2) as world:
