--- a/galenascale/gateway/jobs/quota_repair.py
+++ b/galenascale/gateway/jobs/quota_repair.py
@@ -36,9 +36,9 @@
         of these partitions, and `open_by_job` are the quota's OpenJobs.
         """
         missing = [
-            Correction(QuotaRecordKind.COUNT, job_id, state.open_tokens())
+            Correction(QuotaRecordKind.COUNT, job_id, tokens)
             for job_id, state in dealt_jobs.items()
-            if job_id not in open_by_job and state.open_tokens()
+            if job_id not in open_by_job and (tokens := state.open_tokens())
         ]
         return missing + self._leftovers(open_by_job, dealt_jobs, is_dealt, now)
 
--- a/galenascale/gateway/jobs/quotas.py
+++ b/galenascale/gateway/jobs/quotas.py
@@ -129,7 +129,7 @@
     def _limited_routes(self):
         configuration = self._parts.configuration.current
         routes = configuration.routes if configuration else ()
-        return {route.name: route for route in routes if route.max_open_tokens}
+        return {route.name for route in routes if route.max_open_tokens}
 
     async def run(self):
         """Write releases and compare until cancelled."""
--- a/test/gateway/test_endless_bytes.py
+++ b/test/gateway/test_endless_bytes.py
@@ -13,7 +13,7 @@
 from galenascale.gateway.jobs.store_access import call_store
 from galenascale.generated.gateway_messages import StoreCall, StoreOutcome
 from galenascale.platform.store import StoreClient
-from galenascale.standins.runner import EndlessBytes, RunnerStandin, pour
+from galenascale.standins.runner import EndlessBytes, pour
 from test.gateway.test_jobs import submit, wait_for_results, words
 from test.gateway.world import ROUTES, gateway_world, until
 
@@ -81,11 +81,8 @@
 
 async def add_endless(world, service, source):
     """Add a server with endless answers."""
-    runner = RunnerStandin(f"{service}-endless", service)
+    runner = await world.add_runner(f"{service}-endless", service)
     runner.behaviour.endless = EndlessBytes(source.first, source.then)
-    await runner.start()
-    world.runners.append(runner)
-    world.register(runner)
     servers = world.hosts[0].parts.servers
     await until(lambda: len(servers.usable(service, 0.0)) == 2)
     return runner
--- a/test/gateway/test_reported_faults.py
+++ b/test/gateway/test_reported_faults.py
@@ -106,8 +106,6 @@
     """Begins a stream and then sends one byte of a comment now and then."""
 
     async def _stream(self, request, behaviour, reader, writer):
-        if behaviour.refuse:
-            return False
         writer.write(
             b"HTTP/1.1 200 OK\r\nX-Galenascale-Attempt-Id: %b\r\n"
             b"X-Galenascale-Response-Signature: s\r\n\r\nid: 1\ndata: word1\n\n"
