--- a/bench/gateway_slopes.py
+++ b/bench/gateway_slopes.py
@@ -5,6 +5,7 @@
 them, for docs/CAPACITY.md.
 """
 
+import itertools
 import random
 import time
 
@@ -13,13 +14,17 @@
 from galenascale.codec import decode, encode
 from galenascale.gateway.balancing import Candidate, choose
 from galenascale.gateway.gossip import StatusRouter
-from galenascale.gateway.jobs.pacing import ServerLoad, plan_interrupts, plan_starts
 from galenascale.gateway.jobs.quota_repair import QuotaRepair
 from galenascale.gateway.jobs.quota_state import OpenJob, QuotaState
 from galenascale.gateway.jobs.state import JobState
 from galenascale.gateway.load import FleetLoad, InFlight, hash_key
 from galenascale.gateway.peer_table import PeerTable
 from galenascale.gateway.servers import ServerEntry, ServerList
+from galenascale.gateway.slots.decisions import Grant, PoolServer
+from galenascale.gateway.slots.messages import make_answer, make_ask, make_ended
+from galenascale.gateway.slots.pool import SlotPool
+from galenascale.gateway.slots.pool_map import Pool
+from galenascale.gateway.slots.waiting import Ask
 from galenascale.generated.gateway_messages import (
     HostStatus,
     Job,
@@ -32,6 +37,7 @@
 
 SIZES = (50, 500)
 SERVERS_IN_STATUS = 8
+SLOTS = 8
 ITEMS = 10
 REPEATS = 30
 
@@ -81,7 +87,7 @@
                     part.server_key: InFlight(part.online, part.batch)
                     for part in status.in_flight
                 }
-                load.report(status.host_id, parts, 1, 1.0)
+                load.report(status.host_id, parts, 1.0)
 
     return run
 
@@ -105,17 +111,36 @@
     return run
 
 
-def pace_items(size):
-    """Return a function that plans starts and interruptions once."""
-    hosts = tuple(f"h{number}" for number in range(size))
-    loads = [
-        ServerLoad(make_entry(number), 3, {"h1": 1, "h2": 1}) for number in range(size)
-    ]
+def grant_slot(size):
+    """Return a function that grants a slot of a nearly full pool once."""
+    slots = SlotPool(random.Random(1))
+    slots.set_servers([PoolServer(key, SLOTS) for key in range(1, size + 1)])
+    for number in range(size * (SLOTS - 1)):
+        slots.ask(Ask("h0", number, start_by=9.0), 1.0)
+    number = itertools.count(size * SLOTS)
+
+    def run():
+        ask = Ask("h1", next(number), start_by=9.0)
+        slots.ask(ask, 1.0)
+        slots.end(ask.run_id, 1.0)
+
+    return run
+
+
+def exchange_slot_messages(size):
+    """Return a function that codes the messages of so many granted slots."""
+    pool = Pool("llm", "d1")
+    ask = Ask("", 1 << 56, start_by=2.0)
+    messages = (
+        make_ask(pool, ask, 1.0),
+        make_answer(pool, Grant(ask, 77)),
+        make_ended(pool, ask.number, 77, 1),
+    )
 
     def run():
-        plan_starts(loads, "h1", hosts)
-        for load in loads:
-            plan_interrupts(load, "h1")
+        for _ in range(size):
+            for message in messages:
+                decode(StatusBatch, encode(StatusBatch(slots=[message])))
 
     return run
 
@@ -167,7 +192,8 @@
 WORKS = (
     Work("receive one round of states", "host", receive_statuses),
     Work("choose a server", "server", choose_server),
-    Work("pace items once", "server", pace_items),
+    Work("grant a slot and take it back", "server of the pool", grant_slot),
+    Work("code the messages of a slot", "slot", exchange_slot_messages),
     Work("decide where states go", "host", route_statuses),
     Work("fold a quota", "job", fold_quota),
     Work("compare a quota", "job", compare_quota),
--- a/galenascale/gateway/slots/pool_map.py
+++ b/galenascale/gateway/slots/pool_map.py
@@ -9,8 +9,8 @@
 
 # Servers of one pool: more make choices no better and cost their owner more.
 MAX_SERVERS = 48
-# Seconds for which a host that gave no answer is not asked. Short, as it counts
-# the same slots as its stand-in once it is back.
+# Seconds for which a host that gave no answer is not asked. Short, as both it
+# and its stand-in count the same slots once it is back.
 SUSPECTED_S = 1.0
 
 
