End runs that are cancelled before they begin; ask elsewhere what no server takes

Change: runs end by a callback of their task; such a request pauses and asks again, as before, or goes to another pool. Tests that failed first: test_item_that_makes_room_at_once_runs_later, test_endless_bytes::test_stream_goes_on_elsewhere[header value].

--- a/galenascale/gateway/jobs/runner.py
+++ b/galenascale/gateway/jobs/runner.py
@@ -177,7 +177,17 @@
         item.lease = lease
         lease.on_make_room = lambda _: self._make_room(item)
         self._log_start(item, server)
-        item.task = self._group.create_task(self._run(item, server, route, lease))
+        item.task = self._group.create_task(self._run(item, server, route))
+        # A task that is cancelled before its first step runs none of its code.
+        item.task.add_done_callback(lambda task: self._end_run(item, lease, task))
+
+    def _end_run(self, item, lease, task):
+        outcome = SlotOutcome.UNUSED
+        if not task.cancelled() and task.exception() is None:
+            outcome = task.result()
+        self._parts.slots.client.release(lease, outcome)
+        item.reset()
+        self.wake()
 
     def _make_room(self, item):
         """Interrupt an item whose slot a request needs."""
@@ -196,10 +206,10 @@
             events=item.events,
         )
 
-    async def _run(self, item, server, route, lease):
+    async def _run(self, item, server, route):
+        """Run an item once; return the SlotOutcome."""
         began_at = self._parts.clock.monotonic()
         resumed = item.last_event_id is not None
-        outcome = SlotOutcome.UNUSED
         try:
             body = await self._bodies.read(item.state, item.index)
             end = await run_item(
@@ -220,12 +230,9 @@
             if end.outcome == "completed" and not resumed:
                 run_s = self._parts.clock.monotonic() - began_at
                 self._scheduler.estimate.completed(run_s * 1000, item.events)
-            outcome = SLOT_OUTCOMES.get(end.outcome, SlotOutcome.SERVED)
             self._outcomes.apply(item, server, route, end)
-        finally:
-            self._parts.slots.client.release(lease, outcome)
-            item.reset()
-            self.wake()
+            return SLOT_OUTCOMES.get(end.outcome, SlotOutcome.SERVED)
+        return SlotOutcome.UNUSED
 
     async def hand_over(self, give_up_at):
         """
--- a/galenascale/gateway/placing.py
+++ b/galenascale/gateway/placing.py
@@ -78,7 +78,8 @@
         parts = self._parts
         now = parts.clock.monotonic()
         entries = parts.servers.usable(service, now)
-        if not entries:
+        if all(plan.excludes(entry.incarnation) for entry in entries):
+            # Those that refused it are asked again after a pause.
             return None
         admission = parts.admission
         lease = await parts.slots.client.acquire(
--- a/galenascale/gateway/slots/pool.py
+++ b/galenascale/gateway/slots/pool.py
@@ -234,6 +234,8 @@
         item = self._item_to_yield(ask.avoid)
         if item is not None:
             return [self._yield(item, now), self._grant(ask, item.server_key, now)]
+        if self._servers_by_key.keys() <= ask.avoid:
+            return self._forward(ask, lambda spare: 1)
         return self._forward(ask, lambda spare: spare.batch)
 
     def _place_batch(self, ask, now):
--- a/test/gateway/test_jobs.py
+++ b/test/gateway/test_jobs.py
@@ -301,6 +301,34 @@
         assert len(resumed) > 2
 
 
+async def test_item_that_makes_room_at_once_runs_later():
+    """
+    Guards items against being left lying.
+
+    Found in an ablation, sergii-plovdiv trouble-1 with seed 11: an owner took
+    a slot back in the same moment in which the item got it. The task was
+    cancelled before its first step, so its end was never noted, and the item
+    kept its slot and never ran again.
+    """
+    async with gateway_world(runners=1) as world:
+        runner = world.hosts[0].runner
+        start = runner._start
+        taken_back = []
+
+        def start_and_take_back(item, server, route, lease):
+            start(item, server, route, lease)
+            if not taken_back:
+                taken_back.append(item)
+                lease.on_make_room(lease)
+
+        runner._scheduler._on_start = start_and_take_back
+        assert await submit(world, "job-1", items=2) == 202
+        assert len(await wait_for_results(world, "job-1", 2)) == 2
+        assert taken_back
+        client = world.hosts[0].parts.slots.client
+        await until(lambda: not client._leases_by_number)
+
+
 async def test_stop_in_an_outage_keeps_items_until_the_store_returns():
     """
     Guards items of hosts that stop in turn while the store is away.
--- a/test/gateway/test_slot_pool.py
+++ b/test/gateway/test_slot_pool.py
@@ -183,6 +183,14 @@
     assert isinstance(pool.ask(passed_on, 0.0)[0], Queued)
 
 
+def test_ask_that_no_server_here_may_get_goes_to_another_pool():
+    """Guards a request that each server of a domain broke off."""
+    pool = make_pool(servers=2, slots=1)
+    pool.learn_spare(7, Spare(free=0, free_for_batch=0, batch=0), 0.0)
+    ask = Ask("b", 1, start_by=1.0, avoid=frozenset((1, 2)))
+    assert pool.ask(ask, 0.0) == [Queued(ask, 0.0), Forwarded(ask, 7)]
+
+
 @pytest.mark.parametrize("batch", [False, True])
 def test_free_slots_are_spread_over_the_servers(batch):
     """Guards against one full server beside empty ones."""
