Give slots back that are granted as their request ends

Cause: a caller who left, or a wait that ended, in the moment of the grant left a lease that nobody released; the host named it as held until its restart. Change: the end of a claim that nobody waits for is given back.

--- a/galenascale/gateway/slots/claims.py
+++ b/galenascale/gateway/slots/claims.py
@@ -54,3 +54,12 @@
     def renewal_s(self):
         """Return the seconds between two messages about the ask."""
         return RENEWAL_S if self.ask.batch else REQUEST_RENEWAL_S
+
+    async def is_answered(self, timeout_s):
+        """Return True if an owner answers in time."""
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self.answered.wait()
+        except TimeoutError:
+            return False
+        return True
--- a/galenascale/gateway/slots/client.py
+++ b/galenascale/gateway/slots/client.py
@@ -4,7 +4,12 @@
 import itertools
 
 from galenascale.gateway.load import hash_key
-from galenascale.gateway.slots.claims import RENEWAL_S, Claim, Lease, SlotRefused
+from galenascale.gateway.slots.claims import (
+    RENEWAL_S,
+    Claim,
+    Lease,
+    SlotRefused,
+)
 from galenascale.gateway.slots.messages import make_ask, make_ended, make_hold
 from galenascale.gateway.slots.waiting import Ask
 from galenascale.generated.gateway_messages import SlotMessageKind, SlotOutcome
@@ -65,38 +70,44 @@
         refused and would be late.
         """
         ended = asyncio.get_running_loop().create_future()
-
-        def on_end(result):
-            if not ended.done():
-                ended.set_result(result)
-
-        claim = self.want(service, on_end, **fields)
-        if claim is None or not await self._is_answered(claim):
+        claim = self.want(service, lambda result: self._settle(ended, result), **fields)
+        if claim is None:
             return None
+        result = None
         try:
-            async with asyncio.timeout(max(0.0, give_up_at - self._now())):
-                result = await ended
+            if await self._is_answered(claim):
+                async with asyncio.timeout(max(0.0, give_up_at - self._now())):
+                    result = await ended
         except TimeoutError:
             return None
         finally:
             self.cancel(claim)
+            if result is None and ended.done() and not ended.cancelled():
+                # It was granted in the moment in which the wait ended.
+                self._return(ended.result())
         if isinstance(result, SlotRefused):
             raise result
         return result
 
+    def _settle(self, ended, result):
+        """Hand the end of a claim to who waits for it."""
+        if ended.done():
+            self._return(result)
+        else:
+            ended.set_result(result)
+
+    def _return(self, result):
+        if isinstance(result, Lease):
+            self.release(result, SlotOutcome.UNUSED)
+
     async def _is_answered(self, claim):
-        """Return True if an owner answers; drop the claim otherwise."""
-        try:
-            for number in range(TRIES):
-                if number:
-                    self._ask(claim)
-                if await _is_set(claim.answered, ANSWER_TIMEOUT_S):
-                    return True
-        except asyncio.CancelledError:
-            self.cancel(claim)
-            raise
+        """Return True if an owner answers."""
+        for number in range(TRIES):
+            if number:
+                self._ask(claim)
+            if await claim.is_answered(ANSWER_TIMEOUT_S):
+                return True
         self._suspect(claim.owner, "no answer")
-        self.cancel(claim)
         return False
 
     def want(self, service, on_end, **fields):
@@ -285,13 +296,3 @@
         for claim in self._claims_by_number.values():
             claim.owner = self._owner(claim.pool)
         self.renew(self._now())
-
-
-async def _is_set(event, timeout_s):
-    """Return True if an event is set in time."""
-    try:
-        async with asyncio.timeout(timeout_s):
-            await event.wait()
-    except TimeoutError:
-        return False
-    return True
