Record the output of items at stops only

Cause: a lost host costs its items up to a whole run each; recording their output every 2 s was to save that.

--- a/galenascale/gateway/jobs/runner.py
+++ b/galenascale/gateway/jobs/runner.py
@@ -12,7 +12,7 @@
 )
 from galenascale.gateway.jobs.outcomes import ItemOutcomes
 from galenascale.gateway.jobs.partitions import try_until
-from galenascale.gateway.jobs.progress import ProgressKeeper
+from galenascale.gateway.jobs.progress import record_all
 from galenascale.gateway.jobs.scheduler import ItemScheduler
 from galenascale.gateway.jobs.takeover import Takeover
 from galenascale.gateway.load import hash_key as job_key
@@ -46,7 +46,7 @@
         self._followers = Followers(parts, partitions, self.wake)
         self._wake = asyncio.Event()
         self._scheduler = ItemScheduler(parts, self._start)
-        self._progress = ProgressKeeper(parts, recorder, self._items_by_key.values)
+        self._recorder = recorder
         # Of the tasks that run items; None while there must be none.
         self._group = None
         self._takeover = Takeover(
@@ -71,7 +71,6 @@
             item.reset()
         async with asyncio.TaskGroup() as group:
             self._group = group
-            group.create_task(self._progress.run())
             try:
                 while True:
                     self._step(group)
@@ -254,7 +253,7 @@
         self.wake()
         await asyncio.sleep(0)
         try:
-            await self._progress.hand_over(items)
+            await record_all(self._recorder, items)
         except STORE_ERRORS as error:
             # The next host runs these items from their last record.
             self._parts.log.write(
@@ -265,10 +264,9 @@
     async def _record_until(self, give_up_at):
         """Try to record all items until the store takes them."""
         clock = self._parts.clock
-        items = self._items_by_key.values
 
         async def record():
-            await self._progress.hand_over(list(items()))
+            await record_all(self._recorder, list(self._items_by_key.values()))
 
         try:
             await try_until(clock, give_up_at, record)
