--- a/galenascale/gateway/slots/pool.py
+++ b/galenascale/gateway/slots/pool.py
@@ -171,10 +171,6 @@
         ]
         return again + self._serve(now)
 
-    def forget_host(self, host):
-        """Drop the runs of a host that is gone."""
-        self._runs.forget_host(host)
-
     # Decisions.
 
     def reserve(self):
--- a/galenascale/gateway/slots/pool_map.py
+++ b/galenascale/gateway/slots/pool_map.py
@@ -152,7 +152,8 @@
 
     def is_stand_in(self, pool, address, now):
         """Return True if a host owns a pool while another gives no answer."""
-        return address == self.owner(pool, now) != self._rank(pool)[0]
+        first = self._rank(pool)[0]
+        return address != first and address == self.owner(pool, now)
 
     def suspect(self, address, now):
         """Ask another host for some time, as one gave no answer."""
--- a/galenascale/gateway/slots/runs.py
+++ b/galenascale/gateway/slots/runs.py
@@ -117,9 +117,3 @@
         for run in self:
             if run.seen_at < unseen_since:
                 self.remove(run)
-
-    def forget_host(self, host):
-        """Drop the runs of a host that is gone."""
-        for run in self:
-            if run.host == host:
-                self.remove(run)
