Find a server by its key in messages in one place

Cause: the loop over entries stood in placing, the owner of pools and the scheduler of items, found in reading the diff. Change: servers.find_by_key serves all three; behaviour is the same.

--- a/galenascale/gateway/jobs/scheduler.py
+++ b/galenascale/gateway/jobs/scheduler.py
@@ -3,7 +3,7 @@
 import attrs
 
 from galenascale.gateway.jobs.pacing import RunEstimate, start_order
-from galenascale.gateway.load import hash_key
+from galenascale.gateway.servers import find_by_key
 
 # Slots that are asked for at a time, for each service. A granted slot is given
 # to the first item at that moment.
@@ -82,14 +82,7 @@
             return
         now = self._parts.clock.monotonic()
         entries = self._parts.servers.usable(lease.pool.service, now)
-        server = next(
-            (
-                entry
-                for entry in entries
-                if hash_key(entry.server_id) == lease.server_key
-            ),
-            None,
-        )
+        server = find_by_key(entries, lease.server_key)
         item = server and self._first_item(asks, server, now)
         if item is None:
             client.release(lease)
--- a/galenascale/gateway/placing.py
+++ b/galenascale/gateway/placing.py
@@ -7,6 +7,7 @@
 from galenascale.errors import BackendError
 from galenascale.gateway.configuration import RequestKind
 from galenascale.gateway.load import hash_key
+from galenascale.gateway.servers import find_by_key
 from galenascale.generated.gateway_messages import SlotOutcome
 
 # Share of a caller's patience for which a request waits for a slot; after it
@@ -93,7 +94,7 @@
         if lease is None:
             return None
         after = parts.clock.monotonic()
-        entry = self._find(service, lease.server_key, after)
+        entry = find_by_key(parts.servers.usable(service, after), lease.server_key)
         if entry is None or plan.excludes(entry.incarnation):
             parts.slots.client.release(lease, SlotOutcome.UNUSED)
             return None
@@ -110,12 +111,6 @@
             if plan.excludes(entry.incarnation) or health.is_paused(entry.incarnation)
         )
 
-    def _find(self, service, server_key, now):
-        for entry in self._parts.servers.usable(service, now):
-            if hash_key(entry.server_id) == server_key:
-                return entry
-        return None
-
     @contextlib.contextmanager
     def held(self, placed):
         """Hold the slot of a Placed during a send, and release it."""
--- a/galenascale/gateway/servers.py
+++ b/galenascale/gateway/servers.py
@@ -37,6 +37,14 @@
         return hash_key(f"{self.server_id}/{self.started_ms}")
 
 
+def find_by_key(entries, server_key):
+    """Return the entry whose server has a key of messages, or None."""
+    for entry in entries:
+        if hash_key(entry.server_id) == server_key:
+            return entry
+    return None
+
+
 @attrs.define
 class _Known:
     offset: int
--- a/galenascale/gateway/slots/owner.py
+++ b/galenascale/gateway/slots/owner.py
@@ -3,6 +3,7 @@
 import attrs
 
 from galenascale.gateway.load import hash_key
+from galenascale.gateway.servers import find_by_key
 from galenascale.gateway.slots.decisions import (
     Forwarded,
     Grant,
@@ -160,7 +161,7 @@
 
     def _judge(self, message, now):
         """Learn from another host's run how a server does."""
-        entry = self._entry(message.server)
+        entry = find_by_key(self._parts.servers.all_entries(), message.server)
         if entry is None:
             return
         health = self._parts.health
@@ -171,12 +172,6 @@
         elif message.outcome == SlotOutcome.UNREACHABLE:
             health.suspect(entry.incarnation, now)
 
-    def _entry(self, server_key):
-        for entry in self._parts.servers.all_entries():
-            if hash_key(entry.server_id) == server_key:
-                return entry
-        return None
-
     def _on_spare(self, message, address, slots, now):
         self._tellers_by_pool[message.from_pool] = (address, now)
         spare = Spare(message.free, message.free_for_batch, message.batch_runs)
