Find owners in a module of their own, and run background tasks in one

Change: Ownership holds the hosts, their ranking and the suspicion that PoolMap had; BackgroundTasks holds what GatewayHost had for its tasks. No decision changes.

Result: the tests of slots between hosts, of stopping and of online requests pass as before (test_slot_hosts, test_ending, test_reported_faults, test_online).

--- a/galenascale/gateway/context.py
+++ b/galenascale/gateway/context.py
@@ -19,6 +19,7 @@
     slot_shares: object
     health: object
     pool: object
+    ownership: object = None
     reachability: object = None
     admission: object = None
     crashes: object = None
--- a/galenascale/gateway/host.py
+++ b/galenascale/gateway/host.py
@@ -4,7 +4,6 @@
 import contextlib
 import random
 import time
-import traceback
 
 import aiohttp
 import attrs
@@ -13,6 +12,7 @@
 from galenascale.clock import Clock
 from galenascale.gateway.admission import Admission
 from galenascale.gateway.backend_pool import BackendPool
+from galenascale.gateway.background import BackgroundTasks
 from galenascale.gateway.configuration import CallerLimits, ConfigurationState
 from galenascale.gateway.context import GatewayContext
 from galenascale.gateway.crashes import CrashHistory
@@ -36,6 +36,7 @@
 from galenascale.gateway.listeners import CallerServer, listen, make_internal_server
 from galenascale.gateway.load import FleetLoad
 from galenascale.gateway.metrics import GatewayMetrics
+from galenascale.gateway.ownership import OwnerCandidate, Ownership
 from galenascale.gateway.peer_state import PeerStateFetcher, handle_state_request
 from galenascale.gateway.peers import PeerProtocol
 from galenascale.gateway.reachability import Reachability
@@ -47,12 +48,6 @@
 from galenascale.gateway.stopping import GracefulStop
 from galenascale.gateway.store_followers import StoreFollowers, StoreStatus
 
-# Seconds after which a failed background task is restarted.
-TASK_RESTART_DELAY_S = 0.5
-# Attempts to cancel the background tasks at the end of the process, and the
-# timeout of each in seconds.
-MAX_CANCEL_ATTEMPTS = 4
-CANCEL_TIMEOUT_S = 0.5
 # Seconds between two checks for idle backend connections to close.
 IDLE_CHECK_INTERVAL_S = 1.0
 
@@ -80,7 +75,7 @@
     stack: contextlib.AsyncExitStack
     discovery: HostDiscovery
     started_ms: int
-    _tasks: set = attrs.field(factory=set)
+    background: BackgroundTasks
     _caller_server: object = None
     _caller_listener: object = None
 
@@ -114,13 +109,17 @@
             admission=Admission(rng),
             crashes=CrashHistory(),
             store=adapter.make_store(settings.store, session),
+            ownership=Ownership(
+                OwnerCandidate(
+                    settings.host_id,
+                    settings.failure_domain,
+                    split_address(settings.peer_listen)[0],
+                )
+            ),
         )
         context.reachability = Reachability(context)
         peer_protocol = PeerProtocol(context, started_ms, store_status)
-        own_address = split_address(settings.peer_listen)[0]
-        context.slots = SlotService(
-            context, own_address, started_ms, peer_protocol.send_slots
-        )
+        context.slots = SlotService(context, started_ms, peer_protocol.send_slots)
         context.peers = peer_protocol.table
         context.job_store = RelayingStore(context, store_status, session)
         partitions = Partitions(context)
@@ -145,6 +144,7 @@
             stack=stack,
             discovery=HostDiscovery(context, store_status, peer_protocol),
             started_ms=started_ms,
+            background=BackgroundTasks(log),
         )
         context.servers.on_change(host._on_server_change)
         return host
@@ -171,22 +171,22 @@
             "start", started_ms=self.started_ms, failure_domain=settings.failure_domain
         )
         await self._listen(settings)
-        self._spawn("log", self.context.log.run)
-        self._spawn("configuration", self.followers.follow_configuration)
-        self._spawn("servers", self.followers.follow_servers)
-        self._spawn("peers", self.discovery.peer_protocol.run)
-        self._spawn("presence", self.discovery.run)
+        self.background.spawn("log", self.context.log.run)
+        self.background.spawn("configuration", self.followers.follow_configuration)
+        self.background.spawn("servers", self.followers.follow_servers)
+        self.background.spawn("peers", self.discovery.peer_protocol.run)
+        self.background.spawn("presence", self.discovery.run)
         peer_state = PeerStateFetcher(
             self.context, self.store_status, self.followers, self.session
         )
-        self._spawn("relay", peer_state.run)
-        self._spawn("stewardship", self.group_membership.run)
-        self._spawn("recorder", self.recorder.run)
-        self._spawn("quotas", self.context.quotas.run)
-        self._spawn("reachability", self.context.reachability.run)
-        self._spawn("slots", self.context.slots.run)
-        self._spawn("jobs", self.runner.run)
-        self._spawn("idle_connections", self._close_idle)
+        self.background.spawn("relay", peer_state.run)
+        self.background.spawn("stewardship", self.group_membership.run)
+        self.background.spawn("recorder", self.recorder.run)
+        self.background.spawn("quotas", self.context.quotas.run)
+        self.background.spawn("reachability", self.context.reachability.run)
+        self.background.spawn("slots", self.context.slots.run)
+        self.background.spawn("jobs", self.runner.run)
+        self.background.spawn("idle_connections", self._close_idle)
 
     async def _listen(self, settings):
         loop = asyncio.get_running_loop()
@@ -238,25 +238,6 @@
             body=self.context.metrics.expose(), content_type="text/plain"
         )
 
-    def _spawn(self, name, run):
-        loop = asyncio.get_running_loop()
-        task = loop.create_task(self._supervise(name, run), name=name)
-        self._tasks.add(task)
-
-    async def _supervise(self, name, run):
-        while True:
-            try:
-                await run()
-            except Exception as error:
-                self.context.log.write(
-                    "task_failed",
-                    "error",
-                    task=name,
-                    reason=repr(error),
-                    traceback=traceback.format_exc(),
-                )
-            await asyncio.sleep(TASK_RESTART_DELAY_S)
-
     async def _close_idle(self):
         while True:
             await asyncio.sleep(IDLE_CHECK_INTERVAL_S)
@@ -278,21 +259,5 @@
 
     async def kill(self):
         """Stop immediately, without handing jobs over."""
-        await self._cancel_tasks()
+        await self.background.cancel()
         await self.stack.aclose()
-
-    async def _cancel_tasks(self):
-        """
-        Cancel all background tasks, repeatedly if a task does not end.
-
-        A cancellation can be lost if a timeout inside a call expires at the
-        same time. The process has to end nevertheless.
-        """
-        pending = self._tasks
-        for _ in range(MAX_CANCEL_ATTEMPTS):
-            for task in pending:
-                task.cancel()
-            if pending:
-                _, pending = await asyncio.wait(pending, timeout=CANCEL_TIMEOUT_S)
-        for task in pending:
-            self.context.log.write("task_not_ended", "error", task=task.get_name())
--- a/galenascale/gateway/peers.py
+++ b/galenascale/gateway/peers.py
@@ -6,6 +6,7 @@
 from galenascale.errors import DecodeError
 from galenascale.gateway.gossip import StatusRouter
 from galenascale.gateway.load import InFlightCounts
+from galenascale.gateway.ownership import OwnerCandidate
 from galenascale.gateway.peer_table import PeerTable
 from galenascale.gateway.sockets import split_address
 from galenascale.generated.gateway_messages import (
@@ -108,7 +109,7 @@
         peers = self.table.alive(now)
         alive = {peer.host_id for peer in peers}
         self._slot_shares.set_hosts(peer.host_id for peer in peers if not peer.leaving)
-        self._context.slots.set_hosts(self.table.not_leaving(now), alive)
+        self._update_owners(self.table.not_leaving(now), alive)
         for host_id in alive - self._live_host_ids:
             self._log.write("peer_found", peer=host_id, peers=len(alive))
         for host_id in self._live_host_ids - alive:
@@ -116,6 +117,19 @@
             self._log.write("peer_lost", "warning", peer=host_id, peers=len(alive))
         self._live_host_ids = alive
 
+    def _update_owners(self, peers, alive):
+        candidates = [
+            OwnerCandidate(
+                peer.host_id,
+                peer.failure_domain,
+                peer.address,
+                is_responsive=peer.host_id in alive,
+            )
+            for peer in peers
+        ]
+        if self._context.ownership.set_hosts(candidates):
+            self._context.slots.on_owners_changed()
+
     async def run(self):
         """Send statuses periodically until cancelled."""
         while True:
--- a/galenascale/gateway/slots/service.py
+++ b/galenascale/gateway/slots/service.py
@@ -4,7 +4,7 @@
 
 from galenascale.gateway.slots.client import SlotClient
 from galenascale.gateway.slots.owner import PoolOwner
-from galenascale.gateway.slots.pool_map import OwnerCandidate, PoolMap
+from galenascale.gateway.slots.pool_map import PoolMap
 
 # Seconds between two rounds of renewals, expiries and decisions; also the
 # shortest interval of reports of free slots.
@@ -14,15 +14,11 @@
 class SlotService:
     """Connects this host's pool owner and slot client with other hosts."""
 
-    def __init__(self, context, own_address, started_ms, send):
-        settings = context.settings
+    def __init__(self, context, started_ms, send):
         self._context = context
-        self._own_address = own_address
+        self._own_address = context.ownership.own_address
         self._send_to_peer = send
-        own_host = OwnerCandidate(
-            settings.host_id, settings.failure_domain, own_address
-        )
-        self._pool_map = PoolMap(own_host)
+        self._pool_map = PoolMap(context.ownership)
         self.client = SlotClient(context, self._pool_map, self._send, started_ms)
         self._owner = PoolOwner(context, self._pool_map, self._send)
         context.servers.on_change(lambda *_: self._update_servers())
@@ -30,24 +26,9 @@
     def _update_servers(self):
         self._pool_map.set_servers(self._context.servers.all_entries())
 
-    def set_hosts(self, peers, alive):
-        """Set the peers that do not leave; `alive` has ids of live peers."""
-        owners = [
-            OwnerCandidate(
-                peer.host_id,
-                peer.failure_domain,
-                peer.address,
-                is_responsive=peer.host_id in alive,
-            )
-            for peer in peers
-        ]
-        if self._pool_map.set_hosts(owners):
-            # New owners have to learn which slots are held.
-            self.client.on_owners_changed()
-
-    def stop_owning(self):
-        """Give up the ownership of pools, as this host stops."""
-        self._pool_map.stop_owning()
+    def on_owners_changed(self):
+        """Tell new owners which slots are held."""
+        self.client.on_owners_changed()
 
     def _send(self, address, message):
         if address != self._own_address:
--- a/galenascale/gateway/stopping.py
+++ b/galenascale/gateway/stopping.py
@@ -35,7 +35,7 @@
         grace_s = self.context.settings.bounds.stop_grace_s
         end_at = began_at + grace_s - CUTOFF_MARGIN_S
         self.request_handler.stopping = True
-        self.context.slots.stop_owning()
+        self.context.ownership.stop_owning()
         self.context.log.write(
             "stop", in_flight=self.request_handler.in_flight, grace_s=grace_s
         )
--- a/test/gateway/test_ending.py
+++ b/test/gateway/test_ending.py
@@ -24,7 +24,7 @@
             await asyncio.sleep(60)
 
         host = fleet.hosts.pop()
-        host._spawn("losing", lose_first_cancellation)
+        host.background.spawn("losing", lose_first_cancellation)
         await asyncio.sleep(0.05)
         async with asyncio.timeout(5):
             await host.kill()
--- a/test/gateway/test_reported_faults.py
+++ b/test/gateway/test_reported_faults.py
@@ -308,7 +308,7 @@
     """Guards the process against exceptions in background tasks."""
     async with gateway_fleet() as fleet:
         host = fleet.hosts[0]
-        names = {task.get_name() for task in host._tasks}
+        names = {task.get_name() for task in host.background.tasks}
         assert len(names) >= 11
         host.context.log.set_level("error")
 
@@ -329,7 +329,9 @@
         await asyncio.sleep(0.5)
         for (part, name), original in zip(faults, originals, strict=True):
             setattr(part, name, original)
-        assert {task.get_name() for task in host._tasks if not task.done()} == names
+        assert {
+            task.get_name() for task in host.background.tasks if not task.done()
+        } == names
         assert (await fleet.request("/plain/a", data=b"x")).status == 200
         assert await submit(fleet, "job-1", items=2) == 202
         await wait_for_results(fleet, "job-1", 2)
--- a/test/gateway/test_slot_hosts.py
+++ b/test/gateway/test_slot_hosts.py
@@ -10,12 +10,11 @@
 from galenascale.gateway.health import ServerHealth
 from galenascale.gateway.load import FleetLoad, hash_key
 from galenascale.gateway.metrics import GatewayMetrics
-from galenascale.gateway.peer_table import Peer
+from galenascale.gateway.ownership import SUSPICION_S, OwnerCandidate, Ownership
 from galenascale.gateway.servers import ServerEntry, ServerList
 from galenascale.gateway.slots import client
 from galenascale.gateway.slots.leases import SlotRefused
 from galenascale.gateway.slots.pool import MIN_RUNS_FOR_FORECAST
-from galenascale.gateway.slots.pool_map import SUSPICION_S
 from galenascale.gateway.slots.service import SlotService
 from galenascale.generated.gateway_messages import (
     SlotMessage,
@@ -79,6 +78,7 @@
     log: Log
     rng: random.Random
     metrics: GatewayMetrics
+    ownership: Ownership
     slots: SlotService = None
     task: object = None
 
@@ -88,6 +88,12 @@
         return self.settings.host_id
 
 
+def set_owners(host, candidates):
+    """Let a host know other hosts, and new owners of the slots it holds."""
+    if host.ownership.set_hosts(candidates):
+        host.slots.on_owners_changed()
+
+
 class Bus:
     """Delivers messages between hosts after a millisecond, or loses them."""
 
@@ -118,9 +124,10 @@
             Log(),
             random.Random(host_id),
             GatewayMetrics(),
+            Ownership(OwnerCandidate(host_id, domain, host_id)),
         )
         host.slots = SlotService(
-            host, host_id, 1000, lambda to, message: self.send(host_id, to, message)
+            host, 1000, lambda to, message: self.send(host_id, to, message)
         )
         for number, entry in enumerate(self.entries):
             host.servers.apply(entry.server_id, number, entry, 0.0)
@@ -130,18 +137,18 @@
         """Let all hosts know each other; `silent_hosts` are not heard."""
         hosts = self.hosts_by_address.values()
         for host in hosts:
-            peers = [
-                Peer(
-                    other.address,
-                    0.0,
-                    host_id=other.address,
-                    failure_domain=other.settings.failure_domain,
-                )
-                for other in hosts
-                if other is not host
-            ]
-            host.slots.set_hosts(
-                peers, self.hosts_by_address.keys() - set(silent_hosts)
+            set_owners(
+                host,
+                [
+                    OwnerCandidate(
+                        other.address,
+                        other.settings.failure_domain,
+                        other.address,
+                        is_responsive=other.address not in silent_hosts,
+                    )
+                    for other in hosts
+                    if other is not host
+                ],
             )
 
     def send(self, sender, to, message):
@@ -486,8 +493,7 @@
             host for host in hosts if host.address not in (owner, misled.address)
         )
         # This host knows only one other host, which is not the owner.
-        peers = [Peer(other.address, 0.0, host_id=other.address, failure_domain="d0")]
-        misled.slots.set_hosts(peers, {other.address})
+        set_owners(misled, [OwnerCandidate(other.address, "d0", other.address)])
         leases = [await acquire(misled) for _ in range(2)]
         local_host = bus.hosts_by_address[owner]
         leases += [await acquire(local_host) for _ in range(SLOTS - 2)]
--- a/test/test_layering.py
+++ b/test/test_layering.py
@@ -29,6 +29,7 @@
     "galenascale.gateway.event_stream",
     "galenascale.gateway.health",
     "galenascale.gateway.load",
+    "galenascale.gateway.ownership",
     "galenascale.gateway.servers",
     "galenascale.gateway.slots.decisions",
     "galenascale.gateway.slots.pool",
