--- a/bench/relay.py
+++ b/bench/relay.py
@@ -28,9 +28,10 @@
 from galenascale.engine_client import EngineClient
 from galenascale.generated import messages
 from galenascale.http_api import ApiContext, make_app, start_listener
+from galenascale.key_table import key_digest
 from galenascale.metrics import Metrics
 from galenascale.online import OnlineService
-from galenascale.tenants import Tenants, key_digest
+from galenascale.tenants import Tenants
 
 KEY = "key-of-the-relay-bench"
 START_TIMEOUT_S = 20
--- a/bench/slope_cases.py
+++ b/bench/slope_cases.py
@@ -17,6 +17,7 @@
 from galenascale.configuration import Configuration
 from galenascale.generated import messages
 from galenascale.http_api.batches import count_items
+from galenascale.key_table import key_digest
 from galenascale.metrics import Metrics
 from galenascale.requests import ServerReport
 from galenascale.routing import Router, RouteRequest
@@ -25,7 +26,7 @@
 from galenascale.shards.keeper import bodies_in_use, next_effect_ms
 from galenascale.standins.log_store import LogStore
 from galenascale.store import OffsetRange, ReadResult
-from galenascale.tenants import Tenants, key_digest
+from galenascale.tenants import Tenants
 
 CHUNK_ITEMS = 32
 # Bytes of one recorded answer: about 300 tokens.
--- a/galenascale/embedded.py
+++ b/galenascale/embedded.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-import hashlib
 import socket
 import uuid
 
@@ -22,6 +21,7 @@
     RecordKind,
 )
 from galenascale.host import Host
+from galenascale.key_table import key_digest
 from galenascale.log_client import LogClient
 from galenascale.logs import get_logger
 from galenascale.platform.store import StoreClient
@@ -265,11 +265,6 @@
             return False
 
 
-def key_digest(key):
-    """Return the SHA-256 hex digest under which a key is declared."""
-    return hashlib.sha256(key.encode()).hexdigest()
-
-
 def free_ports(count):
     """Return free loopback ports; all are bound before any is released."""
     with contextlib.ExitStack() as stack:
--- a/galenascale/gateway/configuration.py
+++ b/galenascale/gateway/configuration.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from galenascale.key_table import KeyTable
+
 
 class RequestKind(enum.Enum):
     """Kind of a route's requests; it decides if they may be repeated."""
@@ -39,6 +41,8 @@
     max_attempts: int = 1
     # 0 is the highest priority.
     priority: int = 0
+    # Requests need no key and belong to no tenant.
+    anonymous: bool = False
     # An interrupted stream may resume on another backend server.
     resumable: bool = False
     # Objective for the time between two stream events, in seconds.
@@ -87,6 +91,21 @@
     idle_timeout_s: float = 15.0
 
 
+@attrs.frozen
+class Tenant:
+    """A team whose callers identify themselves by keys."""
+
+    name: str
+    # SHA-256 hex digests of its keys.
+    key_digests: tuple[str, ...] = attrs.field(default=(), repr=False)
+    # Replaces the priority of the route; None to keep it.
+    priority: int | None = None
+    # Requests per second over all hosts; 0 for no limit.
+    requests_per_s: float = 0.0
+    # Requests that may come at once in addition.
+    burst: float = 0.0
+
+
 @attrs.frozen
 class Configuration:
     """One complete version of the operator's configuration."""
@@ -95,7 +114,10 @@
     routes: tuple[Route, ...]
     services_by_name: dict[str, Service]
     limits: CallerLimits = CallerLimits()
-    # The encoded configuration, for hosts that cannot reach the store.
+    # None if callers need no keys at all.
+    tenants_by_name: dict[str, Tenant] | None = None
+    # The encoded configuration without keys, for hosts that cannot reach the
+    # store.
     source: bytes = attrs.field(default=b"", repr=False)
 
 
@@ -121,25 +143,47 @@
         return None
 
 
+class TenantTable:
+    """Looks up tenants by the keys of their callers."""
+
+    def __init__(self, tenants_by_name):
+        self._tenants_by_name = tenants_by_name
+        self._keys = KeyTable(
+            {name: tenant.key_digests for name, tenant in tenants_by_name.items()}
+        )
+
+    def find(self, key):
+        """Return the Tenant with a key, given as bytes, or None."""
+        name = self._keys.find(key)
+        return None if name is None else self._tenants_by_name[name]
+
+
 class ConfigurationState:
     """The newest known configuration; older versions are ignored."""
 
     def __init__(self):
         self.current = None
         self.table = RouteTable(())
-        # Monotonic time in seconds of the last change.
-        self.changed_at = None
+        # None if callers need no keys.
+        self.tenants = None
 
     @property
     def version(self):
         """Return the installed version, 0 before the first."""
         return self.current.version if self.current else 0
 
-    def install(self, configuration, now):
+    def tenant(self, name):
+        """Return the Tenant with a name, or None."""
+        if self.current is None or self.current.tenants_by_name is None:
+            return None
+        return self.current.tenants_by_name.get(name)
+
+    def install(self, configuration):
         """Install a configuration; return False if it is not newer."""
         if configuration.version <= self.version and self.current is not None:
             return False
         self.current = configuration
         self.table = RouteTable(configuration.routes)
-        self.changed_at = now
+        tenants_by_name = configuration.tenants_by_name
+        self.tenants = None if tenants_by_name is None else TenantTable(tenants_by_name)
         return True
--- a/galenascale/gateway/context.py
+++ b/galenascale/gateway/context.py
@@ -14,6 +14,7 @@
     log: object
     metrics: object
     configuration: object
+    configuration_proof: object
     servers: object
     load: object
     slot_shares: object
@@ -29,3 +30,5 @@
     job_store: object = None
     quotas: object = None
     slots: object = None
+    # Limits on the request rates of tenants.
+    rates: object = None
--- a/galenascale/gateway/host.py
+++ b/galenascale/gateway/host.py
@@ -11,9 +11,11 @@
 
 from galenascale.clock import Clock
 from galenascale.gateway.admission import Admission
+from galenascale.gateway.authentication import Authenticator
 from galenascale.gateway.backend_pool import BackendPool
 from galenascale.gateway.background import BackgroundTasks
 from galenascale.gateway.configuration import CallerLimits, ConfigurationState
+from galenascale.gateway.configuration_proof import ConfigurationProof
 from galenascale.gateway.context import GatewayContext
 from galenascale.gateway.crashes import CrashHistory
 from galenascale.gateway.discovery import HostDiscovery
@@ -39,6 +41,7 @@
 from galenascale.gateway.ownership import OwnerCandidate, Ownership
 from galenascale.gateway.peer_state import PeerStateFetcher, handle_state_request
 from galenascale.gateway.peers import PeerProtocol
+from galenascale.gateway.rates.service import RateService
 from galenascale.gateway.reachability import Reachability
 from galenascale.gateway.request_handler import RequestHandler
 from galenascale.gateway.servers import ServerList
@@ -46,7 +49,8 @@
 from galenascale.gateway.slots.service import SlotService
 from galenascale.gateway.sockets import split_address
 from galenascale.gateway.stopping import GracefulStop
-from galenascale.gateway.store_followers import StoreFollowers, StoreStatus
+from galenascale.gateway.store_followers import StoreFollowers
+from galenascale.gateway.store_status import StoreStatus
 
 # Seconds between two checks for idle backend connections to close.
 IDLE_CHECK_INTERVAL_S = 1.0
@@ -67,6 +71,7 @@
     context: GatewayContext
     store_status: StoreStatus
     followers: StoreFollowers
+    authenticator: Authenticator
     request_handler: RequestHandler
     runner: JobRunner
     recorder: OutcomeRecorder
@@ -101,6 +106,7 @@
             log=log,
             metrics=metrics,
             configuration=ConfigurationState(),
+            configuration_proof=ConfigurationProof(),
             servers=ServerList(),
             load=FleetLoad(settings.host_id),
             slot_shares=SlotShares(settings.host_id),
@@ -120,6 +126,7 @@
         context.reachability = Reachability(context)
         peer_protocol = PeerProtocol(context, started_ms, store_status)
         context.slots = SlotService(context, started_ms, peer_protocol.send_slots)
+        context.rates = RateService(context, started_ms, peer_protocol.send_rates)
         context.peers = peer_protocol.table
         context.job_store = RelayingStore(context, store_status, session)
         partitions = Partitions(context)
@@ -132,11 +139,15 @@
         )
         acceptor = JobAcceptor(context, partitions, started_ms)
         jobs = JobsApi(context, partitions, acceptor, bodies, runner)
+        authenticator = Authenticator(context)
         host = cls(
             context=context,
             store_status=store_status,
             followers=StoreFollowers(context, store_status, adapter.names),
-            request_handler=RequestHandler(context, Forwarder(context), jobs),
+            authenticator=authenticator,
+            request_handler=RequestHandler(
+                context, Forwarder(context), jobs, authenticator
+            ),
             runner=runner,
             recorder=recorder,
             group_membership=group_membership,
@@ -185,6 +196,7 @@
         self.background.spawn("quotas", self.context.quotas.run)
         self.background.spawn("reachability", self.context.reachability.run)
         self.background.spawn("slots", self.context.slots.run)
+        self.background.spawn("rates", self.context.rates.run)
         self.background.spawn("jobs", self.runner.run)
         self.background.spawn("idle_connections", self._close_idle)
 
@@ -219,6 +231,7 @@
             not self.request_handler.stopping
             and self.context.configuration.current is not None
             and self.context.servers.loaded
+            and self.authenticator.is_proven()
         )
 
     async def _handle_peer_request(self, request):
--- a/galenascale/gateway/jobs/acceptance.py
+++ b/galenascale/gateway/jobs/acceptance.py
@@ -10,6 +10,7 @@
     group_by_size,
     split_bytes,
 )
+from galenascale.gateway.jobs.scopes import QuotaScope
 from galenascale.generated.gateway_messages import Job, JobItem, JobRecordKind
 from galenascale.store import STORE_ERRORS, StoreFenced
 
@@ -44,7 +45,10 @@
         timeout_s = request.timeout_s or DEFAULT_TIMEOUT_S
         deadline = arrived_at + timeout_s * TIMEOUT_SHARE
         write = _JobWrite(
-            self._context, self._partitions.for_job(submission.job_id), route
+            self._context,
+            self._partitions.for_job(submission.job_id),
+            route,
+            request.tenant or "",
         )
 
         async def step():
@@ -78,16 +82,18 @@
             give_up_ms=int(route.give_up_s * 1000),
             config_version=self._context.configuration.version,
             route=route.name,
+            tenant=request.tenant or "",
         )
 
 
 class _JobWrite:
     """Attempts to store one job, with the state that they share."""
 
-    def __init__(self, context, partition, route):
+    def __init__(self, context, partition, route, tenant):
         self._context = context
         self._partition = partition
         self._route = route
+        self._tenant = tenant
         # Monotonic time in seconds until which the reservation has certainly
         # not expired.
         self._reserved_until = float("-inf")
@@ -118,7 +124,7 @@
         if now < self._reserved_until:
             return
         tokens = sum(item.tokens for item in job.items)
-        await self._context.quotas.reserve(self._route, job_id, tokens)
+        await self._context.quotas.reserve(self._route, self._tenant, job_id, tokens)
         self._reserved_until = now + RESERVATION_TTL_S / 2
 
     async def _store(self, submission, job):
@@ -149,10 +155,14 @@
 
     def failure(self, job_id, error):
         """Return the RequestFailed to raise after the last attempt failed."""
-        reason = f"store does not answer: {error.message}"
+        if isinstance(error, StoreFenced):
+            reason = f"other writers were always first: {error.message}"
+        else:
+            reason = f"store does not answer: {error.message}"
         if self._maybe_stored:
             return may_have_run_error(reason, code="job_unknown", http_status=504)
-        self._context.quotas.release(self._route.name, job_id, 0)
+        scope = QuotaScope(self._route.name, self._tenant)
+        self._context.quotas.release(scope, job_id, 0)
         return not_run_error(
             reason, code="store_unavailable", retry_after_s=RETRY_AFTER_S
         )
--- a/galenascale/gateway/jobs/api.py
+++ b/galenascale/gateway/jobs/api.py
@@ -1,11 +1,17 @@
 """Calls with which callers submit, read and cancel jobs."""
 
+import attrs
 from aiohttp import web
 
 from galenascale.errors import UserError
 from galenascale.gateway.attempts import may_have_run_error, not_run_error
 from galenascale.gateway.jobs.partitions import retry_until
 from galenascale.gateway.jobs.records import encode_record
+from galenascale.gateway.jobs.scopes import (
+    QuotaScope,
+    may_access,
+    scoped_job_id,
+)
 from galenascale.gateway.requests import ItemResult, JobCallKind
 from galenascale.generated.gateway_messages import ItemState, JobRecordKind
 from galenascale.store import STORE_ERRORS
@@ -34,6 +40,9 @@
         """Store a submitted job, start to run it and return the response."""
         request = exchange.request
         submission = self._context.dialect.parse_submission(request)
+        submission = attrs.evolve(
+            submission, job_id=scoped_job_id(request.tenant, submission.job_id)
+        )
         offset = await self._acceptor.accept(
             submission, request, route, exchange.arrived_at
         )
@@ -52,32 +61,38 @@
             JobCallKind.ITEM_BODY: self._item_body,
             JobCallKind.END: self._cancel,
         }[call.kind]
-        response = await handler(call)
+        state = await self._find_job(call, exchange.request.tenant)
+        response = await handler(state, call)
         exchange.finish(f"job_{call.kind.value}", status=response.status)
         return response
 
-    async def _find_job(self, call, max_age_s):
+    async def _find_job(self, call, tenant):
         """
-        Return the JobState of a job, read at most `max_age_s` seconds ago.
+        Return the JobState of a job that a tenant may access.
 
-        If the store does not answer, return the last known state. Raise
-        UserError if there is no such job, and RequestFailed if the store does
-        not answer and the job is not known here.
+        It was read at most MAX_STATE_AGE_S seconds ago; if the store does not
+        answer, it is the last known state. Raise UserError if there is no such
+        job, and RequestFailed if the store does not answer and the job is not
+        known here.
         """
-        partition = self._partitions.for_job(call.job_id)
+        # Jobs from before the configuration had tenants have plain ids.
+        job_ids = dict.fromkeys((scoped_job_id(tenant, call.job_id), call.job_id))
+        for max_age_s in (MAX_STATE_AGE_S, 0.0):
+            for job_id in job_ids:
+                state = await self._read_job(job_id, max_age_s)
+                if state is not None and may_access(state.job, tenant):
+                    return state
+        raise UserError("job does not exist", code="no_job", http_status=404)
+
+    async def _read_job(self, job_id, max_age_s):
+        partition = self._partitions.for_job(job_id)
+        jobs_by_id = partition.state.jobs_by_id
         try:
             await self._retry(lambda: partition.refresh(max_age_s))
         except STORE_ERRORS as error:
-            state = partition.state.jobs_by_id.get(call.job_id)
-            if state is None:
+            if job_id not in jobs_by_id:
                 raise self._store_unavailable(error) from error
-            return state
-        state = partition.state.jobs_by_id.get(call.job_id)
-        if state is None and max_age_s:
-            return await self._find_job(call, 0.0)
-        if state is None:
-            raise UserError("job does not exist", code="no_job", http_status=404)
-        return state
+        return jobs_by_id.get(job_id)
 
     async def _retry(self, step):
         """Repeat a step until the store answers; raise after a timeout."""
@@ -91,8 +106,7 @@
             retry_after_s=RETRY_AFTER_S,
         )
 
-    async def _results(self, call):
-        state = await self._find_job(call, MAX_STATE_AGE_S)
+    async def _results(self, state, call):
         if len(state.outcomes) <= call.position and not state.finished:
             await self._wait_for_result(state, call)
         results = [
@@ -109,7 +123,7 @@
     async def _wait_for_result(self, state, call):
         clock = self._context.clock
         deadline = clock.monotonic() + call.wait_s
-        partition = self._partitions.for_job(call.job_id)
+        partition = self._partitions.for_job(state.job_id)
         while len(state.outcomes) <= call.position:
             remaining_s = deadline - clock.monotonic()
             if remaining_s <= 0:
@@ -120,8 +134,7 @@
                 # The caller gets the results known so far.
                 return
 
-    async def _item_body(self, call):
-        state = await self._find_job(call, MAX_STATE_AGE_S)
+    async def _item_body(self, state, call):
         index = state.index_of(call.item_id)
         if index is None or state.cancelled:
             raise UserError("item does not exist", code="no_item", http_status=404)
@@ -131,11 +144,10 @@
             raise self._store_unavailable(error) from error
         return web.Response(body=body, content_type="application/octet-stream")
 
-    async def _cancel(self, call):
-        state = await self._find_job(call, MAX_STATE_AGE_S)
+    async def _cancel(self, state, _):
         if not state.cancelled:
             record = encode_record(JobRecordKind.ENDED, state.job_id)
-            partition = self._partitions.for_job(call.job_id)
+            partition = self._partitions.for_job(state.job_id)
             try:
                 await self._retry(lambda: partition.append(record))
             except STORE_ERRORS as error:
@@ -144,6 +156,7 @@
                     code="end_unknown",
                     http_status=504,
                 ) from error
-            self._context.quotas.release(state.job.route, state.job_id, 0)
+            scope = QuotaScope.of_job(state.job)
+            self._context.quotas.release(scope, state.job_id, 0)
             self._runner.wake()
         return web.Response(body=b"{}", content_type="application/json")
--- a/galenascale/gateway/jobs/item_runs.py
+++ b/galenascale/gateway/jobs/item_runs.py
@@ -177,6 +177,7 @@
         host=item.state.job.host,
         headers=context.dialect.build_item_headers(stored, item.state.job),
         body=body,
+        tenant=None if context.configuration.tenants is None else item.state.job.tenant,
     )
     try:
         async with dispatcher.send(
--- a/galenascale/gateway/jobs/outcomes.py
+++ b/galenascale/gateway/jobs/outcomes.py
@@ -63,7 +63,8 @@
             item.failures += 1
             if item.failures >= route.max_attempts:
                 self.finish(item, ItemState.GIVEN_UP, "too many failed runs")
-            item.back_off(now, FAILED_BACKOFF_S, item.failures)
+            else:
+                item.back_off(now, FAILED_BACKOFF_S, item.failures)
         elif result.outcome in ("refused", "silent"):
             item.back_off(now, REFUSED_BACKOFF_S, 1)
         else:
--- a/galenascale/gateway/jobs/quotas.py
+++ b/galenascale/gateway/jobs/quotas.py
@@ -17,6 +17,7 @@
 )
 from galenascale.gateway.jobs.quota_reconciler import QuotaReconciler
 from galenascale.gateway.jobs.quota_state import QuotaState
+from galenascale.gateway.jobs.scopes import QuotaScope
 from galenascale.generated.gateway_messages import QuotaRecord, QuotaRecordKind
 from galenascale.hashing import shard_of
 from galenascale.store import STORE_ERRORS
@@ -37,27 +38,27 @@
 
 
 class Quotas:
-    """Reserves, releases and reconciles the tokens of routes with a quota."""
+    """Reserves, releases and reconciles tokens on routes with a quota."""
 
     def __init__(self, context, partitions, group_membership):
         self._context = context
         self._partitions = partitions
         self._group_membership = group_membership
-        self._quota_logs_by_route = {}
-        # Open tokens by (route, job id) of releases that are not yet written.
+        self._logs_by_scope = {}
+        # Open tokens by (scope, job id) of releases that are not yet written.
         self._pending_releases = {}
         self._wake = asyncio.Event()
-        self._reconcilers_by_route = {}
+        self._reconcilers_by_scope = {}
         self._reconciled_at = float("-inf")
         self._reconciled_version = 0
 
-    def _log_for(self, route):
-        if route not in self._quota_logs_by_route:
-            number = shard_of(route, self._context.settings.store.partitions)
-            self._quota_logs_by_route[route] = Partition(
-                self._context, QUOTAS_TOPIC, number, QuotaState(route)
+    def _log_for(self, scope):
+        if scope not in self._logs_by_scope:
+            number = shard_of(scope.name, self._context.settings.store.partitions)
+            self._logs_by_scope[scope] = Partition(
+                self._context, QUOTAS_TOPIC, number, QuotaState(scope.name)
             )
-        return self._quota_logs_by_route[route]
+        return self._logs_by_scope[scope]
 
     def _limit(self, route, state):
         """
@@ -70,47 +71,48 @@
             return state.limit
         return route.max_open_tokens
 
-    async def reserve(self, route, job_id, tokens):
+    async def reserve(self, route, tenant, job_id, tokens):
         """
-        Reserve tokens for a job that is about to be stored.
+        Reserve tokens for a tenant's job that is about to be stored.
 
         Does nothing if the route has no limit or the job holds tokens already.
         Raise RequestFailed if the tokens do not fit, and the store's errors.
         """
         if not route.max_open_tokens:
             return
-        log = self._log_for(route.name)
+        scope = QuotaScope(route.name, tenant)
+        log = self._log_for(scope)
         await log.refresh(MAX_STATE_AGE_S)
         state = log.state
         reserved = job_id in state.open_jobs_by_id
         if not reserved and state.fits(tokens, self._limit(route, state)):
-            record = self._make_record(
-                QuotaRecordKind.RESERVE, route.name, job_id, tokens
-            )
+            record = self._make_record(QuotaRecordKind.RESERVE, scope, job_id, tokens)
             record.limit = route.max_open_tokens
             record.config_version = self._context.configuration.version
             await log.read_past(await log.append(encode(record)))
             reserved = job_id in state.open_jobs_by_id
-        self._log_decision(route, log, job_id, tokens, reserved)
+        self._log_decision(route, tenant, log, job_id, tokens, reserved)
         if not reserved:
             raise self._quota_exceeded(route, state, tokens)
 
-    def _make_record(self, kind, route, job_id, tokens):
+    def _make_record(self, kind, scope, job_id, tokens):
         return QuotaRecord(
             kind=int(kind),
-            route=route,
+            route=scope.name,
             job_id=job_id,
             tokens=tokens,
             written_ms=self._context.clock.wall_ms(),
         )
 
-    def _log_decision(self, route, log, job_id, tokens, reserved):
+    def _log_decision(self, route, tenant, log, job_id, tokens, reserved):
         state = log.state
-        self._context.metrics.quota_open_tokens.labels(route.name).set(state.total)
+        if not tenant:
+            self._context.metrics.quota_open_tokens.labels(route.name).set(state.total)
         self._context.log.write(
             "quota_decided",
             job=job_id,
             route=route.name,
+            tenant=tenant,
             tokens=tokens,
             open_tokens=state.total,
             limit=self._limit(route, state),
@@ -136,10 +138,10 @@
             retry_after_s=retry_after_s,
         )
 
-    def release(self, route, job_id, tokens):
+    def release(self, scope, job_id, tokens):
         """Lower the open tokens of a job to `tokens` with the next batch."""
-        if route in self._limited_routes() or route in self._quota_logs_by_route:
-            self._pending_releases[route, job_id] = tokens
+        if scope.route in self._limited_routes() or scope in self._logs_by_scope:
+            self._pending_releases[scope, job_id] = tokens
             self._wake.set()
 
     def _limited_routes(self):
@@ -166,17 +168,17 @@
                 await self._context.clock.sleep(RETRY_INTERVAL_S)
 
     async def _write_releases(self):
-        by_route = {}
-        for (route, job_id), tokens in self._pending_releases.items():
-            record = self._make_record(QuotaRecordKind.RELEASE, route, job_id, tokens)
-            by_route.setdefault(route, {})[job_id] = record
-        for route, record_by_job in by_route.items():
+        by_scope = {}
+        for (scope, job_id), tokens in self._pending_releases.items():
+            record = self._make_record(QuotaRecordKind.RELEASE, scope, job_id, tokens)
+            by_scope.setdefault(scope, {})[job_id] = record
+        for scope, record_by_job in by_scope.items():
             records = [encode(record) for record in record_by_job.values()]
-            await self._log_for(route).append_all(records)
+            await self._log_for(scope).append_all(records)
             for job_id, record in record_by_job.items():
                 # A later release of the job may have replaced this one.
-                if self._pending_releases.get((route, job_id)) == record.tokens:
-                    del self._pending_releases[route, job_id]
+                if self._pending_releases.get((scope, job_id)) == record.tokens:
+                    del self._pending_releases[scope, job_id]
 
     def _is_reconciliation_due(self):
         now = self._context.clock.monotonic()
@@ -193,34 +195,46 @@
     async def _reconcile(self):
         """Reconcile the quotas with the jobs in the assigned partitions."""
         numbers = self._group_membership.partitions
-        for route in self._limited_routes():
-            if not numbers:
-                return
-            log = self._log_for(route)
-            await log.refresh()
-            for number in numbers:
-                await self._partitions.get(number).refresh(RECONCILE_INTERVAL_S)
-            records = [
-                self._make_record(item.kind, route, item.job_id, item.tokens)
-                for item in self._corrections(route, log)
-            ]
-            if records:
-                await log.append_all([encode(record) for record in records])
-                self._context.log.write(
-                    "quota_mended",
-                    route=route,
-                    jobs=[record.job_id for record in records],
-                )
-
-    def _corrections(self, route, log):
+        limited = self._limited_routes()
+        if not numbers or not limited:
+            return
+        for number in numbers:
+            await self._partitions.get(number).refresh(RECONCILE_INTERVAL_S)
+        jobs_by_scope = self._assigned_jobs_by_scope(limited)
+        known = {scope for scope in self._logs_by_scope if scope.route in limited}
+        routes = {QuotaScope(route) for route in limited}
+        for scope in known | routes | jobs_by_scope.keys():
+            await self._reconcile_scope(scope, jobs_by_scope.get(scope, {}))
+
+    def _assigned_jobs_by_scope(self, routes):
+        jobs_by_scope = {}
+        for number in self._group_membership.partitions:
+            jobs_by_id = self._partitions.get(number).state.jobs_by_id
+            for job_id, state in jobs_by_id.items():
+                if state.job.route in routes:
+                    scope = QuotaScope.of_job(state.job)
+                    jobs_by_scope.setdefault(scope, {})[job_id] = state
+        return jobs_by_scope
+
+    async def _reconcile_scope(self, scope, jobs):
+        log = self._log_for(scope)
+        await log.refresh()
+        records = [
+            self._make_record(item.kind, scope, item.job_id, item.tokens)
+            for item in self._corrections(scope, log, jobs)
+        ]
+        if records:
+            await log.append_all([encode(record) for record in records])
+            self._context.log.write(
+                "quota_mended",
+                route=scope.route,
+                tenant=scope.tenant,
+                jobs=[record.job_id for record in records],
+            )
+
+    def _corrections(self, scope, log, jobs):
         numbers = self._group_membership.partitions
-        jobs = {
-            job_id: state
-            for number in numbers
-            for job_id, state in self._partitions.get(number).state.jobs_by_id.items()
-            if state.job.route == route
-        }
-        reconciler = self._reconcilers_by_route.setdefault(route, QuotaReconciler())
+        reconciler = self._reconcilers_by_scope.setdefault(scope, QuotaReconciler())
         return reconciler.corrections(
             log.state.open_jobs_by_id,
             jobs,
--- a/galenascale/gateway/jobs/recorder.py
+++ b/galenascale/gateway/jobs/recorder.py
@@ -4,6 +4,7 @@
 
 from galenascale.gateway.jobs.partitions import RETRY_INTERVAL_S
 from galenascale.gateway.jobs.records import encode_record
+from galenascale.gateway.jobs.scopes import QuotaScope
 from galenascale.generated.gateway_messages import (
     ItemOutcome,
     ItemProgress,
@@ -88,7 +89,8 @@
         if state is not None:
             finished = {outcome.index for outcome in group}
             tokens = state.open_tokens(finished)
-            self._context.quotas.release(state.job.route, job_id, tokens)
+            scope = QuotaScope.of_job(state.job)
+            self._context.quotas.release(scope, job_id, tokens)
 
     async def record_progress(self, job_id, items):
         """Write the output of unfinished items; raise the store's errors."""
--- a/galenascale/gateway/metrics.py
+++ b/galenascale/gateway/metrics.py
@@ -7,6 +7,10 @@
 # and 6 s.
 SECONDS_BUCKETS = (0.01, 0.03, 0.1, 0.2, 0.3, 0.4, 0.5, 0.75, 1, 1.5, 2.5, 5, 10)
 
+# Tenants that have a label of their own, and the label of all others.
+MAX_TENANT_LABELS = 200
+OTHER_TENANTS = "other"
+
 
 class GatewayMetrics:
     """Metrics of one gateway host in a separate registry."""
@@ -25,6 +29,10 @@
         self.slots = self._counter(
             "slots", "Slots for requests and items by how they were got.", ("way",)
         )
+        self.rejections = self._counter(
+            "rejections", "Requests rejected for their caller.", ("tenant", "reason")
+        )
+        self._tenant_labels = set()
         self.items = self._counter("items", "Runs of items by outcome.", ("outcome",))
         self.first_part_seconds = self._histogram(
             "first_part_seconds", "Arrival to the first part of the answer.", ("route",)
@@ -41,6 +49,13 @@
             "log_lines_waiting", "Log lines not yet written."
         )
 
+    def count_rejection(self, tenant, reason):
+        """Count a rejected request; many tenants share one label."""
+        if len(self._tenant_labels) < MAX_TENANT_LABELS:
+            self._tenant_labels.add(tenant)
+        label = tenant if tenant in self._tenant_labels else OTHER_TENANTS
+        self.rejections.labels(label, reason).inc()
+
     def _counter(self, name, text, labels):
         return Counter(
             name, text, labels, namespace="galenascale", registry=self.registry
--- a/galenascale/gateway/ownership.py
+++ b/galenascale/gateway/ownership.py
@@ -45,6 +45,11 @@
         """Return the failure domain of this host."""
         return self._own_host.failure_domain
 
+    @property
+    def host_count(self):
+        """Return the number of hosts, this one included."""
+        return len(self._hosts)
+
     def set_hosts(self, others):
         """Set the other OwnerCandidates; return True if they changed."""
         self._unresponsive = {host.address for host in others if not host.is_responsive}
--- a/galenascale/gateway/peer_table.py
+++ b/galenascale/gateway/peer_table.py
@@ -119,13 +119,15 @@
 
     def most_current(self, now):
         """
-        Return the live peer with the most current state, or None.
+        Return the live peers with the most current state.
 
         Peers that can reach the store come first, then those with the newest
         configuration.
         """
-        return max(
-            self.alive(now),
-            key=lambda peer: (peer.store_up, peer.config_version),
-            default=None,
-        )
+        peers = self.alive(now)
+        newest = max(map(_currency, peers), default=None)
+        return [peer for peer in peers if _currency(peer) == newest]
+
+
+def _currency(peer):
+    return (peer.store_up, peer.config_version)
--- a/galenascale/gateway/peers.py
+++ b/galenascale/gateway/peers.py
@@ -27,8 +27,8 @@
 IDLE_INTERVAL_S = 1.0
 # Below the usual MTU, so that datagrams are not fragmented.
 MAX_DATAGRAM_BYTES = 1300
-# Slot messages per datagram, at about 30 bytes each.
-SLOTS_PER_DATAGRAM = 24
+# Slot messages per datagram and as many about rates, at about 30 bytes each.
+MESSAGES_PER_KIND = 20
 
 
 class PeerProtocol(asyncio.DatagramProtocol):
@@ -43,8 +43,10 @@
         self._load = context.load
         self._slot_shares = context.slot_shares
         self._context = context
-        # Slot messages by address, sent together by _flush_slots().
+        # Messages about slots and rates by address, sent together by
+        # _flush_messages().
         self._slots_by_address = {}
+        self._rates_by_address = {}
         self._admission = context.admission
         self._crashes = context.crashes
         self._servers = context.servers
@@ -74,6 +76,8 @@
             self._apply(status, now)
         if batch.slots:
             self._context.slots.receive(batch.slots, addr[0])
+        if batch.rates:
+            self._context.rates.receive(batch.rates, addr[0])
 
     def _apply(self, status, now):
         """Apply another host's status if it is newer than the known one."""
@@ -129,6 +133,7 @@
         ]
         if self._context.ownership.set_hosts(candidates):
             self._context.slots.on_owners_changed()
+            self._context.rates.on_owners_changed()
 
     async def run(self):
         """Send statuses periodically until cancelled."""
@@ -169,16 +174,28 @@
 
     def send_slots(self, address, message):
         """Queue a slot message; all of one loop iteration leave together."""
-        if not self._slots_by_address:
-            asyncio.get_running_loop().call_soon(self._flush_slots)
+        self._schedule_flush()
         self._slots_by_address.setdefault(address, []).append(message)
 
-    def _flush_slots(self):
-        messages_by_address, self._slots_by_address = self._slots_by_address, {}
-        for address, messages in messages_by_address.items():
-            for start in range(0, len(messages), SLOTS_PER_DATAGRAM):
-                slots = messages[start : start + SLOTS_PER_DATAGRAM]
-                self._send(address, encode(StatusBatch(slots=slots)))
+    def send_rates(self, address, message):
+        """Queue a rate message; all of one loop iteration leave together."""
+        self._schedule_flush()
+        self._rates_by_address.setdefault(address, []).append(message)
+
+    def _schedule_flush(self):
+        if not self._slots_by_address and not self._rates_by_address:
+            asyncio.get_running_loop().call_soon(self._flush_messages)
+
+    def _flush_messages(self):
+        slots_by_address, self._slots_by_address = self._slots_by_address, {}
+        rates_by_address, self._rates_by_address = self._rates_by_address, {}
+        for address in slots_by_address.keys() | rates_by_address.keys():
+            slots = slots_by_address.get(address, [])
+            rates = rates_by_address.get(address, [])
+            for start in range(0, max(len(slots), len(rates)), MESSAGES_PER_KIND):
+                end = start + MESSAGES_PER_KIND
+                batch = StatusBatch(slots=slots[start:end], rates=rates[start:end])
+                self._send(address, encode(batch))
 
     def _send(self, address, data):
         self._transport.sendto(data, (address, self._settings.peer_datagram_port))
--- a/galenascale/gateway/request_handler.py
+++ b/galenascale/gateway/request_handler.py
@@ -14,15 +14,20 @@
 NO_CONFIGURATION_RETRY_S = 0.5
 # Seconds within which a caller must send the body of a request.
 BODY_TIMEOUT_S = 10.0
+# Errors after which the connection closes: a body that was not read whole, and
+# a host that the caller should leave.
+CLOSING_STEPS = frozenset(("read_body",))
+CLOSING_CODES = frozenset(("configuration_unproven",))
 
 
 class RequestHandler:
     """Handles requests of callers and counts those in flight."""
 
-    def __init__(self, context, forwarder, jobs):
+    def __init__(self, context, forwarder, jobs, authenticator):
         self._context = context
         self._forwarder = forwarder
         self._jobs = jobs
+        self._authenticator = authenticator
         self.stopping = False
         self.in_flight = 0
 
@@ -43,15 +48,21 @@
         if request.transport is None:
             raise asyncio.CancelledError
         responses.enable_silence_detection(request)
+        arrived_at = self._context.clock.monotonic()
         try:
-            caller_request, arrived_at = await self._read(request)
+            caller_request = self._context.dialect.parse_request(
+                request.method, request.raw_path, request.raw_headers
+            )
         except GalenascaleError as error:
             return self._reject_malformed(error)
         exchange = _CallerExchange(self._context, request, caller_request, arrived_at)
         try:
             return await self._route(exchange)
         except GalenascaleError as error:
-            return exchange.fail(error)
+            response = exchange.fail(error)
+            if error.step in CLOSING_STEPS or error.code in CLOSING_CODES:
+                response.force_close()
+            return response
         except asyncio.CancelledError:
             exchange.finish("caller_left")
             raise
@@ -62,20 +73,11 @@
         response.force_close()
         return response
 
-    async def _read(self, request):
-        """Return the CallerRequest and its monotonic time of arrival."""
-        arrived_at = self._context.clock.monotonic()
-        if request.headers.get("Expect", "").lower() == "100-continue":
-            request.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
-        body = await self._read_body(request)
-        caller_request = self._context.dialect.parse_request(
-            request.method, request.raw_path, request.raw_headers, body
-        )
-        return caller_request, arrived_at
-
     async def _read_body(self, request):
         if not request.body_exists:
             return b""
+        if request.headers.get("Expect", "").lower() == "100-continue":
+            request.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
         limit = self._limits().body_bytes
         pieces = []
         size = 0
@@ -118,6 +120,7 @@
             request.method, request.target, request.headers
         )
         if call is not None:
+            self._authenticator.identify_call(request)
             return await self._jobs.answer_call(call, exchange)
         route = configuration.table.find(request.host, request.path)
         if route is None:
@@ -127,10 +130,18 @@
                 http_status=404,
             )
         exchange.route = route
+        self._authenticator.identify(request, route)
+        await self._limit_rate(request, route)
+        request.body = await self._read_body(exchange.http_request)
         if route.kind is RequestKind.BATCH:
             return await self._jobs.submit(exchange, route)
         return await self._forward(exchange, route)
 
+    async def _limit_rate(self, request, route):
+        """Raise RequestFailed (429) if the tenant sends too many requests."""
+        if request.tenant and route.kind is not RequestKind.BATCH:
+            await self._context.rates.admit(request.tenant)
+
     async def _forward(self, exchange, route):
         plan = self._forwarder.plan(exchange.request, route, exchange.arrived_at)
         caller = responses.CallerStream(
@@ -187,6 +198,7 @@
             request=self.request.request_id,
             route=name,
             config=self.context.configuration.version,
+            tenant=self.request.tenant,
             outcome=outcome,
             elapsed_s=round(now - self.arrived_at, 4),
             **fields,
--- a/galenascale/gateway/requests.py
+++ b/galenascale/gateway/requests.py
@@ -20,11 +20,18 @@
     host: str
     # Headers to forward, without hop-by-hop headers.
     headers: Headers
-    body: bytes = attrs.field(repr=False)
+    # Read once the caller is identified and may run a request.
+    body: bytes = attrs.field(default=b"", repr=False)
     # Seconds from arrival until the caller times out; None if not stated.
     timeout_s: float | None = None
     # Id of the event after which a stream resumes; None for a full stream.
     resume_after: int | None = None
+    # Key with which the caller identifies itself; None if there is none, and
+    # empty if it is malformed or given twice.
+    key: bytes | None = attrs.field(default=None, repr=False)
+    # Name of the tenant; empty for a caller that needs no key, and None in a
+    # configuration without tenants.
+    tenant: str | None = None
     # Number of prompt tokens and limit of generated tokens; 0 if not stated.
     prompt_tokens: int = 0
     max_output_tokens: int = 0
--- a/galenascale/gateway/stopping.py
+++ b/galenascale/gateway/stopping.py
@@ -36,6 +36,7 @@
         end_at = began_at + grace_s - CUTOFF_MARGIN_S
         self.request_handler.stopping = True
         self.context.ownership.stop_owning()
+        self.context.rates.on_owners_changed()
         self.context.log.write(
             "stop", in_flight=self.request_handler.in_flight, grace_s=grace_s
         )
--- a/galenascale/platform/configuration.py
+++ b/galenascale/platform/configuration.py
@@ -1,5 +1,8 @@
 """Decoding of the operator's configuration record."""
 
+import orjson
+
+from galenascale.errors import DecodeError
 from galenascale.gateway.configuration import (
     CallerLimits,
     Configuration,
@@ -7,13 +10,19 @@
     RequestKind,
     Route,
     Service,
+    Tenant,
     TrafficSplit,
 )
+from galenascale.key_table import key_digest
 from galenascale.platform.fields import get_field, get_ms_as_seconds, parse_json_object
 
 CONFIGURATION_TOPIC = "keyed.op"
 CONFIGURATION_KEY = "config"
 
+# Field of the configuration that hosts send to each other; it replaces the
+# keys of a tenant.
+_KEY_DIGESTS = "KeyDigests"
+
 _KINDS = {
     "idempotent": RequestKind.IDEMPOTENT,
     "non_idempotent": RequestKind.NON_IDEMPOTENT,
@@ -25,6 +34,10 @@
 def decode_configuration(data):
     """Return the Configuration; raise DecodeError for an invalid record."""
     fields = parse_json_object(data, "configuration")
+    tenants = get_field(fields, "Tenants", list, None)
+    if tenants is not None:
+        fields["Tenants"] = [_replace_keys_by_digests(item) for item in tenants]
+        data = orjson.dumps(fields)
     return Configuration(
         version=get_field(fields, "Version", int),
         routes=tuple(_decode_route(item) for item in get_field(fields, "Routes", list)),
@@ -33,10 +46,43 @@
             for service in map(_decode_service, get_field(fields, "Services", list))
         },
         limits=_decode_limits(get_field(fields, "Limits", dict, {})),
+        tenants_by_name=_decode_tenants(fields.get("Tenants")),
         source=bytes(data),
     )
 
 
+def _replace_keys_by_digests(fields):
+    """Return a tenant's fields with digests in place of the keys."""
+    if not isinstance(fields, dict):
+        raise DecodeError("tenant is not a JSON object", step="decode")
+    fields = dict(fields)
+    # Digests are there already if a host sent the configuration.
+    digests = list(get_field(fields, _KEY_DIGESTS, list, []))
+    keys = get_field(fields, "ApiKeys", list, [])
+    if not all(isinstance(value, str) for value in (*digests, *keys)):
+        raise DecodeError("keys of a tenant must be strings", step="decode")
+    digests.extend(map(key_digest, keys))
+    fields.pop("ApiKeys", None)
+    fields[_KEY_DIGESTS] = digests
+    return fields
+
+
+def _decode_tenants(items):
+    if items is None:
+        return None
+    tenants = [
+        Tenant(
+            name=get_field(fields, "Name", str),
+            key_digests=tuple(fields[_KEY_DIGESTS]),
+            priority=get_field(fields, "Priority", int, None),
+            requests_per_s=get_field(fields, "RatePerS", float, 0.0),
+            burst=get_field(fields, "Burst", float, 0.0),
+        )
+        for fields in items
+    ]
+    return {tenant.name: tenant for tenant in tenants}
+
+
 def _decode_route(fields):
     return Route(
         name=get_field(fields, "Name", str),
@@ -51,6 +97,7 @@
         objective_s=get_ms_as_seconds(fields, "SloMs"),
         max_attempts=max(1, get_field(fields, "Attempts", int, 1)),
         priority=get_field(fields, "Priority", int, 0),
+        anonymous=get_field(fields, "Anonymous", bool, False),
         resumable=get_field(fields, "CanResume", bool, False),
         gap_objective_s=get_ms_as_seconds(fields, "GapTargetMs", 0.0),
         due_s=get_ms_as_seconds(fields, "DueMs", 0.0),
--- a/galenascale/platform/headers.py
+++ b/galenascale/platform/headers.py
@@ -15,6 +15,8 @@
 _NOT_RUN = b"x-galenascale-not-executed"
 _LEAVING = b"server-leaving"
 _WAIT_MS = b"x-galenascale-wait-ms"
+_AUTHORIZATION = b"authorization"
+_TENANT = b"x-galenascale-tenant"
 
 # Status 421 (Misdirected Request): the backend server did not run the request.
 _MISDIRECTED = 421
@@ -37,6 +39,9 @@
 _GATEWAY_HEADERS = frozenset(
     (b"content-length", b"expect", _DEADLINE_MS, _TARGET_SERVER)
 )
+# Credentials that carry a key of a tenant.
+_KEY_CREDENTIALS = re.compile(rb"\s*token\s+(\S+)\s*", re.I)
+_KEY_SCHEME = re.compile(rb"\s*token\b", re.I)
 _KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout\s*=\s*(\d+)", re.I)
 
 
@@ -57,8 +62,12 @@
     return tuple(item for item in headers if item[0].lower() not in dropped)
 
 
-def parse_request(method, target, headers, body):
-    """Return the CallerRequest; raise UserError for an invalid header."""
+def parse_request(method, target, headers):
+    """
+    Return the CallerRequest without its body.
+
+    Raise UserError for an invalid header.
+    """
     tokens = (find_header(headers, _TOKENS) or b"").split(b",")
     kept = [
         item
@@ -72,14 +81,47 @@
         target=target,
         host=(find_header(headers, b"host") or b"").decode("latin-1"),
         headers=tuple(kept),
-        body=body,
         timeout_s=None if deadline_ms is None else deadline_ms / 1000,
         resume_after=_parse_int_header(headers, _RESUME_AFTER),
+        key=_parse_key(headers),
         prompt_tokens=_parse_token_count(tokens, 0),
         max_output_tokens=_parse_token_count(tokens, 1),
     )
 
 
+def _parse_key(headers):
+    """Return the key of a tenant; None without one, empty if not clear."""
+    values = [value for name, value in headers if name.lower() == _AUTHORIZATION]
+    if not values:
+        return None
+    match = _KEY_CREDENTIALS.fullmatch(values[0])
+    return match[1] if match and len(values) == 1 else b""
+
+
+def replace_credentials(headers, tenant):
+    """
+    Return the headers with the name of the tenant in place of its key.
+
+    `tenant` is the name, empty for a request without a key, or None in a
+    configuration without tenants, which leaves the headers as they are.
+    """
+    if tenant is None:
+        return list(headers)
+    kept = [item for item in headers if not _is_identity(*item, tenant)]
+    if tenant:
+        kept.append((b"X-Galenascale-Tenant", tenant.encode()))
+    return kept
+
+
+def _is_identity(name, value, tenant):
+    # Servers may read an underscore in a header name as a hyphen.
+    name = name.lower().replace(b"_", b"-")
+    if name == _AUTHORIZATION:
+        # Other credentials of an anonymous request are for the server.
+        return bool(tenant) or _KEY_SCHEME.match(value) is not None
+    return name == _TENANT
+
+
 def _parse_int_header(headers, name):
     value = find_header(headers, name)
     if value is None:
@@ -106,7 +148,11 @@
 
 def build_backend_headers(request, server_id, remaining_s, resume_after):
     """Return the headers of a request to a backend server."""
-    headers = [item for item in request.headers if item[0].lower() != _RESUME_AFTER]
+    headers = [
+        item
+        for item in replace_credentials(request.headers, request.tenant)
+        if item[0].lower() != _RESUME_AFTER
+    ]
     if resume_after is not None:
         headers.append((b"Last-Event-Id", b"%d" % resume_after))
     headers.append((b"X-Galenascale-Deadline-Ms", b"%d" % max(1, remaining_s * 1000)))
--- a/galenascale/platform/store.py
+++ b/galenascale/platform/store.py
@@ -16,6 +16,7 @@
     parse_read_response,
 )
 from galenascale.store import (
+    KeyedReadResult,
     KeyedRecord,
     Membership,
     PartitionTrimmed,
@@ -145,13 +146,16 @@
             params["After"] = records[-1].key
 
     async def read_keyed(self, topic, offset, *, wait_s=0.0, timeout_s=None):
-        """Return (KeyedRecords from an offset on, offset of the next read)."""
+        """Return the KeyedReadResult of the records from an offset on."""
         result = await self.read(topic, 0, offset, wait_s=wait_s, timeout_s=timeout_s)
         records = []
         for record_offset, record in result.records:
             key, value = decode_keyed_record(record)
             records.append(KeyedRecord(key, value, record_offset))
-        return records, offset + len(records)
+        next_offset = offset + len(records)
+        return KeyedReadResult(
+            records, next_offset, is_at_end=next_offset >= result.next_offset
+        )
 
     async def join(self, group, member, topics, lease_s, generation):
         """Join a group or renew its lease; return the Membership."""
--- a/galenascale/rate_limit.py
+++ b/galenascale/rate_limit.py
@@ -7,16 +7,22 @@
 
 @attrs.define
 class RateBucket:
-    """Bucket of one second's requests, but of at least one."""
+    """Bucket of tokens; by default it holds those of one second."""
 
     tokens: float = 0.0
     at: float = -math.inf
 
-    def take(self, rate, now):
-        """Take one token; return the seconds until there is one, or 0.0."""
+    def refill(self, rate, now, capacity=None):
+        """Add the tokens since the last call, at `rate` per second."""
+        if capacity is None:
+            capacity = max(1.0, rate)
         elapsed = max(0.0, now - self.at)
-        self.tokens = min(max(1.0, rate), self.tokens + elapsed * rate)
-        self.at = now
+        self.tokens = min(capacity, self.tokens + elapsed * rate)
+        self.at = max(self.at, now)
+
+    def take(self, rate, now, capacity=None):
+        """Take one token; return the seconds until there is one, or 0.0."""
+        self.refill(rate, now, capacity)
         # A bucket refilled in small steps may stay a rounding error below 1.
         if self.tokens < 1.0 - 1e-9:
             return (1.0 - self.tokens) / rate
--- a/galenascale/store.py
+++ b/galenascale/store.py
@@ -67,6 +67,17 @@
     offset: int
 
 
+@attrs.frozen
+class KeyedReadResult:
+    """Records of a keyed topic in the order of the log."""
+
+    records: list[KeyedRecord]
+    # Offset of the next read.
+    next_offset: int
+    # Whether the topic held no further record.
+    is_at_end: bool
+
+
 @attrs.frozen
 class Membership:
     """Generation and assigned partitions of a member of a group."""
--- a/schema/gateway.thrift
+++ b/schema/gateway.thrift
@@ -68,6 +68,8 @@
   10: i64 config_version = 0,
   /** Name of the route that accepted the job. */
   11: string route = "",
+  /** Name of the tenant that submitted the job; empty for an anonymous one. */
+  12: string tenant = "",
 }
 
 /** A host takes over the unfinished items of a job. */
@@ -234,11 +236,42 @@
   18: bool redirected = 0,
 }
 
+/** Kinds of messages between hosts about the request rates of tenants. */
+enum RateMessageKind {
+  /** To the owner of a tenant's rate: a request wants to run. */
+  ASK = 1,
+  /** From an owner: whether the request may run. */
+  ANSWER = 2,
+  /** To the owner in another failure domain: tokens are needed there. */
+  BORROW = 3,
+  /** From an owner: tokens for the receiver, which the sender gave up. */
+  LEND = 4,
+}
+
+struct RateMessage {
+  1: i32 kind = 0,
+  2: string tenant = "",
+  /** ASK, ANSWER: number of the request, unique on its host. BORROW, LEND:
+   * number of the loan, 0 for tokens that nobody asked for. */
+  3: i64 number = 0,
+  /** BORROW: thousandths of tokens that are needed; LEND: those given. */
+  4: i32 millitokens = 0,
+  /** ANSWER: milliseconds until a token is expected; 0 if the request runs. */
+  5: i32 wait_ms = 0,
+  /** IP address of the host of the request; empty if it is the sender. */
+  6: string host = "",
+  /** ASK: the regular owner does not respond. */
+  7: bool stand_in = 0,
+  /** ASK: it was forwarded by a host that does not own the rate. */
+  8: bool redirected = 0,
+}
+
 /** One datagram: states of hosts, the sender's own or relayed, and messages
  * about slots. */
 struct StatusBatch {
   1: list<HostStatus> statuses,
   2: list<SlotMessage> slots,
+  3: list<RateMessage> rates,
 }
 
 /** One record of a keyed topic of the store; empty value for a removed key. */
@@ -257,6 +290,12 @@
   3: list<StoredEntry> servers,
   /** Offset up to which the entries were read. */
   4: i64 servers_position = 0,
+  /** Version of the configuration; the record itself is left out if the asking
+   * host has this version. */
+  5: i64 config_version = 0,
+  /** Age in milliseconds of the proof that no newer configuration existed, at
+   * the time of this answer; -1 for none. */
+  6: i64 config_proof_age_ms = -1,
 }
 
 /** Outcome of a call of the store. */
@@ -331,6 +370,15 @@
   4: double job_retention_s = 120.0,
   /** Milliseconds within which the runs of an ended job must stop. */
   5: i32 cancel_ms = 3000,
+  /** Milliseconds after which no request may run with a key that was taken
+   * away, whatever the host can reach; 0 for no bound. */
+  6: i32 revoke_ms = 0,
+  /** Seconds of the window in which the requests of a tenant are limited. */
+  7: double quota_window_s = 5.0,
+  /** Share by which the requests of a window may exceed its limit. */
+  8: double quota_overshoot = 0.1,
+  /** Requests by which a window may exceed its limit besides. */
+  9: double quota_slack = 20.0,
 }
 
 /** Settings of one gateway host. */
@@ -361,4 +409,7 @@
       that is buffered whole, so that the request can be retried on another
       server if it is cut off. */
   13: i32 held_answer_bytes = 262144,
+  /** Failure domains of all hosts; those that a host has not heard of count in
+   * the division of quotas. */
+  14: list<string> failure_domains,
 }
--- a/test/gateway/fleet.py
+++ b/test/gateway/fleet.py
@@ -107,7 +107,11 @@
         self.runners = []
         self.hosts = []
         self.routes = list(ROUTES)
+        # Tenants in the operator's configuration format; None for none at all.
+        self.tenants = None
         self.version = 0
+        self.bounds = {"stop_grace_s": 2.0}
+        self.log_level = "error"
         self.ports = {
             "caller": free_port(),
             "ready": free_port(),
@@ -168,6 +172,8 @@
                 "IdleTimeoutMs": 15000,
             },
         }
+        if self.tenants is not None:
+            config["Tenants"] = self.tenants
         self.store.write_key("keyed.op", "config", orjson.dumps(config))
 
     def settings(self, number):
@@ -182,8 +188,9 @@
             peer_datagram_port=self.ports["datagram"],
             seeds=[f"127.0.0.1:{self.ports['peer']}"],
             store=StoreSettings(address=self.store.address, min_lease_ms=200),
-            bounds=LimitsInTime(stop_grace_s=2.0),
-            log_level="error",
+            bounds=LimitsInTime(**self.bounds),
+            failure_domains=["a"],
+            log_level=self.log_level,
         )
 
     async def add_host(self, number):
@@ -224,6 +231,16 @@
         await self.store.stop()
 
 
+def make_tenant(name, *keys, **fields):
+    """Return a tenant in the operator's configuration format."""
+    return {"Name": name, "ApiKeys": list(keys), **fields}
+
+
+def key_header(key):
+    """Return the header with which a caller sends its key."""
+    return {"Authorization": f"Token {key}"}
+
+
 def make_headers(request_id, path):
     """Return the headers of a caller's request."""
     headers = {
@@ -238,9 +255,11 @@
 
 
 @contextlib.asynccontextmanager
-async def gateway_fleet(**fields):
-    """Yield a started GatewayFleet."""
+async def gateway_fleet(*, tenants=None, bounds=None, **fields):
+    """Yield a started GatewayFleet; `bounds` are fields of LimitsInTime."""
     fleet = GatewayFleet()
+    fleet.tenants = tenants
+    fleet.bounds.update(bounds or {})
     try:
         await fleet.start(**fields)
         yield fleet
--- a/test/gateway/test_quotas.py
+++ b/test/gateway/test_quotas.py
@@ -64,7 +64,7 @@
 
 def known_open_tokens(fleet, host=0):
     """Return the open tokens in the state that a host last read."""
-    logs = fleet.hosts[host].context.quotas._quota_logs_by_route
+    logs = fleet.hosts[host].context.quotas._logs_by_scope
     return logs["jobs"].state.total if "jobs" in logs else 0
 
 
--- a/test/loopback.py
+++ b/test/loopback.py
@@ -13,9 +13,10 @@
 from galenascale.errors import Refused
 from galenascale.generated import messages
 from galenascale.http_api import ApiContext, make_app, start_listener
+from galenascale.key_table import key_digest
 from galenascale.metrics import Metrics
 from galenascale.requests import OnlineRequest
-from galenascale.tenants import Tenants, key_digest
+from galenascale.tenants import Tenants
 
 KEY = "key-of-team-a"
 OPERATOR_KEY = "key-of-the-operator"
--- a/test/platform/test_formats.py
+++ b/test/platform/test_formats.py
@@ -93,7 +93,8 @@
         (b"X-Galenascale-Attempt-Id", b"r1"),
         (b"X-Other", b"\xe9"),
     )
-    request = headers.parse_request("POST", "/x/", sent, b"body")
+    request = headers.parse_request("POST", "/x/", sent)
+    request.body = b"body"
     assert (request.request_id, request.timeout_s) == ("r1", 1.5)
     passed = headers.build_backend_headers(request, "s1", 1.2, 4)
     assert passed == [
@@ -110,7 +111,7 @@
 def test_non_numeric_header_is_rejected():
     """An invalid deadline must not be taken for a missing one."""
     with pytest.raises(UserError):
-        headers.parse_request("GET", "/", ((b"X-Galenascale-Deadline-Ms", b"x"),), b"")
+        headers.parse_request("GET", "/", ((b"X-Galenascale-Deadline-Ms", b"x"),))
 
 
 @pytest.mark.parametrize(
--- a/test/platform/test_store.py
+++ b/test/platform/test_store.py
@@ -6,7 +6,8 @@
 import pytest
 
 from galenascale.gateway.jobs.partitions import LONG_POLL_S, RETRY_INTERVAL_S
-from galenascale.gateway.store_followers import CONFIG_WAIT_SHARE, PROBE_TIMEOUTS_S
+from galenascale.gateway.store_followers import CONFIG_WAIT_SHARE
+from galenascale.gateway.topic_follower import PROBE_TIMEOUTS_S
 from galenascale.platform.store import StoreClient
 from galenascale.store import StoreUnavailable
 
--- a/test/test_binary.py
+++ b/test/test_binary.py
@@ -12,7 +12,7 @@
 
 import pytest
 
-from galenascale.tenants import key_digest
+from galenascale.key_table import key_digest
 from test.processes import running, write_json
 
 ROOT = Path(__file__).resolve().parent.parent
--- a/test/test_process_faults.py
+++ b/test/test_process_faults.py
@@ -13,9 +13,9 @@
 from galenascale.clock import Clock
 from galenascale.config_follower import ConfigFollower
 from galenascale.generated.messages import ConfigEntry
+from galenascale.key_table import key_digest
 from galenascale.log_client import LogClient
 from galenascale.platform.store import StoreClient
-from galenascale.tenants import key_digest
 from test.processes import running, write_json
 from test.test_processes import wait_ready
 
--- a/test/test_processes.py
+++ b/test/test_processes.py
@@ -8,9 +8,9 @@
 from galenascale.clock import Clock
 from galenascale.config_follower import ConfigFollower
 from galenascale.generated.messages import ConfigEntry
+from galenascale.key_table import key_digest
 from galenascale.log_client import LogClient
 from galenascale.platform.store import StoreClient
-from galenascale.tenants import key_digest
 from test.processes import running, write_json
 
 KEY = "test-key-of-team-a"
--- a/test/test_tenants.py
+++ b/test/test_tenants.py
@@ -6,11 +6,12 @@
 
 import pytest
 
-from galenascale import tenants
+from galenascale import key_table
 from galenascale.configuration import Configuration
 from galenascale.errors import UserError
 from galenascale.generated.messages import TenantDeclaration
-from galenascale.tenants import KeyTable, Tenants, key_digest
+from galenascale.key_table import KeyTable, key_digest
+from galenascale.tenants import Tenants
 
 TENANTS = 2600
 
@@ -77,7 +78,7 @@
     table = KeyTable({"a": [key_digest("one")], "b": ["junk", "", "ab" * 31]})
     assert len(table) == 1
     recorder = types.SimpleNamespace(compare_digest=compare)
-    monkeypatch.setattr(tenants, "hmac", recorder)
+    monkeypatch.setattr(key_table, "hmac", recorder)
     size = hashlib.sha256().digest_size
     assert table.find(b"one") == "a"
     assert table.find(b"two") is None
