--- a/test/gateway/test_quotas.py
+++ b/test/gateway/test_quotas.py
@@ -5,6 +5,7 @@
 import attrs
 import pytest
 
+from galenascale.gateway.jobs.scopes import QuotaScope
 from test.gateway.fleet import ROUTES, gateway_fleet, until
 from test.gateway.test_jobs import make_job, read_results, submit, wait_for_results
 
@@ -65,7 +66,8 @@
 def known_open_tokens(fleet, host=0):
     """Return the open tokens in the state that a host last read."""
     logs = fleet.hosts[host].context.quotas._logs_by_scope
-    return logs["jobs"].state.total if "jobs" in logs else 0
+    scope = QuotaScope("jobs")
+    return logs[scope].state.total if scope in logs else 0
 
 
 async def test_job_that_does_not_fit_is_refused_until_others_are_done():
