--- a/galenascale/gateway/attempts.py
+++ b/galenascale/gateway/attempts.py
@@ -11,7 +11,6 @@
 # doubles up to the maximum.
 INITIAL_BACKOFF_S = 0.02
 MAX_BACKOFF_S = 0.16
-MIN_RETRY_AFTER_S = 0.05
 # Remaining seconds below which a request is no longer sent.
 MIN_REMAINING_S = 0.005
 
--- a/galenascale/gateway/authentication.py
+++ b/galenascale/gateway/authentication.py
@@ -10,6 +10,8 @@
 
 # Name of the tenant of requests that need no key.
 ANONYMOUS = ""
+# Label of the metrics for callers without a valid key.
+UNKNOWN_TENANT = "unknown"
 
 
 class Authenticator:
@@ -42,7 +44,7 @@
             return
         request.tenant = self._find_tenant(request.key)
         if not self.is_proven():
-            raise self._unproven()
+            raise self._unproven(request.tenant)
 
     def identify_call(self, request):
         """
@@ -58,32 +60,40 @@
 
     def _find_tenant(self, key):
         if key is None:
-            raise _unauthorized("a key is required", "missing_api_key")
+            raise self._unauthorized("a key is required", "missing_api_key")
         tenant = None
         if 0 < len(key) <= MAX_KEY_BYTES:
             tenant = self._context.configuration.tenants.find(key)
         if tenant is not None:
             return tenant.name
         if key and self._may_lack_keys():
-            raise self._unproven()
-        raise _unauthorized("key is not valid", "invalid_api_key")
+            raise self._unproven(UNKNOWN_TENANT)
+        raise self._unauthorized("key is not valid", "invalid_api_key")
 
     def _may_lack_keys(self):
         """Return True if a key may have been added that is not known here."""
-        context = self._context
-        now = context.clock.monotonic()
-        age_ms = context.configuration_proof.age_s(now) * 1000
-        return age_ms > context.settings.bounds.config_apply_ms
+        return (
+            self._proof_age_s() * 1000 > self._context.settings.bounds.config_apply_ms
+        )
 
-    def _unproven(self):
+    def _unproven(self, tenant):
         context = self._context
-        age_s = context.configuration_proof.age_s(context.clock.monotonic())
+        context.metrics.count_rejection(tenant, "configuration_unproven")
         return not_run_error(
-            f"configuration was last confirmed {age_s:.1f} s ago",
+            f"configuration was last confirmed {self._proof_age_s():.1f} s ago",
             code="configuration_unproven",
             retry_after_s=UNPROVEN_RETRY_S,
         )
 
+    def _unauthorized(self, message, code):
+        self._context.metrics.count_rejection(UNKNOWN_TENANT, code)
+        return UserError(
+            f"{message}, by a configuration confirmed {self._proof_age_s():.1f} s ago",
+            code=code,
+            step="authenticate",
+            http_status=401,
+        )
 
-def _unauthorized(message, code):
-    return UserError(message, code=code, step="authenticate", http_status=401)
+    def _proof_age_s(self):
+        context = self._context
+        return context.configuration_proof.age_s(context.clock.monotonic())
--- a/galenascale/gateway/jobs/item_runs.py
+++ b/galenascale/gateway/jobs/item_runs.py
@@ -158,6 +158,8 @@
 
     outcome: str
     reason: str = ""
+    # Seconds from the first event to the end of a completed run.
+    events_s: float = 0.0
 
 
 async def run_item(context, dispatcher, item, server, route, body):
@@ -219,8 +221,8 @@
     async with _progress_timeout(now()):
         head = await attempt.read_head()
     if head.status == 200 and not head.not_run:
-        await _read_events(item, attempt)
-        return RunResult("completed")
+        events_s = await _read_events(item, attempt)
+        return RunResult("completed", events_s=events_s)
     async with _progress_timeout(now()):
         await attempt.read_body(context.settings.held_answer_bytes)
     if head.not_run:
@@ -233,7 +235,7 @@
 
 async def _read_events(item, attempt):
     """
-    Read events until the output ends.
+    Read events until the output ends; return the seconds since the first one.
 
     Only a new event counts as progress, so that a server which sends other
     bytes cannot hold the item. Raise BackendError if no progress is made in
@@ -242,6 +244,7 @@
     now = asyncio.get_running_loop().time
     parser = EventStreamParser()
     progress_at = now()
+    first_event_at = None
     while True:
         async with _progress_timeout(progress_at):
             chunk = await attempt.connection.read()
@@ -252,9 +255,11 @@
             _add_event(item, event)
         if item.last_event_id != before:
             progress_at = now()
+            first_event_at = first_event_at or progress_at
     attempt.complete = True
     if parser.is_inside_event:
         raise BackendError("output ends inside an event", code="connection_broken")
+    return 0.0 if first_event_at is None else now() - first_event_at
 
 
 def _add_event(item, event):
--- a/galenascale/gateway/jobs/records.py
+++ b/galenascale/gateway/jobs/records.py
@@ -10,6 +10,10 @@
 # lowest level is enough, as most of the gain comes from base64 and repeated
 # words.
 COMPRESSION_LEVEL = 1
+# Window and hash table of the compressor as powers of two, for about 128 KB of
+# memory; zlib's defaults take 268 KB for each record, however small.
+COMPRESSION_WINDOW_BITS = 14
+COMPRESSION_MEMORY_LEVEL = 7
 # First byte of the stored data, which says whether the rest is compressed.
 _UNCOMPRESSED = b"\0"
 _COMPRESSED = b"\1"
@@ -31,7 +35,12 @@
 
 def compress(data):
     """Return the data with a marker byte, compressed if that is shorter."""
-    compressed = zlib.compress(data, COMPRESSION_LEVEL)
+    compressor = zlib.compressobj(
+        COMPRESSION_LEVEL,
+        wbits=COMPRESSION_WINDOW_BITS,
+        memLevel=COMPRESSION_MEMORY_LEVEL,
+    )
+    compressed = compressor.compress(data) + compressor.flush()
     if len(compressed) < len(data):
         return _COMPRESSED + compressed
     return _UNCOMPRESSED + data
--- a/galenascale/gateway/jobs/runner.py
+++ b/galenascale/gateway/jobs/runner.py
@@ -213,7 +213,6 @@
 
     async def _run(self, item, server, route):
         """Run an item once and return the SlotOutcome for its server."""
-        started_at = self._context.clock.monotonic()
         resumed = item.last_event_id is not None
         try:
             body = await self._bodies.read(item.state, item.index)
@@ -233,8 +232,7 @@
             item.back_off(self._context.clock.monotonic(), FAILED_BACKOFF_S, 3)
         else:
             if result.outcome == "completed" and not resumed:
-                run_s = self._context.clock.monotonic() - started_at
-                self._scheduler.estimate.add_run(run_s * 1000, item.events)
+                self._scheduler.estimate.add_run(result.events_s * 1000, item.events)
             self._result_handler.handle(item, server, route, result)
             return SLOT_OUTCOMES.get(result.outcome, SlotOutcome.SERVED)
         return SlotOutcome.UNUSED
--- a/galenascale/gateway/peer_table.py
+++ b/galenascale/gateway/peer_table.py
@@ -69,6 +69,10 @@
         peer = Peer.from_status(status, now)
         if known is not None and known.address != peer.address:
             self._by_address.pop(known.address, None)
+        former = self._by_address.get(peer.address)
+        if former is not None and former.host_id != peer.host_id:
+            # Another host had the address and is gone.
+            self._by_host_id.pop(former.host_id, None)
         self._by_address[peer.address] = peer
         self._by_host_id[peer.host_id] = peer
         return peer
--- a/galenascale/gateway/rates/client.py
+++ b/galenascale/gateway/rates/client.py
@@ -27,9 +27,12 @@
 
 @attrs.frozen
 class RateAnswer:
-    """Decision of an owner: seconds until a token is expected, or 0."""
+    """Decision of an owner."""
 
+    # Seconds until a token is expected; 0 if the request may run.
     wait_s: float
+    # Address of the owner.
+    owner: str
 
 
 class RateClient:
@@ -65,7 +68,8 @@
         elif answer.wait_s:
             self._context.metrics.count_rejection(tenant_name, "rate_limited")
             raise not_run_error(
-                f"tenant sends more than {tenant.requests_per_s:g} requests/s",
+                f"tenant sends more than {tenant.requests_per_s:g} requests/s; "
+                f"{answer.owner} expects a token in {answer.wait_s:.3f} s",
                 code="rate_limited",
                 http_status=429,
                 retry_after_s=answer.wait_s,
@@ -131,4 +135,4 @@
         self._ownership.clear_suspicion(address)
         future = self._futures_by_number.get(message.number)
         if future is not None and not future.done():
-            future.set_result(RateAnswer(message.wait_ms / 1000))
+            future.set_result(RateAnswer(message.wait_ms / 1000, address))
--- a/galenascale/gateway/servers.py
+++ b/galenascale/gateway/servers.py
@@ -181,6 +181,9 @@
 
     def recent_leaving(self, now):
         """Return keys of runs that recently announced leaving to this host."""
+        for key, at in list(self._leaving_at_by_key.items()):
+            if now - at > LEAVING_EXCLUSION_S:
+                del self._leaving_at_by_key[key]
         for key, at in list(self._reported_at_by_key.items()):
             if now - at > LEAVING_BROADCAST_S:
                 del self._reported_at_by_key[key]
--- a/test/gateway/test_leaving.py
+++ b/test/gateway/test_leaving.py
@@ -70,6 +70,15 @@
     assert not servers.is_usable(make_entry(), 3.0)
 
 
+def test_servers_that_left_long_ago_are_forgotten():
+    """Guards the memory of a host that runs for months."""
+    servers = ServerList()
+    servers.merge_leaving(range(100), 0.0)
+    servers.merge_leaving((7,), LEAVING_EXCLUSION_S)
+    servers.recent_leaving(LEAVING_EXCLUSION_S + 1.0)
+    assert servers._leaving_at_by_key.keys() == {7}
+
+
 @pytest.mark.parametrize("path", ["/plain/a", "/once/a", "/chat/a", "/talk/a"])
 async def test_leaving_server_gets_no_request_from_any_host(path):
     """Guards a leaving server while its last known entry says ready."""
--- a/test/soak/fleet.py
+++ b/test/soak/fleet.py
@@ -1,6 +1,7 @@
 """Fleet of real gateway processes behind fault-injecting proxies."""
 
 import asyncio
+import contextlib
 import json
 import os
 import signal
@@ -167,14 +168,19 @@
         return b" 200 " in line
 
     async def stop_fleet(self):
-        """Kill all gateways and stop the proxies and stand-ins."""
-        for process in self.processes:
-            process.kill()
-            process.log_file.close()
-            await process.store_proxy.stop()
-        for proxy in self.proxies_by_runner.values():
-            await proxy.stop()
-        await self.close()
+        """
+        Kill all gateways and stop the proxies and stand-ins.
+
+        An error of one of them does not keep the others running.
+        """
+        async with contextlib.AsyncExitStack() as stack:
+            stack.push_async_callback(self.close)
+            for proxy in self.proxies_by_runner.values():
+                stack.push_async_callback(proxy.stop)
+            for process in self.processes:
+                stack.push_async_callback(process.store_proxy.stop)
+                stack.callback(process.log_file.close)
+                stack.callback(process.kill)
 
 
 def make_run_directory():
