--- a/galenascale/__main__.py
+++ b/galenascale/__main__.py
@@ -18,8 +18,10 @@
 
 def main(argv=None):
     """Run the command line; user errors end with one line and exit code 2."""
+    arguments = sys.argv[1:] if argv is None else argv
     try:
-        return make_cli()(argv, exit_on_error=False, print_error=False)
+        cli = make_cli(arguments)
+        return cli(arguments, exit_on_error=False, print_error=False)
     except GalenascaleError as error:
         return _fail(error.message)
     except cyclopts.CycloptsError as error:
--- a/galenascale/commands/__init__.py
+++ b/galenascale/commands/__init__.py
@@ -1,10 +1,13 @@
 """Subcommands of `galenascale`, one module each."""
 
+import importlib
+
 import cyclopts
 
 from galenascale import __version__
 
-# Each module is imported only when its command runs, to keep startup fast.
+# Each module is imported only when its command runs, to keep startup fast, or
+# when the commands are listed with a line from each docstring.
 _COMMANDS = {
     "apply": "galenascale.commands.apply:apply",
     "batch": "galenascale.commands.batch:app",
@@ -19,13 +22,22 @@
 }
 
 
-def make_cli():
-    """Return the command-line application."""
+_HELP_FLAGS = ("--help", "-h")
+
+
+def make_cli(arguments):
+    """Return the command-line application for its command-line arguments."""
     app = cyclopts.App(
         name="galenascale",
         version=__version__,
         help="Serve online and batch inference on one fleet.",
     )
+    lists_commands = not arguments or arguments[0] in _HELP_FLAGS
     for name, target in _COMMANDS.items():
-        app.command(target, name=name)
+        app.command(_load(target) if lists_commands else target, name=name)
     return app
+
+
+def _load(target):
+    module, _, attribute = target.partition(":")
+    return getattr(importlib.import_module(module), attribute)
--- a/tools/generate_docs.py
+++ b/tools/generate_docs.py
@@ -104,7 +104,7 @@
 
 def render_commands():
     """Return the page of commands."""
-    page = make_cli().generate_docs(
+    page = make_cli(()).generate_docs(
         output_format="markdown", recursive=True, heading_level=2
     )
     page = page[page.index("Serve online") :]
