Play tenants in the soak: keys taken away, a tenant beyond its rate

Change: callers send keys of four tenants, now and then one that was taken away; each scenario takes two keys away; one tenant has a small rate. Checks: servers see the caller's tenant and no key, no request runs with a key taken away longer ago than the bound, no window of the limited tenant exceeds its limit. Three defects show that the checks can fail.

--- a/galenascale/standins/runner.py
+++ b/galenascale/standins/runner.py
@@ -26,6 +26,8 @@
     target: bytes = b""
     headers: list = attrs.field(factory=list)
     body: bytes = b""
+    # Loop time in seconds at which it was complete.
+    received_at: float = 0.0
     # Header lines that the response has in addition to the usual ones.
     extra_header_lines: tuple = ()
 
@@ -158,6 +160,7 @@
         if behaviour.refuse:
             _write_whole(writer, request, 503, b"", signed=False, not_run=True)
             return True
+        request.received_at = asyncio.get_running_loop().time()
         self.requests.append(request)
         self.running += 1
         self.max_running = max(self.max_running, self.running)
--- a/test/soak/checks.py
+++ b/test/soak/checks.py
@@ -3,6 +3,7 @@
 import collections
 
 from galenascale.codec import decode
+from galenascale.gateway.jobs.scopes import scoped_job_id
 from galenascale.generated.gateway_messages import JobRecord, JobRecordKind
 from test.soak.clients import expected_body, expected_text
 
@@ -52,7 +53,7 @@
             yield (
                 f"{job.job_id} has {len(item_ids)} of {job.items} results"
                 f" (end asked: {job.end_requested},"
-                f" recorded: {job.job_id in ended_ids})"
+                f" recorded: {_is_recorded(job, ended_ids)})"
             )
         for result in job.results:
             completed = result["State"] == "completed"
@@ -64,13 +65,19 @@
                     yield f"{job.job_id} was refused and item {number} ran"
 
 
+def _is_recorded(job, ended_ids):
+    return scoped_job_id(job.tenant, job.job_id) in ended_ids
+
+
 def _was_ended_by_caller(job, ended_ids):
     """
     Return True if the caller ended a job, so that results may be missing.
 
     A call whose answer was lost counts too if the store recorded the end.
     """
-    return job.ended_at is not None or (job.end_requested and job.job_id in ended_ids)
+    return job.ended_at is not None or (
+        job.end_requested and _is_recorded(job, ended_ids)
+    )
 
 
 def find_ended_jobs(log):
--- a/test/soak/clients.py
+++ b/test/soak/clients.py
@@ -7,11 +7,14 @@
 import attrs
 import orjson
 
-from test.gateway.fleet import make_headers
+from test.gateway.fleet import key_header, make_headers
+from test.soak.tenants import CHECKS, TENANT_NAMES
 
 PATH_PREFIXES = ("/plain/", "/once/", "/chat/", "/talk/")
 # Timeout of one HTTP call by a caller.
 REQUEST_TIMEOUT_S = 3.0
+# Share of requests with a key that was taken away.
+OLD_KEY_SHARE = 0.15
 # Events in each complete stream.
 STREAM_EVENTS = 5
 
@@ -24,6 +27,8 @@
     path: str
     host: int
     sent_at: float
+    # Key of the caller.
+    key: str
     # HTTP status; None if no response arrived.
     status: int | None = None
     body: bytes = b""
@@ -37,6 +42,8 @@
 
     job_id: str
     items: int
+    # Tenant that sends it.
+    tenant: str = CHECKS
     accepted: bool = False
     # Every submission was answered with a status that means "not run".
     refused: bool = True
@@ -96,18 +103,30 @@
                 self._count += 1
                 path = self._rng.choice(PATH_PREFIXES) + str(self._count)
                 sent = SentRequest(
-                    f"r{self._count}", path, self._pick_host(), self._now()
+                    f"r{self._count}",
+                    path,
+                    self._pick_host(),
+                    self._now(),
+                    self._pick_key(),
                 )
                 self.requests.append(sent)
                 await self._send(session, sent)
                 await asyncio.sleep(self._rng.uniform(0.0, 0.15))
 
+    def _pick_key(self):
+        """Return a tenant's key, or sometimes one that was taken away."""
+        keys = self._fleet.keys
+        if keys.removed and self._rng.random() < OLD_KEY_SHARE:
+            return self._rng.choice(keys.removed).key
+        tenant = self._rng.choice(TENANT_NAMES)
+        return keys.key_by_tenant[tenant]
+
     async def _send(self, session, sent):
         timeout = aiohttp.ClientTimeout(total=REQUEST_TIMEOUT_S)
         try:
             async with session.post(
                 self._fleet.url(sent.path, sent.host),
-                headers=make_headers(sent.request_id, sent.path),
+                headers=make_headers(sent.request_id, sent.path) | key_header(sent.key),
                 data=b"body",
                 timeout=timeout,
             ) as response:
@@ -122,7 +141,11 @@
     async def _run_submitter(self):
         while not self.stopped:
             self._count += 1
-            job = SentJob(f"job{self._count}", self._rng.randint(1, 5))
+            job = SentJob(
+                f"job{self._count}",
+                self._rng.randint(1, 5),
+                self._rng.choice(TENANT_NAMES),
+            )
             self.jobs.append(job)
             for _ in range(4):
                 if await self._try_submit(job) or self.stopped:
@@ -143,7 +166,7 @@
             for number in range(job.items)
         ]
         status, _ = await self.call(
-            "POST", "/jobs/x", job.job_id, orjson.dumps({"Items": items})
+            "POST", "/jobs/x", job, job.job_id, orjson.dumps({"Items": items})
         )
         job.accepted = status == 202
         job.refused = job.refused and status in (429, 503)
@@ -151,13 +174,14 @@
 
     async def _end_job(self, job):
         job.end_requested = True
-        status, _ = await self.call("DELETE", f"/lots/{job.job_id}", "end")
+        status, _ = await self.call("DELETE", f"/lots/{job.job_id}", job, "end")
         if status == 200:
             job.ended_at = self._now()
 
     async def read_results(self, job):
         """Read the results of a job at a random host and record violations."""
-        status, body = await self.call("GET", f"/lots/{job.job_id}?After=0", "read")
+        path = f"/lots/{job.job_id}?After=0"
+        status, body = await self.call("GET", path, job, "read")
         if status == 404:
             job.read_violations.append("404")
         if status != 200:
@@ -168,8 +192,13 @@
         if len(outputs) > len(job.results):
             job.results = outputs
 
-    async def call(self, method, path, request_id, data=None):
-        """Call a random host; return (status, body), or (None, b"")."""
+    async def call(self, method, path, job, request_id, data=None):
+        """
+        Call a random host as the tenant of a job.
+
+        Return (status, body), or (None, b"") if there is no whole answer.
+        """
+        key = self._fleet.keys.key_by_tenant[job.tenant]
         timeout = aiohttp.ClientTimeout(total=REQUEST_TIMEOUT_S)
         try:
             async with (
@@ -177,7 +206,7 @@
                 session.request(
                     method,
                     self._fleet.url(path, self._pick_host()),
-                    headers=make_headers(request_id, path),
+                    headers=make_headers(request_id, path) | key_header(key),
                     data=data,
                     timeout=timeout,
                 ) as response,
--- a/test/soak/faults.py
+++ b/test/soak/faults.py
@@ -25,7 +25,10 @@
 # Seconds for which an engine cuts off its streams in these faults.
 CUT_STREAMS_S = 2.0
 # Fault kinds that every scenario contains; they are not drawn at random.
-GUARANTEED_KINDS = {"lose_answers", "cut_streams"}
+GUARANTEED_KINDS = {"lose_answers", "cut_streams", "replace_key"}
+# Range in seconds in which each scenario takes a key away; later requests with
+# it show whether hosts know.
+KEY_CHANGE_S = (0.5, 3.0)
 
 # Head of a response; RunnerStandin replaces @ID by the id of the request.
 ANSWER_HEAD = (
@@ -70,6 +73,9 @@
         faults.append(Fault(at_s, "lose_answers", target, LOSE_ANSWERS_S))
         at_s = round(rng.uniform(FIRST_FAULT_S, LAST_FAULT_S), 2)
         faults.append(Fault(at_s, "cut_streams", target, CUT_STREAMS_S))
+    for target in range(2):
+        at_s = round(rng.uniform(*KEY_CHANGE_S), 2)
+        faults.append(Fault(at_s, "replace_key", target, 0.0))
     return sorted(faults, key=lambda fault: fault.at_s)
 
 
@@ -175,6 +181,11 @@
         partition.trim(partition.next_offset)
 
 
+async def _replace_key(fleet, fault):
+    names = ("one", "two", "limited")
+    fleet.replace_key(_pick_target(names, fault))
+
+
 async def _lose_answers(fleet, fault):
     await _set_behaviour(
         _pick_target(fleet.runners, fault), "close_without_response", True, fault
@@ -235,6 +246,7 @@
     "store_loses_answers": _lose_store_answers,
     "store_forgets": _trim_keyed_topics,
     "runner_behaves": _change_runner_behaviour,
+    "replace_key": _replace_key,
     "lose_answers": _lose_answers,
     "cut_streams": _cut_streams,
 }
--- a/test/soak/fleet.py
+++ b/test/soak/fleet.py
@@ -17,6 +17,7 @@
 from test.gateway.fleet import GatewayFleet
 from test.soak.faults import STOP_GRACE_S
 from test.soak.proxy import Proxy
+from test.soak.tenants import OVERSHOOT, REVOKE_MS, SLACK, WINDOW_S, SoakTenants
 
 ROOT = Path(__file__).resolve().parent.parent.parent
 # Seconds in which all hosts must become ready after the start.
@@ -82,6 +83,8 @@
     def __init__(self, directory, environment=None, checkouts=(ROOT,)):
         super().__init__()
         self.store = StoreStandin(self.rng)
+        self.keys = SoakTenants()
+        self.tenants = self.keys.declarations()
         self.directory = Path(directory)
         self.environment = environment or {}
         # Hosts alternate between the code of these checkouts.
@@ -100,6 +103,15 @@
             await self.add_process(number)
         await self.wait_until_ready(START_TIMEOUT_S)
 
+    def replace_key(self, name):
+        """Take a tenant's key away and give it another one."""
+
+        def write_config():
+            self.tenants = self.keys.declarations()
+            self.write_config()
+
+        self.keys.replace_key(name, write_config)
+
     async def wait_until_ready(self, wait_s):
         """Return True once all hosts are ready, False after `wait_s` s."""
         deadline = asyncio.get_running_loop().time() + wait_s
@@ -130,6 +142,10 @@
         settings.store.address = proxy.address
         settings.seeds = [f"127.0.0.2:{self.ports['peer']}"]
         settings.bounds.stop_grace_s = STOP_GRACE_S
+        settings.bounds.revoke_ms = REVOKE_MS
+        settings.bounds.quota_window_s = WINDOW_S
+        settings.bounds.quota_overshoot = OVERSHOOT
+        settings.bounds.quota_slack = SLACK
         settings.log_level = "info"
         path = self.directory / f"host-{number}.json"
         path.write_text(json.dumps(attrs.asdict(settings)))
--- a/test/soak/gateway_process.py
+++ b/test/soak/gateway_process.py
@@ -11,8 +11,11 @@
 from galenascale.clock import Clock
 from galenascale.gateway import attempts, request_handler
 from galenascale.gateway.configuration import ConfigurationState, Route
+from galenascale.gateway.configuration_proof import ConfigurationProof
 from galenascale.gateway.jobs import state
+from galenascale.gateway.rates.client import RateClient
 from galenascale.gateway.servers import ServerList
+from galenascale.platform import headers
 
 # Environment variables: clock skew in milliseconds, key of DEFECTS_BY_NAME.
 SKEW_VARIABLE = "GALENASCALE_SOAK_SKEW_MS"
@@ -63,10 +66,10 @@
 def _keep_first_configuration():
     install = ConfigurationState.install
 
-    def install_first(configurations, configuration, now):
+    def install_first(configurations, configuration):
         if configurations.current is not None:
             return False
-        return install(configurations, configuration, now)
+        return install(configurations, configuration)
 
     ConfigurationState.install = install_first
 
@@ -76,7 +79,27 @@
     request_handler.responses.CallerStream.abort = lambda stream: None
 
 
+def _pass_keys_on():
+    headers.replace_credentials = lambda sent, tenant: list(sent)
+
+
+def _trust_any_configuration():
+    # A host that reads no configuration goes on with the first one.
+    _keep_first_configuration()
+    ConfigurationProof.permits_keys = lambda proof, now, revoke_ms: True
+
+
+def _limit_no_rates():
+    async def admit(client, tenant_name):
+        pass
+
+    RateClient.admit = admit
+
+
 DEFECTS_BY_NAME = {
+    "pass_keys_on": _pass_keys_on,
+    "trust_any_configuration": _trust_any_configuration,
+    "limit_no_rates": _limit_no_rates,
     "repeat_everything": _retry_non_idempotent_requests,
     "deny_runs": _report_all_failures_as_not_run,
     "ignore_draining": _route_to_draining_servers,
--- a/test/soak/scenario.py
+++ b/test/soak/scenario.py
@@ -7,11 +7,12 @@
 import aiohttp
 import attrs
 
-from test.gateway.fleet import ROUTES, make_route
+from test.gateway.fleet import ROUTES, key_header, make_route
 from test.soak import faults
 from test.soak.checks import check_jobs, check_requests
 from test.soak.clients import STREAM_EVENTS, Clients
 from test.soak.fleet import ROOT, ProcessFleet, make_run_directory
+from test.soak.tenants import CHECKS, check_tenants
 
 # Seconds of load.
 LOAD_S = 9.0
@@ -95,6 +96,7 @@
     await _read_jobs(fleet, clients)
     result.violations.extend(check_requests(fleet, clients.requests))
     result.violations.extend(check_jobs(fleet, clients.jobs))
+    result.violations.extend(check_tenants(fleet, clients.requests))
     result.violations.extend(
         [line async for line in _check_configuration_change(fleet, clients)]
     )
@@ -131,7 +133,12 @@
 async def _try_request(fleet, host, path):
     """Return the status of a request, or repr() of a client error."""
     try:
-        reply = await fleet.request(path, request_id=f"change-{host}", host=host)
+        reply = await fleet.request(
+            path,
+            request_id=f"change-{host}",
+            host=host,
+            headers=key_header(fleet.keys.key_by_tenant[CHECKS]),
+        )
     except aiohttp.ClientError as error:
         return repr(error)
     return reply.status
--- a/test/soak/test_soak.py
+++ b/test/soak/test_soak.py
@@ -12,6 +12,7 @@
 from test.soak.clients import SentJob
 from test.soak.gateway_process import DEFECT_VARIABLE, DEFECTS_BY_NAME
 from test.soak.scenario import ScenarioSize, run_scenario
+from test.soak.tenants import CHECKS
 
 # Run by CI each time; `python -m test.soak` runs new seeds.
 SEEDS = (11, 12)
@@ -57,9 +58,11 @@
     """Guards against missing lost jobs and reporting ended jobs as lost."""
     store = StoreStandin(random.Random(0))
     if recorded:
-        record = encode_record(JobRecordKind.ENDED, "job1")
+        record = encode_record(JobRecordKind.ENDED, f"{CHECKS}/job1")
         store.state.append("jobs", 3, [record])
-    job = SentJob("job1", 2, accepted=True, refused=False, end_requested=end_requested)
+    job = SentJob(
+        "job1", 2, CHECKS, accepted=True, refused=False, end_requested=end_requested
+    )
     job.ended_at = 1.0 if acknowledged else None
     fleet = Mock(store=store, runners=[])
     assert bool(list(check_jobs(fleet, [job]))) == is_violation
