--- a/galenascale/commands/gateway.py
+++ b/galenascale/commands/gateway.py
@@ -1,6 +1,8 @@
 """`galenascale gateway`: run one gateway host."""
 
 import asyncio
+import gc
+import importlib
 import signal
 
 from galenascale.commands.listening import translate_listen_errors
@@ -19,12 +21,27 @@
     settings
         JSON file with the settings of the host.
     """
+    _load_modules()
     from galenascale.gateway.settings import load_gateway_settings
 
     loaded = load_gateway_settings(settings)
     asyncio.run(_serve(settings, loaded))
 
 
+def _load_modules():
+    """
+    Import the modules of a host without garbage collections.
+
+    What they create stays for good, so the collector would look at it in vain,
+    during the start and ever after.
+    """
+    gc.disable()
+    for name in ("galenascale.gateway.host", "galenascale.platform.adapter"):
+        importlib.import_module(name)
+    gc.freeze()
+    gc.enable()
+
+
 async def _serve(path, settings):
     from galenascale.gateway.host import GatewayHost
     from galenascale.gateway.settings import SettingsWatcher
--- a/galenascale/gateway/listeners.py
+++ b/galenascale/gateway/listeners.py
@@ -6,7 +6,7 @@
 from aiohttp import web
 
 from galenascale.gateway.configuration import CallerLimits
-from galenascale.gateway.sockets import split_address
+from galenascale.gateway.sockets import RECEIVE_BYTES, split_address
 
 # Connections that the kernel queues until they are accepted.
 BACKLOG = 1024
@@ -39,6 +39,7 @@
 
     def connection_made(self, transport):
         super().connection_made(transport)
+        transport.max_size = RECEIVE_BYTES
         self._close_after(self._idle_timeout_s)
 
     def connection_lost(self, exc):
--- a/galenascale/gateway/sockets.py
+++ b/galenascale/gateway/sockets.py
@@ -12,6 +12,17 @@
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
+# Most bytes of one receive call. The event loop asks for 256 KB each time and
+# allocates them, however few have arrived.
+RECEIVE_BYTES = 1 << 16
+
+
+class BoundedSocket(socket.socket):
+    """Socket that receives at most RECEIVE_BYTES at once."""
+
+    def recv(self, size, flags=0):
+        """Return the bytes that have arrived, as far as they fit."""
+        return super().recv(min(size, RECEIVE_BYTES), flags)
 
 
 def enable_dead_peer_detection(transport):
--- a/galenascale/platform/adapter.py
+++ b/galenascale/platform/adapter.py
@@ -1,11 +1,9 @@
 """Entry point of the platform package for the gateway."""
 
-import socket
-
 import aiohttp
 import attrs
 
-from galenascale.gateway.sockets import set_dead_peer_options
+from galenascale.gateway.sockets import BoundedSocket, set_dead_peer_options
 from galenascale.platform import configuration, headers, jobs, servers
 from galenascale.platform.store import StoreClient
 
@@ -60,7 +58,7 @@
 
 def _make_socket(address_info):
     family, kind, protocol, _, _ = address_info
-    sock = socket.socket(family, kind, protocol)
+    sock = BoundedSocket(family, kind, protocol)
     sock.setblocking(False)
     set_dead_peer_options(sock)
     return sock
--- a/test/gateway/test_endless_bytes.py
+++ b/test/gateway/test_endless_bytes.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import tracemalloc
+from asyncio import selector_events
 
 import aiohttp
 import attrs
@@ -11,6 +12,7 @@
 from galenascale.errors import BackendError
 from galenascale.gateway.event_stream import MAX_EVENT_BYTES, EventStreamParser
 from galenascale.gateway.jobs.relaying_store import call_store
+from galenascale.gateway.sockets import RECEIVE_BYTES
 from galenascale.generated.gateway_messages import StoreCall, StoreOutcome
 from galenascale.platform.store import StoreClient
 from galenascale.standins.runner import EndlessResponse, send_endless_response
@@ -75,6 +77,18 @@
 ]
 
 
+@pytest.fixture(autouse=True)
+def small_receive_calls_of_standins(monkeypatch):
+    """
+    Limit the receive calls of the stand-ins and of the test's own clients.
+
+    They run in the traced process. The event loop allocates 256 KB for each
+    call, however few bytes arrive. The gateway limits its own connections; see
+    test_received_bytes_are_limited_on_all_connections().
+    """
+    monkeypatch.setattr(selector_events._SelectorTransport, "max_size", RECEIVE_BYTES)
+
+
 def parametrize_sources(sources):
     """Parametrize a test over sources, with their names as ids."""
     return pytest.mark.parametrize("source", sources, ids=lambda source: source.name)
--- a/test/gateway/test_listeners.py
+++ b/test/gateway/test_listeners.py
@@ -2,13 +2,18 @@
 
 import asyncio
 import contextlib
+import socket
 
+import aiohttp
 import attrs
 import pytest
 from aiohttp import web
 
 from galenascale.gateway.configuration import CallerLimits
 from galenascale.gateway.listeners import CallerServer, listen
+from galenascale.gateway.sockets import RECEIVE_BYTES, BoundedSocket
+from galenascale.platform.adapter import PlatformAdapter
+from test.gateway.fleet import gateway_fleet
 
 HEADER_TIMEOUT_S = 0.2
 IDLE_TIMEOUT_S = 0.6
@@ -86,3 +91,37 @@
         await asyncio.sleep(HEADER_TIMEOUT_S * 1.5)
         writer.write(b"2")
         assert (await reader.readuntil(b"done")).startswith(b"HTTP/1.1 200")
+
+
+async def test_received_bytes_are_limited_on_all_connections():
+    """
+    Guards small hosts against 256 KB allocated for each receive call.
+
+    That is what the event loop asks for, however few bytes have arrived.
+    """
+    sizes = []
+
+    class RecordingSocket(BoundedSocket):
+        def recv(self, size, flags=0):
+            data = super().recv(size, flags)
+            sizes.append(len(data))
+            return data
+
+    one, other = socket.socketpair()
+    with one, other:
+        one.sendall(bytes(3 * RECEIVE_BYTES)[: 1 << 17])
+        receiver = RecordingSocket(fileno=other.detach())
+        with receiver:
+            receiver.recv(1 << 18)
+    assert sizes == [RECEIVE_BYTES]
+    async with (
+        gateway_fleet() as fleet,
+        aiohttp.ClientSession() as session,
+        session.get(fleet.url("/none")),
+    ):
+        (connection,) = fleet.hosts[0]._caller_server.connections
+        assert connection.transport.max_size == RECEIVE_BYTES
+    async with PlatformAdapter().make_session() as session:
+        sock = session.connector._socket_factory((socket.AF_INET, 1, 6, "", None))
+        with sock:
+            assert isinstance(sock, BoundedSocket)
