Start hosts on the platform without the modules of the command line

Change: python3 -m galenascale.platform runs the same host with the settings file that the platform names; the command line is built in commands/cli.py.

--- a/galenascale/__main__.py
+++ b/galenascale/__main__.py
@@ -10,11 +10,10 @@
 
 import cyclopts  # noqa: E402
 
-from galenascale.commands import make_cli  # noqa: E402
+from galenascale.commands.cli import make_cli  # noqa: E402
+from galenascale.commands.user_errors import exit_with_error  # noqa: E402
 from galenascale.errors import GalenascaleError  # noqa: E402
 
-EXIT_BAD_INPUT = 2
-
 
 def main(argv=None):
     """Run the command line; user errors end with one line and exit code 2."""
@@ -23,15 +22,9 @@
         cli = make_cli(arguments)
         return cli(arguments, exit_on_error=False, print_error=False)
     except GalenascaleError as error:
-        return _fail(error.message)
+        return exit_with_error(error.message)
     except cyclopts.CycloptsError as error:
-        return _fail(str(error))
-
-
-def _fail(message):
-    line = " ".join(message.split())
-    print(f"galenascale: {line}", file=sys.stderr)
-    return sys.exit(EXIT_BAD_INPUT)
+        return exit_with_error(str(error))
 
 
 if __name__ == "__main__":
--- a/test/commands/test_help.py
+++ b/test/commands/test_help.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from galenascale.commands import _COMMANDS as COMMANDS
+from galenascale.commands.cli import _COMMANDS as COMMANDS
 
 
 def run_python(*arguments):
@@ -28,7 +28,7 @@
 def test_command_loads_no_other():
     """Guards the start of a host against the imports of other commands."""
     code = (
-        "import sys; from galenascale.commands import make_cli; "
+        "import sys; from galenascale.commands.cli import make_cli; "
         "make_cli(('gateway', '--settings', 'x')); print(*sys.modules)"
     )
     modules = run_python("-c", code).split()
--- a/test/test_layering.py
+++ b/test/test_layering.py
@@ -111,7 +111,8 @@
 )
 def test_no_module_reaches_what_its_layer_must_not(layer, forbidden):
     """Guards decisions against I/O and clocks, adapters against commands."""
-    outside = ("galenascale.commands", "galenascale.__main__")
+    entry_points = ("galenascale.__main__", "galenascale.platform.__main__")
+    outside = ("galenascale.commands", *entry_points)
     modules = [
         name
         for name in PATHS_BY_MODULE
--- a/tools/generate_docs.py
+++ b/tools/generate_docs.py
@@ -13,7 +13,7 @@
 ROOT = Path(__file__).resolve().parent.parent
 sys.path.insert(0, str(ROOT))
 
-from galenascale.commands import make_cli  # noqa: E402
+from galenascale.commands.cli import make_cli  # noqa: E402
 from galenascale.generated import messages  # noqa: E402
 
 REFERENCE = ROOT / "docs" / "reference"
