Deliver messages of slots and rates by one link

Change: MessageLink delivers between the parts of a host and to other hosts. Answers of a host to itself come after the caller's step for rates too.

Result: test_slot_hosts, test_rates, test_tenants and test_online pass.

--- a/galenascale/gateway/rates/service.py
+++ b/galenascale/gateway/rates/service.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from galenascale.gateway.message_link import MessageLink
 from galenascale.gateway.rates.client import RateClient
 from galenascale.gateway.rates.owner import RateOwner
 
@@ -14,10 +15,11 @@
 
     def __init__(self, context, started_ms, send):
         self._context = context
-        self._own_address = context.ownership.own_address
-        self._send_to_peer = send
-        self._client = RateClient(context, self._send, started_ms)
-        self._owner = RateOwner(context, self._send, self._call_later)
+        self._link = MessageLink(context, send)
+        self._client = RateClient(context, self._link.send, started_ms)
+        self._owner = RateOwner(context, self._link.send, self._call_later)
+        self._link.connect(self._owner, self._client)
+        self.receive = self._link.receive
 
     def _call_later(self, delay_s, callback, *arguments):
         asyncio.get_running_loop().call_later(delay_s, callback, *arguments)
@@ -30,22 +32,6 @@
         """Hand the rates over that this host no longer owns."""
         self._owner.hand_over(self._context.clock.monotonic())
 
-    def _send(self, address, message):
-        if address == self._own_address:
-            self._handle(message, address)
-        else:
-            self._send_to_peer(address, message)
-
-    def receive(self, messages, address):
-        """Handle messages from another host."""
-        for message in messages:
-            self._handle(message, address)
-
-    def _handle(self, message, address):
-        now = self._context.clock.monotonic()
-        self._owner.receive(message, address, now)
-        self._client.receive(message, address, now)
-
     async def run(self):
         """Run the periodic work of the owner until cancelled."""
         while True:
