--- a/bench/ablation.py
+++ b/bench/ablation.py
@@ -23,7 +23,12 @@
 from galenascale.gateway.stopping import GracefulStop
 
 DEPLOY_FILE = "deploy/system.toml"
-GATEWAY_COMMAND = "python3 -m galenascale "
+# What the deploy file runs, and what it runs without a mechanism. The platform
+# puts the settings at this path.
+GATEWAY_COMMAND = "python3 -m galenascale.platform"
+ABLATED_COMMAND = (
+    "python3 -m bench.ablation run {} gateway --settings /etc/galenascale/local.yaml"
+)
 # Longer than any run.
 INFINITE_DELAY_S = 1e9
 
@@ -192,9 +197,7 @@
     text = path.read_text()
     if text.count(GATEWAY_COMMAND) != 1:
         raise UserError(f"{path}: no command {GATEWAY_COMMAND!r}", step="ablation")
-    path.write_text(
-        text.replace(GATEWAY_COMMAND, f"python3 -m bench.ablation run {name} ")
-    )
+    path.write_text(text.replace(GATEWAY_COMMAND, ABLATED_COMMAND.format(name)))
 
 
 def run(name, arguments):
