--- a/bench/gateway_slopes.py
+++ b/bench/gateway_slopes.py
@@ -11,8 +11,10 @@
 
 import attrs
 
+from bench.rate_fleet import RateFleet
 from galenascale.codec import decode, encode
 from galenascale.gateway.balancing import Candidate, choose_candidate
+from galenascale.gateway.configuration import Tenant, TenantTable
 from galenascale.gateway.gossip import StatusRouter
 from galenascale.gateway.jobs.quota_reconciler import QuotaReconciler
 from galenascale.gateway.jobs.quota_state import OpenJob, QuotaState
@@ -31,9 +33,12 @@
     JobItem,
     QuotaRecord,
     QuotaRecordKind,
+    RateMessage,
+    RateMessageKind,
     ServerInFlight,
     StatusBatch,
 )
+from galenascale.key_table import KeyTable, key_digest
 
 SIZES = (50, 500)
 SERVERS_IN_STATUS = 8
@@ -189,7 +194,47 @@
     return run
 
 
+def decide_rate(size):
+    """Return a function that decides a request of each of so many tenants."""
+    names = [f"t{number}" for number in range(size)]
+    tenants = [Tenant(name, requests_per_s=1e6, burst=1e6) for name in names]
+    fleet = RateFleet(tenants, hosts=1)
+    owner = fleet.hosts["a0"].owner
+    numbers = itertools.count(1)
+
+    def run():
+        for name in names:
+            message = RateMessage(
+                kind=RateMessageKind.ASK, tenant=name, number=next(numbers)
+            )
+            batch = decode(StatusBatch, encode(StatusBatch(rates=[message])))
+            owner.receive(batch.rates[0], "a9", 1.0)
+
+    return run
+
+
+def install_keys(size):
+    """Return a function that installs two keys of each of so many tenants."""
+    tenants_by_name = {
+        f"t{number}": Tenant(
+            f"t{number}", (key_digest(f"a{number}"), key_digest(f"b{number}"))
+        )
+        for number in range(size)
+    }
+    return lambda: TenantTable(tenants_by_name)
+
+
+def find_keys(size):
+    """Return a function that looks a key up, with so many tenants."""
+    digests = {f"t{number}": (key_digest(f"a{number}"),) for number in range(size)}
+    table = KeyTable(digests)
+    return lambda: table.find(b"a1")
+
+
 WORKS = (
+    Work("decide a request of each tenant", "tenant", decide_rate),
+    Work("install the keys of tenants", "tenant", install_keys),
+    Work("look a key up", "tenant", find_keys),
     Work("receive one round of states", "host", receive_statuses),
     Work("choose a server", "server", choose_server),
     Work("grant a slot and take it back", "server of the pool", grant_slot),
