--- a/test/soak/clients.py
+++ b/test/soak/clients.py
@@ -14,7 +14,7 @@
 # Timeout of one HTTP call by a caller.
 REQUEST_TIMEOUT_S = 3.0
 # Share of requests with a key that was taken away.
-OLD_KEY_SHARE = 0.15
+OLD_KEY_SHARE = 0.08
 # Events in each complete stream.
 STREAM_EVENTS = 5
 
--- a/test/soak/faults.py
+++ b/test/soak/faults.py
@@ -22,6 +22,8 @@
 GUARANTEED_TARGETS = 4
 # Seconds for which a server drops its answers in these faults.
 LOSE_ANSWERS_S = 0.8
+# Further faults in which a server drops its answers.
+FURTHER_LOST_ANSWERS = 10
 # Seconds for which an engine cuts off its streams in these faults.
 CUT_STREAMS_S = 2.0
 # Fault kinds that every scenario contains; they are not drawn at random.
@@ -73,6 +75,11 @@
         faults.append(Fault(at_s, "lose_answers", target, LOSE_ANSWERS_S))
         at_s = round(rng.uniform(FIRST_FAULT_S, LAST_FAULT_S), 2)
         faults.append(Fault(at_s, "cut_streams", target, CUT_STREAMS_S))
+    # Hosts soon avoid a server that drops its answers, so one fault yields few
+    # refusals to check, however long it lasts.
+    for target in range(FURTHER_LOST_ANSWERS):
+        at_s = round(rng.uniform(FIRST_FAULT_S, LAST_FAULT_S), 2)
+        faults.append(Fault(at_s, "lose_answers", target, LOSE_ANSWERS_S))
     for target in range(2):
         at_s = round(rng.uniform(*KEY_CHANGE_S), 2)
         faults.append(Fault(at_s, "replace_key", target, 0.0))
