Log the prompt parts and the progress of runs on crashed servers

Change: the adapter decodes the parts that requests may share (all but the last), and server_crashed carries request, parts and begun; the metric crashed_runs counts by the latter. No decision changes.

--- a/galenascale/gateway/crashes.py
+++ b/galenascale/gateway/crashes.py
@@ -7,6 +7,8 @@
 
 import attrs
 
+from galenascale.gateway.admission import fingerprint
+
 # Number of server crashes after which content is blocked.
 MAX_CRASHES = 3
 # Seconds for which a crash is remembered.
@@ -15,6 +17,26 @@
 MAX_SHARED_CRASHES = 40
 
 
+@attrs.frozen
+class InterruptedRun:
+    """A run whose server closed the connection before the end."""
+
+    request_id: str
+    # Hash of the request content.
+    content_key: int
+    # Ids of the parts of the prompt that other requests may share.
+    shared_parts: tuple[str, ...]
+    # Whether the server had begun to write the answer.
+    begun: bool
+
+    @classmethod
+    def from_request(cls, request, *, begun):
+        """Return the InterruptedRun of a CallerRequest."""
+        return cls(
+            request.request_id, fingerprint(request), request.shared_parts, begun
+        )
+
+
 @attrs.define
 class _Crash:
     # Hash of the request content.
--- a/galenascale/gateway/forwarding.py
+++ b/galenascale/gateway/forwarding.py
@@ -6,6 +6,7 @@
 from galenascale.gateway.admission import fingerprint
 from galenascale.gateway.attempts import MIN_REMAINING_S, AttemptPlan, RequestFailed
 from galenascale.gateway.configuration import RequestKind
+from galenascale.gateway.crashes import InterruptedRun
 from galenascale.gateway.dispatch import Dispatcher
 from galenascale.gateway.event_stream import EventStreamParser
 from galenascale.gateway.requests import BufferedResponse
@@ -150,7 +151,9 @@
         self._plan.had_connection_failure = True
         server = selected.server
         self._context.health.record_failure(server.incarnation, self._now())
-        self._context.reachability.check_for_crash(server, self._content_key)
+        begun = selected.first_event_at is not None
+        run = InterruptedRun.from_request(self._request, begun=begun)
+        self._context.reachability.check_for_crash(server, run)
         if self._route.repeatable and not self._plan.may_run():
             await self._check_server_loss(server)
 
--- a/galenascale/gateway/jobs/item_runs.py
+++ b/galenascale/gateway/jobs/item_runs.py
@@ -8,6 +8,7 @@
 from galenascale.errors import BackendError
 from galenascale.gateway.admission import fingerprint
 from galenascale.gateway.attempts import AttemptPlan
+from galenascale.gateway.crashes import InterruptedRun
 from galenascale.gateway.event_stream import EventStreamParser
 from galenascale.gateway.requests import CallerRequest
 
@@ -172,13 +173,16 @@
     now = context.clock.monotonic()
     plan = AttemptPlan(route, arrived_at=now, deadline=now + MAX_RUN_S)
     stored = item.state.job.items[item.index]
+    headers = context.dialect.build_item_headers(stored, item.state.job)
+    events_before = item.events
     request = CallerRequest(
         request_id=stored.item_id,
         method="POST",
         target=stored.path,
         host=item.state.job.host,
-        headers=context.dialect.build_item_headers(stored, item.state.job),
+        headers=headers,
         body=body,
+        shared_parts=context.dialect.parse_shared_parts(headers),
         tenant=None if context.configuration.tenants is None else item.state.job.tenant,
     )
     try:
@@ -195,7 +199,8 @@
             item.avoided_until[server.incarnation] = avoided_until
             return RunResult("silent", error.message)
         item.content_key = fingerprint(request)
-        context.reachability.check_for_crash(server, item.content_key)
+        run = InterruptedRun.from_request(request, begun=item.events > events_before)
+        context.reachability.check_for_crash(server, run)
         return RunResult("broken", error.message)
 
 
--- a/galenascale/gateway/metrics.py
+++ b/galenascale/gateway/metrics.py
@@ -23,6 +23,11 @@
         self.sends = self._counter(
             "sends", "Requests sent to backend servers by outcome.", ("outcome",)
         )
+        self.crashed_runs = self._counter(
+            "crashed_runs",
+            "Runs on servers that crashed, by whether the answer had begun.",
+            ("begun",),
+        )
         self.store_calls = self._counter(
             "store_calls", "Calls of the store by outcome.", ("outcome",)
         )
--- a/galenascale/gateway/reachability.py
+++ b/galenascale/gateway/reachability.py
@@ -27,7 +27,7 @@
         self._attempts_by_incarnation = {}
         self._checked_at = {}
         self._checking = set()
-        # (server, content key) for each server that closed its connection
+        # (server, InterruptedRun) for each connection that a server closed
         # before the answer was complete.
         self._disconnected = []
 
@@ -120,11 +120,11 @@
             context.log.write("server_regained", server=server.server_id)
         context.health.mark_reachable(incarnation)
 
-    def check_for_crash(self, server, content_key):
-        """Check in the background if a disconnected server has crashed."""
-        self._disconnected.append((server, content_key))
+    def check_for_crash(self, server, run):
+        """Check in the background if an InterruptedRun's server crashed."""
+        self._disconnected.append((server, run))
 
-    async def _check_disconnected(self, server, content_key):
+    async def _check_disconnected(self, server, run):
         try:
             await self.check(server)
         except BackendError as error:
@@ -132,13 +132,17 @@
                 # The network link is down; the server may still run.
                 return
             context = self._context
-            context.crashes.add(content_key, context.clock.monotonic())
+            context.crashes.add(run.content_key, context.clock.monotonic())
             context.load.mark_changed()
+            context.metrics.crashed_runs.labels("yes" if run.begun else "no").inc()
             context.log.write(
                 "server_crashed",
                 "warning",
                 server=server.server_id,
-                content=content_key,
+                request=run.request_id,
+                content=run.content_key,
+                parts=run.shared_parts,
+                begun=run.begun,
                 reason=error.message,
             )
 
--- a/galenascale/gateway/requests.py
+++ b/galenascale/gateway/requests.py
@@ -35,6 +35,8 @@
     # Number of prompt tokens and limit of generated tokens; 0 if not stated.
     prompt_tokens: int = 0
     max_output_tokens: int = 0
+    # Ids of the parts of the prompt that other requests may share.
+    shared_parts: tuple[str, ...] = ()
 
     @property
     def path(self):
--- a/galenascale/platform/headers.py
+++ b/galenascale/platform/headers.py
@@ -12,6 +12,10 @@
 # Despite its name, this header does not report usage: "PROMPT,OUTPUT" states
 # the tokens of the prompt and the most tokens to generate.
 _TOKENS = b"x-galenascale-token-usage"
+# "ID:TOKENS,...": the parts of the prompt in order. The last one is the
+# request's own or that of its session.
+_PROMPT_PARTS = b"x-galenascale-prompt-prefix"
+_MAX_PROMPT_PARTS = 32
 _NOT_RUN = b"x-galenascale-not-executed"
 _LEAVING = b"server-leaving"
 _WAIT_MS = b"x-galenascale-wait-ms"
@@ -86,9 +90,20 @@
         key=_parse_key(headers),
         prompt_tokens=_parse_token_count(tokens, 0),
         max_output_tokens=_parse_token_count(tokens, 1),
+        shared_parts=parse_shared_parts(headers),
     )
 
 
+def parse_shared_parts(headers):
+    """Return the ids of the prompt's parts that other requests may share."""
+    value = find_header(headers, _PROMPT_PARTS)
+    if value is None:
+        return ()
+    entries = value.decode("latin-1").split(",")[:-1]
+    ids = (entry.partition(":")[0].strip().lower() for entry in entries)
+    return tuple(filter(None, ids))[:_MAX_PROMPT_PARTS]
+
+
 def _parse_key(headers):
     """Return the key of a tenant; None without one, empty if not clear."""
     values = [value for name, value in headers if name.lower() == _AUTHORIZATION]
