--- a/galenascale/standins/runner.py
+++ b/galenascale/standins/runner.py
@@ -53,6 +53,10 @@
     trailing_bytes: bytes = b""
     # Stop listening and reset the connection when a request arrives.
     crash: bool = False
+    # The same, and listen again after some seconds, at a request with this
+    # part in its prompt; see crash_downtime_s.
+    crash_part: str | None = None
+    crash_downtime_s: float = 0.5
     # Never respond.
     hang: bool = False
     # Include the id of the request in each response and event.
@@ -82,6 +86,10 @@
         self.sequence = 0
         self.started_ms = 1
         self.address = ""
+        # Loop times in seconds of its crashes.
+        self.crashed_at = []
+        self._writers = set()
+        self._restart = None
 
     async def start(self, host="127.0.0.1", port=0):
         """Listen on an address; port 0 picks a free one."""
@@ -91,8 +99,27 @@
 
     async def stop(self):
         """Stop listening; open connections stay open."""
+        if self._restart is not None:
+            self._restart.cancel()
         self._server.close()
 
+    async def crash(self, downtime_s=None):
+        """Reset all connections; listen again after `downtime_s`, if given."""
+        for writer in list(self._writers):
+            writer.transport.abort()
+        if not self._server.is_serving():
+            # It is down already.
+            return
+        self.crashed_at.append(asyncio.get_running_loop().time())
+        self._server.close()
+        if downtime_s is not None:
+            self._restart = asyncio.ensure_future(self._start_again(downtime_s))
+
+    async def _start_again(self, downtime_s):
+        await asyncio.sleep(downtime_s)
+        host, port = self.address.split(":")
+        await self.start(host, int(port))
+
     def request_count(self, prefix):
         """Return the number of received requests with a path prefix."""
         return sum(r.target.startswith(prefix.encode()) for r in self.requests)
@@ -116,6 +143,7 @@
 
     async def _serve(self, reader, writer):
         self.connections += 1
+        self._writers.add(writer)
         try:
             while (request := await _read_request(reader)) is not None:
                 if not await self._answer(request, reader, writer):
@@ -123,6 +151,7 @@
         except (ConnectionError, asyncio.IncompleteReadError):
             self.early_disconnects += 1
         finally:
+            self._writers.discard(writer)
             writer.close()
 
     async def _answer(self, request, reader, writer):
@@ -158,8 +187,10 @@
             )
             return False
         if behaviour.crash:
-            await self.stop()
-            writer.transport.abort()
+            await self.crash()
+            return False
+        if behaviour.crash_part is not None and request.has_part(behaviour.crash_part):
+            await self.crash(behaviour.crash_downtime_s)
             return False
         if behaviour.reset:
             writer.transport.abort()
--- a/galenascale/standins/runner_request.py
+++ b/galenascale/standins/runner_request.py
@@ -23,6 +23,11 @@
                 return value.decode()
         return None
 
+    def has_part(self, part):
+        """Return True if the prompt contains a part, given by its id."""
+        entries = (self.header("X-Galenascale-Prompt-Prefix") or "").split(",")
+        return any(entry.partition(":")[0] == part for entry in entries)
+
     @property
     def request_id(self):
         """Id of the attempt that sent the request; empty if it has none."""
--- a/test/gateway/fleet.py
+++ b/test/gateway/fleet.py
@@ -133,7 +133,7 @@
     async def add_runner(self, server_id, service, **fields):
         """Start a runner and register it."""
         runner = RunnerStandin(server_id, service, **fields)
-        await runner.start()
+        await runner.start(port=free_port())
         self.runners.append(runner)
         self.register(runner)
         return runner
