Block prompt parts that crash each server which begins to answer them

Callers: with 5 in 100 requests of one route holding a deadly part, all nine engines crashed again and again, 45 to 53 times in 22 s; half of the sound requests of the route failed (BUDGET, LOST). Cause: crashes were counted by the hash of the whole content. Requests that share a part are different contents, so each crashed up to three servers anew; and runs that had begun counted as much as those that had not, so sound contents were refused instead. Change: SuspectParts keeps crashed servers and begun answers by part. A part is blocked if three servers crashed under it and two contents, and no answer to it began since, though others did. Evidence and blocks travel in the hosts' statuses, are bounded and expire. Runs that had begun are no evidence.

--- a/galenascale/gateway/context.py
+++ b/galenascale/gateway/context.py
@@ -24,6 +24,8 @@
     reachability: object = None
     admission: object = None
     crashes: object = None
+    # Prompt parts that may crash servers.
+    suspects: object = None
     peers: object = None
     store: object = None
     # Access to the job topics, through a peer if the store is unreachable.
--- a/galenascale/gateway/crashes.py
+++ b/galenascale/gateway/crashes.py
@@ -8,6 +8,7 @@
 import attrs
 
 from galenascale.gateway.admission import fingerprint
+from galenascale.gateway.load import hash_key
 
 # Number of server crashes after which content is blocked.
 MAX_CRASHES = 3
@@ -26,15 +27,21 @@
     content_key: int
     # Ids of the parts of the prompt that other requests may share.
     shared_parts: tuple[str, ...]
-    # Whether the server had begun to write the answer.
+    # Whether a server had begun to write the answer.
     begun: bool
+    # Monotonic time in seconds.
+    at: float
 
     @classmethod
-    def from_request(cls, request, *, begun):
+    def from_request(cls, request, *, begun, at):
         """Return the InterruptedRun of a CallerRequest."""
-        return cls(
-            request.request_id, fingerprint(request), request.shared_parts, begun
-        )
+        content_key = fingerprint(request)
+        return cls(request.request_id, content_key, request.shared_parts, begun, at)
+
+    @property
+    def part_keys(self):
+        """Return the keys of the shared parts in messages between hosts."""
+        return tuple(map(hash_key, self.shared_parts))
 
 
 @attrs.define
--- a/galenascale/gateway/forwarding.py
+++ b/galenascale/gateway/forwarding.py
@@ -9,9 +9,11 @@
 from galenascale.gateway.crashes import InterruptedRun
 from galenascale.gateway.dispatch import Dispatcher
 from galenascale.gateway.event_stream import EventStreamParser
+from galenascale.gateway.load import hash_key
 from galenascale.gateway.requests import BufferedResponse
 from galenascale.gateway.server_selection import ServerSelector
 from galenascale.gateway.slots.leases import SlotRefused
+from galenascale.gateway.suspect_exchange import record_start
 from galenascale.generated.gateway_messages import SlotOutcome
 
 
@@ -64,6 +66,7 @@
         self._selected = None
         self._last_error_response = None
         self._content_key = fingerprint(request)
+        self._part_keys = tuple(map(hash_key, request.shared_parts))
         self._max_buffer_bytes = context.settings.held_answer_bytes
 
     def _now(self):
@@ -91,6 +94,8 @@
         """Send one attempt; return what _read_response() returns."""
         self._selected = selected
         with self._selector.hold_slot(selected):
+            # It may have waited for the slot.
+            self._raise_if_blocked(self._now())
             async with self._dispatcher.send(
                 self._request, selected.server, self._plan, self._last_event_id
             ) as attempt:
@@ -118,8 +123,7 @@
                 raise plan.make_error("time is up", plan.deadline)
             if not plan.may_run():
                 raise plan.make_error("no further attempt is allowed", now)
-            if self._context.crashes.is_blocked(self._content_key, now):
-                raise plan.make_error("request content crashes servers", now)
+            self._raise_if_blocked(now)
             try:
                 selected = await self._selector.select(
                     self._route, plan, self._services, self._content_key
@@ -135,6 +139,16 @@
                 )
             await asyncio.sleep(backoff_s)
 
+    def _raise_if_blocked(self, now):
+        """Raise RequestFailed if the request is known to crash servers."""
+        context = self._context
+        if context.crashes.is_blocked(self._content_key, now):
+            raise self._plan.make_error("request content crashes servers", now)
+        part_key = context.suspects.blocked_part(self._part_keys, now)
+        if part_key is not None:
+            reason = f"prompt part {part_key} crashes servers"
+            raise self._plan.make_error(reason, now)
+
     def _record_refusal(self, refused):
         """Record a refusal of a slot owner; return the resulting error."""
         now = self._now()
@@ -151,8 +165,9 @@
         self._plan.had_connection_failure = True
         server = selected.server
         self._context.health.record_failure(server.incarnation, self._now())
-        begun = selected.first_event_at is not None
-        run = InterruptedRun.from_request(self._request, begun=begun)
+        # A run that goes on after some events was begun elsewhere.
+        begun = self._last_event_id is not None or selected.first_event_at is not None
+        run = InterruptedRun.from_request(self._request, begun=begun, at=self._now())
         self._context.reachability.check_for_crash(server, run)
         if self._route.repeatable and not self._plan.may_run():
             await self._check_server_loss(server)
@@ -223,6 +238,7 @@
         if head.status < 500:
             context.health.record_success(incarnation, self._now())
             self._raise_if_started(response.head)
+            record_start(context, self._part_keys)
             return response, True
         context.health.record_failure(incarnation, self._now())
         self._raise_if_started(response.head)
@@ -265,6 +281,7 @@
                 now = self._now()
                 self._context.health.record_success(attempt.server.incarnation, now)
                 self._selected.first_event_at = now
+                record_start(self._context, self._part_keys)
                 if self._selected.granted:
                     self._context.admission.first_event_latency.record(
                         attempt.server.service, now - attempt.sent_at
--- a/galenascale/gateway/host.py
+++ b/galenascale/gateway/host.py
@@ -51,6 +51,7 @@
 from galenascale.gateway.stopping import GracefulStop
 from galenascale.gateway.store_followers import StoreFollowers
 from galenascale.gateway.store_status import StoreStatus
+from galenascale.gateway.suspect_parts import SuspectParts
 
 # Seconds between two checks for idle backend connections to close.
 IDLE_CHECK_INTERVAL_S = 1.0
@@ -114,6 +115,7 @@
             pool=pool,
             admission=Admission(rng),
             crashes=CrashHistory(),
+            suspects=SuspectParts(),
             store=adapter.make_store(settings.store, session),
             ownership=Ownership(
                 OwnerCandidate(
--- a/galenascale/gateway/jobs/item_runs.py
+++ b/galenascale/gateway/jobs/item_runs.py
@@ -199,7 +199,10 @@
             item.avoided_until[server.incarnation] = avoided_until
             return RunResult("silent", error.message)
         item.content_key = fingerprint(request)
-        run = InterruptedRun.from_request(request, begun=item.events > events_before)
+        begun = item.events > events_before
+        run = InterruptedRun.from_request(
+            request, begun=begun, at=context.clock.monotonic()
+        )
         context.reachability.check_for_crash(server, run)
         return RunResult("broken", error.message)
 
--- a/galenascale/gateway/metrics.py
+++ b/galenascale/gateway/metrics.py
@@ -28,6 +28,9 @@
             "Runs on servers that crashed, by whether the answer had begun.",
             ("begun",),
         )
+        self.blocked_parts = self._counter(
+            "blocked_parts", "Prompt parts blocked because they crash servers."
+        )
         self.store_calls = self._counter(
             "store_calls", "Calls of the store by outcome.", ("outcome",)
         )
@@ -61,7 +64,7 @@
         label = tenant if tenant in self._tenant_labels else OTHER_TENANTS
         self.rejections.labels(label, reason).inc()
 
-    def _counter(self, name, text, labels):
+    def _counter(self, name, text, labels=()):
         return Counter(
             name, text, labels, namespace="galenascale", registry=self.registry
         )
--- a/galenascale/gateway/peers.py
+++ b/galenascale/gateway/peers.py
@@ -4,6 +4,7 @@
 
 from galenascale.codec import decode, encode
 from galenascale.errors import DecodeError
+from galenascale.gateway import suspect_exchange
 from galenascale.gateway.gossip import StatusRouter
 from galenascale.gateway.load import InFlightCounts
 from galenascale.gateway.ownership import OwnerCandidate
@@ -92,6 +93,7 @@
         }
         self._admission.add_remote_refusals(status.refused, now)
         self._crashes.set_remote_crashes(status.host_id, status.crashed)
+        suspect_exchange.apply_status(self._context, status, now)
         self._merge_leaving_servers(status, now)
         self._load.set_peer_report(status.host_id, in_flight, now)
         if status.host_id not in self._live_host_ids:
@@ -141,6 +143,7 @@
             now = self._clock.monotonic()
             self._update_live_peers(now)
             self._load.expire_reports(now)
+            suspect_exchange.decide(self._context, now)
             self._send_due_status(now)
             interval_s = len(self._live_host_ids) / HOSTS_PER_INTERVAL_S
             await self._clock.sleep(min(max(INTERVAL_S, interval_s), MAX_INTERVAL_S))
@@ -216,6 +219,9 @@
             refused=self._admission.local_refusals.recent_keys(self._clock.monotonic()),
             leaving_servers=self._servers.recent_leaving(self._clock.monotonic()),
             in_flight=self._in_flight(),
+            **suspect_exchange.status_fields(
+                self._context.suspects, self._clock.monotonic()
+            ),
         )
 
     def _in_flight(self):
--- a/galenascale/gateway/reachability.py
+++ b/galenascale/gateway/reachability.py
@@ -9,6 +9,7 @@
 import asyncio
 
 from galenascale.errors import BackendError
+from galenascale.gateway.suspect_parts import SuspectRun
 
 # Seconds without a byte from a server that has requests, after which it is
 # checked. Streams send an event every 20 to 60 ms. A queued request may take
@@ -132,8 +133,7 @@
                 # The network link is down; the server may still run.
                 return
             context = self._context
-            context.crashes.add(run.content_key, context.clock.monotonic())
-            context.load.mark_changed()
+            self._record_crash(server, run)
             context.metrics.crashed_runs.labels("yes" if run.begun else "no").inc()
             context.log.write(
                 "server_crashed",
@@ -142,10 +142,22 @@
                 request=run.request_id,
                 content=run.content_key,
                 parts=run.shared_parts,
+                part_keys=run.part_keys,
                 begun=run.begun,
                 reason=error.message,
             )
 
+    def _record_crash(self, server, run):
+        """Record a run as a suspect; one that had begun is none."""
+        if run.begun:
+            return
+        context = self._context
+        context.crashes.add(run.content_key, context.clock.monotonic())
+        context.suspects.record_crash(
+            SuspectRun(server.run_key, run.content_key, run.part_keys, run.at)
+        )
+        context.load.mark_changed()
+
     def record_unreachable(self, server, error):
         """Record a failed connection; give up on silent connections."""
         context = self._context
--- /dev/null
+++ b/galenascale/gateway/suspect_exchange.py
@@ -0,0 +1,114 @@
+"""Exchange of suspicions about prompt parts between hosts, and their log."""
+
+from galenascale.gateway.suspect_parts import RELAY_MARGIN_S, Block, SuspectRun
+from galenascale.generated.gateway_messages import CrashedRun, PartBlock, PartStart
+
+# Seconds for which a host reports a crash. Later hosts hear of the blocks.
+REPORT_S = 10.0
+# Largest numbers of entries in a message, which is a part of a datagram.
+MAX_RUNS = 12
+MAX_PARTS_OF_RUN = 32
+MAX_STARTS = 16
+MAX_BLOCKS = 8
+
+
+def status_fields(suspects, now):
+    """Return the fields of a HostStatus that tell of SuspectParts."""
+    return {
+        "crashed_runs": [
+            CrashedRun(
+                server=run.server_key,
+                content=run.content_key,
+                parts=list(run.part_keys),
+                age_ms=_age_ms(run.at, now),
+            )
+            for run in suspects.recent_runs(now, REPORT_S, MAX_RUNS)
+        ],
+        "started_parts": [
+            PartStart(key, _age_ms(at, now))
+            for key, at in suspects.suspected_starts(MAX_STARTS).items()
+        ],
+        "blocked_parts": [
+            PartBlock(
+                block.part_key,
+                _age_ms(block.decided_at, now),
+                _age_ms(block.evidence_from, now),
+            )
+            for block in suspects.blocks(now)[-MAX_BLOCKS:]
+        ],
+    }
+
+
+def apply_status(context, status, now):
+    """Apply what another host's HostStatus tells of prompt parts."""
+    suspects = context.suspects
+    suspects.merge_runs(
+        SuspectRun(
+            run.server,
+            run.content,
+            tuple(run.parts[:MAX_PARTS_OF_RUN]),
+            _time(run.age_ms, now),
+        )
+        for run in status.crashed_runs[:MAX_RUNS]
+    )
+    acquitted = suspects.merge_starts(
+        {
+            start.part: _time(start.age_ms, now)
+            for start in status.started_parts[:MAX_STARTS]
+        }
+    )
+    log_acquitted(context, acquitted, peer=status.host_id)
+    blocks = (
+        Block(
+            block.part,
+            _time(block.age_ms, now) - RELAY_MARGIN_S,
+            _time(block.evidence_age_ms, now) - RELAY_MARGIN_S,
+        )
+        for block in status.blocked_parts[:MAX_BLOCKS]
+    )
+    for block in suspects.merge_blocks(blocks, now):
+        _log_blocked(context, block, now, peer=status.host_id)
+
+
+def decide(context, now):
+    """Block the parts that the evidence convicts, and tell the other hosts."""
+    for block in context.suspects.decide(now):
+        context.load.mark_changed()
+        _log_blocked(context, block, now, peer=None)
+
+
+def record_start(context, part_keys):
+    """Record that the answer to a prompt with these parts began."""
+    now = context.clock.monotonic()
+    acquitted = context.suspects.record_start(part_keys, now)
+    if acquitted:
+        context.load.mark_changed()
+    log_acquitted(context, acquitted, peer=None)
+
+
+def log_acquitted(context, part_keys, *, peer):
+    """Log parts that are no longer blocked, as an answer to them began."""
+    for key in part_keys:
+        context.log.write("part_acquitted", "warning", part=key, peer=peer)
+
+
+def _log_blocked(context, block, now, *, peer):
+    context.metrics.blocked_parts.inc()
+    context.log.write(
+        "part_blocked",
+        "warning",
+        part=block.part_key,
+        peer=peer,
+        crashes=block.crashes,
+        contents=block.contents,
+        evidence_age_s=round(now - block.evidence_from, 3),
+    )
+
+
+def _age_ms(at, now):
+    return max(0, round((now - at) * 1000))
+
+
+def _time(age_ms, now):
+    # A host cannot tell of the future.
+    return now - max(0, age_ms) / 1000
--- /dev/null
+++ b/galenascale/gateway/suspect_parts.py
@@ -0,0 +1,329 @@
+"""Blocks prompt parts that crash each server which begins to answer them.
+
+Different requests may share such a part. Every request whose answer had not
+begun when its server crashed is a suspect, and so are the parts of its prompt.
+Most of them are innocent: they are in the prompts of other requests whose
+answers begin. A part is blocked once several servers have crashed under it and
+no answer to it has begun since the first of these crashes, at any host.
+"""
+
+import collections
+
+import attrs
+
+# Crashed servers and different request contents that make a part suspicious
+# enough. A sound request that is retried is a single content.
+MIN_CRASHES = 3
+MIN_CONTENTS = 2
+# Of the crashes, those on servers without a request that is blocked already.
+# Below it, the part may only have been near a blocked one.
+MIN_UNEXPLAINED_CRASHES = 2
+# Other answers that must have begun at this host since the first crash. If
+# none begins, the servers are broken, whatever they are asked.
+MIN_OTHER_STARTS = 3
+# Seconds from the first crash until a part is blocked. Other hosts tell of
+# answers that began within two rounds of messages.
+MIN_EVIDENCE_AGE_S = 1.5
+# A part whose answers began this many seconds before the first crash or later
+# is blocked only if its crashes span MIN_CRASH_SPAN_S, as servers that lose
+# power together crash under sound parts.
+RECENT_START_S = 30.0
+MIN_CRASH_SPAN_S = 3.0
+# Seconds for which crashes count together.
+CRASH_TTL_S = 60.0
+# Seconds for which a part is blocked.
+BLOCK_TTL_S = 300.0
+# Hosts see the same crash of a server within this many seconds.
+SAME_CRASH_S = 2.0
+# Added to the age of a block at each host that passes it on. More than a
+# message takes, so that a block does not outlive its time by being repeated.
+RELAY_MARGIN_S = 1.0
+MAX_CRASHES = 64
+MAX_RUNS_OF_CRASH = 16
+MAX_BLOCKS = 64
+MAX_PARTS = 2048
+# Seconds between two decisions.
+DECISION_INTERVAL_S = 0.05
+NEVER = float("-inf")
+
+
+@attrs.frozen
+class SuspectRun:
+    """A request whose server crashed before its answer began."""
+
+    # Key of the server's run.
+    server_key: int
+    content_key: int
+    # Keys of the parts of the prompt, in order.
+    part_keys: tuple[int, ...]
+    # Monotonic time in seconds.
+    at: float
+
+
+@attrs.frozen
+class Block:
+    """A blocked part; times are monotonic seconds."""
+
+    part_key: int
+    decided_at: float
+    # Time of the first crash that it follows from.
+    evidence_from: float
+    # Why, for the log; empty if another host decided.
+    crashes: int = 0
+    contents: int = 0
+
+
+@attrs.define
+class _ServerCrash:
+    server_key: int
+    at: float
+    # Keys of the parts, by the content key of the request.
+    parts_by_content: dict = attrs.field(factory=dict)
+
+
+@attrs.define
+class _Evidence:
+    """The crashes under one part."""
+
+    crashes: list = attrs.field(factory=list)
+    contents: set = attrs.field(factory=set)
+    # Largest position of the part in a prompt.
+    depth: int = 0
+
+    @property
+    def first_at(self):
+        """Return the time of the first crash."""
+        return min(crash.at for crash in self.crashes)
+
+    @property
+    def span_s(self):
+        """Return the seconds from the first to the last crash."""
+        return max(crash.at for crash in self.crashes) - self.first_at
+
+
+class SuspectParts:
+    """Crashes and begun answers by prompt part, of this and other hosts."""
+
+    def __init__(self):
+        self._crashes = collections.deque(maxlen=MAX_CRASHES)
+        # Runs seen by this host, for its messages to the others.
+        self._local_runs = collections.deque(maxlen=MAX_CRASHES)
+        # Time of the last begun answer by part, at this and at other hosts.
+        self._local_start_by_part = collections.OrderedDict()
+        self._remote_start_by_part = collections.OrderedDict()
+        # Times of the last begun answers at this host.
+        self._last_starts = collections.deque(maxlen=MIN_OTHER_STARTS)
+        self._block_by_part = collections.OrderedDict()
+        self._decided_at = NEVER
+
+    # What this host sees.
+
+    def record_start(self, part_keys, now):
+        """
+        Record that the answer to a prompt began.
+
+        Return the keys of the parts that were blocked and are acquitted.
+        """
+        self._last_starts.append(now)
+        return [
+            key
+            for key in part_keys
+            if self._add_start(self._local_start_by_part, key, now)
+        ]
+
+    def record_crash(self, run):
+        """Record a SuspectRun."""
+        self._local_runs.append(run)
+        self._add_run(run)
+
+    # What other hosts tell.
+
+    def merge_runs(self, runs):
+        """Add SuspectRuns that another host saw."""
+        for run in runs:
+            self._add_run(run)
+
+    def merge_starts(self, started_at_by_part):
+        """Add begun answers at another host; return the acquitted parts."""
+        return [
+            key
+            for key, at in started_at_by_part.items()
+            if self._add_start(self._remote_start_by_part, key, at)
+        ]
+
+    def merge_blocks(self, blocks, now):
+        """Add Blocks of another host; return those that are new here."""
+        return [block for block in blocks if self._merge_block(block, now)]
+
+    # Decisions.
+
+    def blocked_part(self, part_keys, now):
+        """Return the key of a blocked part among `part_keys`, or None."""
+        if not self._block_by_part:
+            return None
+        self._expire(now)
+        return next((key for key in part_keys if key in self._block_by_part), None)
+
+    def decide(self, now):
+        """Block the parts that the evidence convicts; return new Blocks."""
+        if not self._crashes or now - self._decided_at < DECISION_INTERVAL_S:
+            return []
+        self._decided_at = now
+        self._expire(now)
+        blocks = []
+        while (block := self._convict(now)) is not None:
+            self._block(block)
+            blocks.append(block)
+        return blocks
+
+    # For messages to other hosts.
+
+    def recent_runs(self, now, ttl_s, limit):
+        """Return this host's newest SuspectRuns, up to `ttl_s` seconds old."""
+        runs = [run for run in self._local_runs if now - run.at <= ttl_s]
+        # Parts that never answered come first: the others are acquitted soon.
+        runs.sort(key=lambda run: (self._is_new(run), run.at), reverse=True)
+        return runs[:limit]
+
+    def suspected_starts(self, limit):
+        """Return this host's last starts of parts under suspicion, by key."""
+        suspected = {
+            key
+            for crash in self._crashes
+            for parts in crash.parts_by_content.values()
+            for key in parts
+        }
+        suspected.update(self._block_by_part)
+        starts = [
+            (self._local_start_by_part[key], key)
+            for key in suspected
+            if key in self._local_start_by_part
+        ]
+        starts.sort(reverse=True)
+        return {key: at for at, key in starts[:limit]}
+
+    def blocks(self, now):
+        """Return the Blocks in force."""
+        self._expire(now)
+        return list(self._block_by_part.values())
+
+    def _is_new(self, run):
+        return any(self._started_at(key) == NEVER for key in run.part_keys)
+
+    def _started_at(self, key):
+        return max(
+            self._local_start_by_part.get(key, NEVER),
+            self._remote_start_by_part.get(key, NEVER),
+        )
+
+    def _add_start(self, start_by_part, key, at):
+        start_by_part[key] = max(at, start_by_part.get(key, NEVER))
+        start_by_part.move_to_end(key)
+        while len(start_by_part) > MAX_PARTS:
+            start_by_part.popitem(last=False)
+        block = self._block_by_part.get(key)
+        if block is None or at <= block.evidence_from:
+            return False
+        del self._block_by_part[key]
+        return True
+
+    def _add_run(self, run):
+        crash = self._find_crash(run)
+        if crash is None:
+            crash = _ServerCrash(run.server_key, run.at)
+            self._crashes.append(crash)
+        if len(crash.parts_by_content) < MAX_RUNS_OF_CRASH:
+            crash.parts_by_content[run.content_key] = run.part_keys
+
+    def _find_crash(self, run):
+        for crash in self._crashes:
+            same = crash.server_key == run.server_key
+            if same and abs(crash.at - run.at) < SAME_CRASH_S:
+                return crash
+        return None
+
+    def _merge_block(self, block, now):
+        known = self._block_by_part.get(block.part_key)
+        expired = now - block.decided_at > BLOCK_TTL_S
+        acquitted = self._started_at(block.part_key) > block.evidence_from
+        if known is not None or expired or acquitted:
+            return False
+        self._block(block)
+        return True
+
+    def _block(self, block):
+        self._block_by_part[block.part_key] = block
+        while len(self._block_by_part) > MAX_BLOCKS:
+            self._block_by_part.popitem(last=False)
+
+    def _expire(self, now):
+        kept = [crash for crash in self._crashes if now - crash.at <= CRASH_TTL_S]
+        if len(kept) < len(self._crashes):
+            self._crashes = collections.deque(kept, maxlen=MAX_CRASHES)
+        for key, block in list(self._block_by_part.items()):
+            if now - block.decided_at > BLOCK_TTL_S:
+                del self._block_by_part[key]
+
+    def _convict(self, now):
+        """
+        Return the Block that the evidence calls for next, or None.
+
+        Of several parts, one that never answered, then the last in the prompt:
+        parts before it are in the prompts of more sound requests.
+        """
+        candidates = {
+            key: evidence
+            for key, evidence in self._evidence_by_part().items()
+            if self._is_convicted(key, evidence, now)
+        }
+        if not candidates:
+            return None
+        key, evidence = min(
+            candidates.items(),
+            key=lambda item: (self._started_at(item[0]) != NEVER, -item[1].depth),
+        )
+        return Block(
+            key, now, evidence.first_at, len(evidence.crashes), len(evidence.contents)
+        )
+
+    def _evidence_by_part(self):
+        evidence_by_part = {}
+        for crash in self._crashes:
+            counted = set()
+            for content, parts in crash.parts_by_content.items():
+                for depth, key in enumerate(parts):
+                    if crash.at <= self._started_at(key):
+                        continue
+                    evidence = evidence_by_part.setdefault(key, _Evidence())
+                    evidence.contents.add(content)
+                    evidence.depth = max(evidence.depth, depth)
+                    if key not in counted:
+                        counted.add(key)
+                        evidence.crashes.append(crash)
+        return evidence_by_part
+
+    def _is_convicted(self, key, evidence, now):
+        crashes = evidence.crashes
+        if key in self._block_by_part or len(crashes) < MIN_CRASHES:
+            return False
+        if len(evidence.contents) < MIN_CONTENTS:
+            return False
+        unexplained = sum(not self._is_explained(crash) for crash in crashes)
+        if unexplained < MIN_UNEXPLAINED_CRASHES:
+            return False
+        first_at = evidence.first_at
+        if now - first_at < MIN_EVIDENCE_AGE_S or not self._others_start(first_at):
+            return False
+        recently_started = self._started_at(key) > first_at - RECENT_START_S
+        return not recently_started or evidence.span_s >= MIN_CRASH_SPAN_S
+
+    def _is_explained(self, crash):
+        return any(
+            key in self._block_by_part
+            for parts in crash.parts_by_content.values()
+            for key in parts
+        )
+
+    def _others_start(self, since):
+        starts = self._last_starts
+        return len(starts) == MIN_OTHER_STARTS and starts[0] > since
--- a/schema/gateway.thrift
+++ b/schema/gateway.thrift
@@ -138,6 +138,32 @@
   3: i32 batch = 0,
 }
 
+/** A run that ended with the crash of its server before its answer began. */
+struct CrashedRun {
+  /** Key of the run of the server. */
+  1: i32 server = 0,
+  /** Hash of the content of the request. */
+  2: i32 content = 0,
+  /** Hashes of the ids of the prompt's parts that other requests may share. */
+  3: list<i32> parts,
+  4: i32 age_ms = 0,
+}
+
+/** The last time at which an answer to a prompt with a part began. */
+struct PartStart {
+  1: i32 part = 0,
+  2: i32 age_ms = 0,
+}
+
+/** Requests with a part in their prompt are rejected. */
+struct PartBlock {
+  1: i32 part = 0,
+  2: i32 age_ms = 0,
+  /** Age of the first crash that it follows from; an answer that began later
+   * acquits the part. */
+  3: i32 evidence_age_ms = 0,
+}
+
 /** State that a host sends to all other hosts in datagrams. */
 struct HostStatus {
   1: i32 schema_version = 1,
@@ -164,6 +190,12 @@
   14: list<i32> crashed,
   /** Keys of the incarnations of backend servers that announced leaving. */
   15: list<i32> leaving_servers,
+  /** Recent runs that this host saw end in a crash. */
+  16: list<CrashedRun> crashed_runs,
+  /** Parts under suspicion whose answers began at this host. */
+  17: list<PartStart> started_parts,
+  /** Parts that this host blocks, by its own decision or that of others. */
+  18: list<PartBlock> blocked_parts,
 }
 
 /** Kinds of messages between hosts about slots of backend servers. */
