Run items again however many servers crashed under them

Callers: an item whose servers crashed six times before a new event, or three times with the same content, was never placed again; its result came only when it was given up as too old. Cause: items were treated like requests that crash servers. RunResultHandler set the next start to infinity after six broken runs, and the scheduler left out items whose content was blocked by CrashHistory, which other hosts' reports kept up. Crashes under items are no evidence against content or parts; their begun answers acquit.

--- a/galenascale/gateway/crashes.py
+++ b/galenascale/gateway/crashes.py
@@ -31,12 +31,29 @@
     begun: bool
     # Monotonic time in seconds.
     at: float
+    # Whether it was a run of an item of a job.
+    batch: bool = False
 
     @classmethod
-    def from_request(cls, request, *, begun, at):
+    def from_request(cls, request, *, begun, at, batch=False):
         """Return the InterruptedRun of a CallerRequest."""
-        content_key = fingerprint(request)
-        return cls(request.request_id, content_key, request.shared_parts, begun, at)
+        return cls(
+            request.request_id,
+            fingerprint(request),
+            request.shared_parts,
+            begun,
+            at,
+            batch,
+        )
+
+    @property
+    def is_suspect(self):
+        """
+        Return True if the run may have caused the crash.
+
+        Items of jobs are never held to be the cause, so they stay owed.
+        """
+        return not self.begun and not self.batch
 
     @property
     def part_keys(self):
--- a/galenascale/gateway/jobs/item_runs.py
+++ b/galenascale/gateway/jobs/item_runs.py
@@ -6,11 +6,12 @@
 import attrs
 
 from galenascale.errors import BackendError
-from galenascale.gateway.admission import fingerprint
 from galenascale.gateway.attempts import AttemptPlan
 from galenascale.gateway.crashes import InterruptedRun
 from galenascale.gateway.event_stream import EventStreamParser
+from galenascale.gateway.load import hash_key
 from galenascale.gateway.requests import CallerRequest
+from galenascale.gateway.suspect_exchange import record_start
 
 # Longest run in seconds. No caller sets a deadline for an item; a longer run
 # is considered stuck.
@@ -58,8 +59,6 @@
     task: object = None
     # Lease of the slot of the current run.
     lease: object = None
-    # Fingerprint of the request, set once the connection of a run broke.
-    content_key: int | None = None
     # The outcome is known, but has not been read back from the store yet.
     finished: bool = False
 
@@ -189,7 +188,8 @@
         async with dispatcher.send(
             request, server, plan, item.last_event_id
         ) as attempt:
-            return await _read_response(context, item, attempt)
+            part_keys = tuple(map(hash_key, request.shared_parts))
+            return await _read_response(context, item, attempt, part_keys)
     except BackendError as error:
         if error.step == "connect":
             return RunResult("refused", error.message)
@@ -198,10 +198,11 @@
             avoided_until = context.clock.monotonic() + AVOID_SERVER_S
             item.avoided_until[server.incarnation] = avoided_until
             return RunResult("silent", error.message)
-        item.content_key = fingerprint(request)
-        begun = item.events > events_before
         run = InterruptedRun.from_request(
-            request, begun=begun, at=context.clock.monotonic()
+            request,
+            begun=item.events > events_before,
+            at=context.clock.monotonic(),
+            batch=True,
         )
         context.reachability.check_for_crash(server, run)
         return RunResult("broken", error.message)
@@ -224,12 +225,14 @@
         ) from error
 
 
-async def _read_response(context, item, attempt):
+async def _read_response(context, item, attempt, part_keys):
     now = asyncio.get_running_loop().time
     async with _progress_timeout(now()):
         head = await attempt.read_head()
     if head.status == 200 and not head.not_run:
-        events_s = await _read_events(item, attempt)
+        events_s = await _read_events(
+            item, attempt, lambda: record_start(context, part_keys)
+        )
         return RunResult("completed", events_s=events_s)
     async with _progress_timeout(now()):
         await attempt.read_body(context.settings.held_answer_bytes)
@@ -241,7 +244,7 @@
     return RunResult("failed", f"status {head.status}")
 
 
-async def _read_events(item, attempt):
+async def _read_events(item, attempt, on_first_event):
     """
     Read events until the output ends; return the seconds since the first one.
 
@@ -263,7 +266,9 @@
             _add_event(item, event)
         if item.last_event_id != before:
             progress_at = now()
-            first_event_at = first_event_at or progress_at
+            if first_event_at is None:
+                first_event_at = progress_at
+                on_first_event()
     attempt.complete = True
     if parser.is_inside_event:
         raise BackendError("output ends inside an event", code="connection_broken")
--- a/galenascale/gateway/jobs/outcomes.py
+++ b/galenascale/gateway/jobs/outcomes.py
@@ -7,11 +7,6 @@
 )
 from galenascale.generated.gateway_messages import ItemState
 
-# Number of broken runs without a new event after which an item is not run any
-# more and waits until it expires: it probably crashes every server that runs
-# it.
-MAX_BROKEN_RUNS = 6
-
 
 class RunResultHandler:
     """Finishes items, or schedules another run of them."""
@@ -70,8 +65,6 @@
         else:
             item.broken_runs += 1
             item.back_off(now, FAILED_BACKOFF_S, item.broken_runs)
-            if item.broken_runs >= MAX_BROKEN_RUNS:
-                item.not_before = float("inf")
 
     def finish(self, item, state, reason, text=b""):
         """Queue the outcome of an item for the store, and log it."""
--- a/galenascale/gateway/jobs/scheduler.py
+++ b/galenascale/gateway/jobs/scheduler.py
@@ -31,15 +31,11 @@
 
     def may_start(self, item, now):
         """
-        Return True if an item is ready to run.
+        Return True if an item is neither running nor backing off.
 
-        It must not be running or backing off, and its content must not be
-        known to crash servers. `now` is a monotonic time in seconds.
+        `now` is a monotonic time in seconds.
         """
-        if item.task is not None or item.not_before > now:
-            return False
-        key = item.content_key
-        return key is None or not self._context.crashes.is_blocked(key, now)
+        return item.task is None and item.not_before <= now
 
     def update(self, waiting_by_service, routes_by_service):
         """Set the waiting items and adjust the slot requests to them."""
--- a/galenascale/gateway/reachability.py
+++ b/galenascale/gateway/reachability.py
@@ -148,8 +148,7 @@
             )
 
     def _record_crash(self, server, run):
-        """Record a run as a suspect; one that had begun is none."""
-        if run.begun:
+        if not run.is_suspect:
             return
         context = self._context
         context.crashes.add(run.content_key, context.clock.monotonic())
--- a/test/gateway/test_jobs.py
+++ b/test/gateway/test_jobs.py
@@ -2,18 +2,22 @@
 
 import asyncio
 import base64
+from types import SimpleNamespace
 
 import attrs
 import orjson
 import pytest
 
+from galenascale.gateway.jobs.item_runs import MAX_BACKOFF_S, OpenItem, RunResult
+from galenascale.gateway.jobs.outcomes import RunResultHandler
+from galenascale.gateway.metrics import GatewayMetrics
 from galenascale.standins.runner import EndlessResponse
 from test.gateway.fleet import gateway_fleet, until
 
 TOKENS = {"X-Galenascale-Model": "m", "X-Galenascale-Token-Usage": "100,80"}
 
 
-def make_job(items, body=b"body"):
+def make_job(items, body=b"body", headers=TOKENS):
     """Return the body of a submission with a number of items."""
     encoded = base64.b64encode(body).decode()
     return orjson.dumps(
@@ -22,7 +26,7 @@
                 {
                     "Id": f"item-{number}",
                     "Path": f"/jobs/run/{number}",
-                    "Headers": TOKENS,
+                    "Headers": headers,
                     "Body": encoded,
                     "Tokens": 180,
                 }
@@ -135,6 +139,50 @@
         assert hanging.running == 0
 
 
+async def test_item_under_which_servers_crashed_is_run_again():
+    """Guards sound items that were on several servers as these crashed."""
+    async with gateway_fleet(hosts=2, runners=2) as fleet:
+        runners = fleet.runners_of("llm")
+        sound = runners[0].behaviour
+        for runner in runners:
+            runner.behaviour = attrs.evolve(sound, crash_part="any")
+        headers = TOKENS | {"X-Galenascale-Prompt-Prefix": "any:100,own:100"}
+        reply = await fleet.request(
+            "/jobs/x", request_id="j1", data=make_job(1, headers=headers)
+        )
+        assert reply.status == 202
+        await until(lambda: sum(len(r.crashed_at) for r in runners) >= 4)
+        for runner in runners:
+            runner.behaviour = sound
+        (result,) = await wait_for_results(fleet, "j1", 1)
+        assert result["State"] == "completed"
+        assert not any(
+            host.context.suspects.recent_runs(float("inf"), float("inf"), 1)
+            for host in fleet.hosts
+        )
+
+
+def test_broken_runs_never_end_the_runs_of_an_item():
+    """Guards sound items against a limit on the crashes under them."""
+    log = SimpleNamespace(write=lambda *args, **fields: None)
+    clock = SimpleNamespace(monotonic=lambda: 100.0)
+    context = SimpleNamespace(
+        log=log,
+        clock=clock,
+        metrics=GatewayMetrics(),
+        configuration=SimpleNamespace(version=1),
+    )
+    handler = RunResultHandler(context, recorder=None)
+    item_id = SimpleNamespace(item_id="i1")
+    job = SimpleNamespace(items=[item_id])
+    item = OpenItem(SimpleNamespace(job_id="j1", job=job), 0)
+    server = SimpleNamespace(server_id="s1")
+    for _ in range(100):
+        handler.handle(item, server, None, RunResult("broken", "connection reset"))
+        assert 100.0 < item.not_before <= 100.0 + MAX_BACKOFF_S
+        assert not item.finished
+
+
 async def test_events_before_malformed_bytes_are_kept():
     """Guards received events against malformed bytes after them."""
     events = b"".join(b"id: %d\ndata: word%d\n\n" % (n, n) for n in range(1, 4))
