Decide about prompt parts after a few rounds of messages

Cause: hosts waited 1.5 s for others to tell of begun answers, the time that the largest fleets need; nine hosts tell it within 0.3 s. Change: the wait is three rounds of messages, whose length grows with the fleet (0.1 to 0.6 s).

--- a/galenascale/gateway/peers.py
+++ b/galenascale/gateway/peers.py
@@ -143,10 +143,14 @@
             now = self._clock.monotonic()
             self._update_live_peers(now)
             self._load.expire_reports(now)
-            suspect_exchange.decide(self._context, now)
+            round_s = self._round_s()
+            suspect_exchange.decide(self._context, now, round_s)
             self._send_due_status(now)
-            interval_s = len(self._live_host_ids) / HOSTS_PER_INTERVAL_S
-            await self._clock.sleep(min(max(INTERVAL_S, interval_s), MAX_INTERVAL_S))
+            await self._clock.sleep(round_s)
+
+    def _round_s(self):
+        round_s = len(self._live_host_ids) / HOSTS_PER_INTERVAL_S
+        return min(max(INTERVAL_S, round_s), MAX_INTERVAL_S)
 
     def _send_due_status(self, now):
         changed = self._load.change_count != self._sent_load_changes
--- a/galenascale/gateway/suspect_exchange.py
+++ b/galenascale/gateway/suspect_exchange.py
@@ -5,6 +5,9 @@
 
 # Seconds for which a host reports a crash. Later hosts hear of the blocks.
 REPORT_S = 10.0
+# Rounds of messages in which hosts that hear of a crash tell of answers that
+# began: one for the crash, two for the answers, as relays may pass them on.
+SETTLE_ROUNDS = 3
 # Largest numbers of entries in a message, which is a part of a datagram.
 MAX_RUNS = 12
 MAX_PARTS_OF_RUN = 32
@@ -70,9 +73,13 @@
         _log_blocked(context, block, now, peer=status.host_id)
 
 
-def decide(context, now):
-    """Block the parts that the evidence convicts, and tell the other hosts."""
-    for block in context.suspects.decide(now):
+def decide(context, now, round_s):
+    """
+    Block the parts that the evidence convicts, and tell the other hosts.
+
+    `round_s` are the seconds between two rounds of messages.
+    """
+    for block in context.suspects.decide(now, SETTLE_ROUNDS * round_s):
         context.load.mark_changed()
         _log_blocked(context, block, now, peer=None)
 
--- a/galenascale/gateway/suspect_parts.py
+++ b/galenascale/gateway/suspect_parts.py
@@ -21,9 +21,6 @@
 # Other answers that must have begun at this host since the first crash. If
 # none begins, the servers are broken, whatever they are asked.
 MIN_OTHER_STARTS = 3
-# Seconds from the first crash until a part is blocked. Other hosts tell of
-# answers that began within two rounds of messages.
-MIN_EVIDENCE_AGE_S = 1.5
 # A part whose answers began this many seconds before the first crash or later
 # is blocked only if its crashes span MIN_CRASH_SPAN_S, as servers that lose
 # power together crash under sound parts.
@@ -164,14 +161,19 @@
         self._expire(now)
         return next((key for key in part_keys if key in self._block_by_part), None)
 
-    def decide(self, now):
-        """Block the parts that the evidence convicts; return new Blocks."""
+    def decide(self, now, settle_s):
+        """
+        Block the parts that the evidence convicts; return new Blocks.
+
+        `settle_s` are the seconds from the first crash within which other
+        hosts tell of answers that began.
+        """
         if not self._crashes or now - self._decided_at < DECISION_INTERVAL_S:
             return []
         self._decided_at = now
         self._expire(now)
         blocks = []
-        while (block := self._convict(now)) is not None:
+        while (block := self._convict(now, settle_s)) is not None:
             self._block(block)
             blocks.append(block)
         return blocks
@@ -264,7 +266,7 @@
             if now - block.decided_at > BLOCK_TTL_S:
                 del self._block_by_part[key]
 
-    def _convict(self, now):
+    def _convict(self, now, settle_s):
         """
         Return the Block that the evidence calls for next, or None.
 
@@ -274,7 +276,7 @@
         candidates = {
             key: evidence
             for key, evidence in self._evidence_by_part().items()
-            if self._is_convicted(key, evidence, now)
+            if now - evidence.first_at >= settle_s and self._is_convicted(key, evidence)
         }
         if not candidates:
             return None
@@ -302,7 +304,7 @@
                         evidence.crashes.append(crash)
         return evidence_by_part
 
-    def _is_convicted(self, key, evidence, now):
+    def _is_convicted(self, key, evidence):
         crashes = evidence.crashes
         if key in self._block_by_part or len(crashes) < MIN_CRASHES:
             return False
@@ -312,7 +314,7 @@
         if unexplained < MIN_UNEXPLAINED_CRASHES:
             return False
         first_at = evidence.first_at
-        if now - first_at < MIN_EVIDENCE_AGE_S or not self._others_start(first_at):
+        if not self._others_start(first_at):
             return False
         recently_started = self._started_at(key) > first_at - RECENT_START_S
         return not recently_started or evidence.span_s >= MIN_CRASH_SPAN_S
--- a/test/gateway/test_suspect_parts.py
+++ b/test/gateway/test_suspect_parts.py
@@ -23,6 +23,7 @@
 MAX_LATE_REQUESTS = 3
 # A hundredth of the memory of the smallest host.
 MAX_MEMORY_BYTES = 1_300_000
+SETTLE_S = 1.5
 
 
 def prompt(number, *parts):
@@ -116,7 +117,7 @@
         crash(suspects, *run)
     if others_at is not None:
         start_others(suspects, others_at)
-    return [block.part_key for block in suspects.decide(now)]
+    return [block.part_key for block in suspects.decide(now, SETTLE_S)]
 
 
 CHAIN = (FIRST, RARE, BAD)
@@ -177,6 +178,12 @@
             {"starts": [(SOUND, 2.5)]},
             [],
         ),
+        (
+            "other hosts may still tell of answers",
+            [(1, 10, CHAIN, 3.0), (2, 10, CHAIN, 3.2), (3, 11, CHAIN, 3.5)],
+            {"others_at": 3.9},
+            [],
+        ),
         (
             "crashes long ago",
             [(1, 10, CHAIN, 1.0), (2, 10, CHAIN, 1.2), (3, 11, CHAIN, 2.0)],
@@ -198,11 +205,11 @@
         # Another request on the same server.
         crash(suspects, n, 100 + n, (FIRST, SOUND), 1.0 + n / 10)
     start_others(suspects, 2.0)
-    assert [block.part_key for block in suspects.decide(4.0)] == [BAD]
+    assert [block.part_key for block in suspects.decide(4.0, SETTLE_S)] == [BAD]
     # One sound request with the rare part is hit by a later, foreign crash.
     crash(suspects, 50, 50, (FIRST, RARE), 5.0)
     start_others(suspects, 5.5)
-    assert suspects.decide(8.0) == []
+    assert suspects.decide(8.0, SETTLE_S) == []
     assert suspects.blocked_part((FIRST, RARE), 8.0) is None
     assert suspects.blocked_part(CHAIN, 8.0) == BAD
 
@@ -213,7 +220,7 @@
     for n in range(3):
         crash(suspects, n, n, (BAD,), 1.0)
     start_others(suspects, 2.0)
-    (block,) = suspects.decide(3.0)
+    (block,) = suspects.decide(3.0, SETTLE_S)
     assert suspects.record_start((BAD,), 3.5) == [BAD]
     assert suspects.blocked_part((BAD,), 3.5) is None
     # Another host repeats the block that it has not heard to be void.
@@ -227,7 +234,7 @@
         crash(suspects, n, n, (SOUND,), 1.0)
     start_others(suspects, 2.0)
     assert suspects.merge_starts({SOUND: 1.5}) == []
-    assert suspects.decide(3.0) == []
+    assert suspects.decide(3.0, SETTLE_S) == []
 
 
 def test_block_expires_though_hosts_repeat_it():
@@ -236,7 +243,7 @@
     for n in range(3):
         crash(hosts[0], n, n, (BAD,), 1.0)
     start_others(hosts[0], 2.0)
-    hosts[0].decide(3.0)
+    hosts[0].decide(3.0, SETTLE_S)
     now = 3.0
     while now < 3.0 + 2 * BLOCK_TTL_S:
         now += 0.5
@@ -265,7 +272,7 @@
             suspects.record_start((n,), n / 1000)
             suspects.merge_starts({-n: n / 1000})
             crash(suspects, n, n, tuple(range(n, n + 9)), n / 1000)
-            suspects.decide(n / 1000)
+            suspects.decide(n / 1000, SETTLE_S)
 
     suspects = SuspectParts()
     feed(suspects, 0)
