Treat a stream that ends inside an event as broken off

Callers: a stream without length or chunks whose server broke off inside an event came to its caller as a complete answer with half an event at its end; the same with a stream whose chunks ended properly. Change: bytes of an event at the end raise an error like a broken connection, so a resumable stream goes on elsewhere and another ends visibly incomplete. Comments after the last event are still passed on.

--- a/galenascale/gateway/event_stream.py
+++ b/galenascale/gateway/event_stream.py
@@ -45,7 +45,8 @@
     @property
     def is_inside_event(self):
         """Return True if the pending bytes contain a part of an event."""
-        return bool(self._pending[self._skippable_bytes :].strip())
+        lines = self._pending[self._skippable_bytes :].splitlines()
+        return any(line and not line.startswith(b":") for line in lines)
 
     def feed(self, data):
         """
--- a/galenascale/gateway/forwarding.py
+++ b/galenascale/gateway/forwarding.py
@@ -287,8 +287,10 @@
                         attempt.server.service, now - attempt.sent_at
                     )
             await self._send_to_caller(head, data)
+        if parser.is_inside_event:
+            raise BackendError("stream ends inside an event", code="connection_broken")
         attempt.complete = True
-        # A complete stream may end without a blank line.
+        # Comments after the last event.
         await self._send_to_caller(head, parser.pending)
         await self._caller.finish()
 
