Keep the text of an error out of a stream that broke off

Callers: after a stream had begun and broken off, the next server's error could stand in the middle of it, with its whole head, and the stream ended as if it were complete. Cause: answers with an error status were kept out, but a text, JSON or a head that came under status 200, or behind a stream without length on the same connection, passed through the event parser: a block without data was kept for the next event or for the end, an event without id counted as new, and an event that did not follow the last one was joined to it. Change: the parser takes only comments and fields as lines of an event; in a run that goes on after an earlier one each event needs the id that follows. Otherwise the run counts as broken and goes on elsewhere, or the stream ends visibly incomplete.

--- a/galenascale/gateway/crashes.py
+++ b/galenascale/gateway/crashes.py
@@ -101,3 +101,11 @@
         count = self.recent_keys(now).count(key)
         count += sum(keys.count(key) for keys in self._remote_keys_by_host.values())
         return count >= MAX_CRASHES
+
+
+def block_reason(context, content_key, part_keys, now):
+    """Return why a request must not run, or None if it may."""
+    if context.crashes.is_blocked(content_key, now):
+        return "request content crashes servers"
+    part_key = context.suspects.blocked_part(part_keys, now)
+    return None if part_key is None else f"prompt part {part_key} crashes servers"
--- a/galenascale/gateway/forwarding.py
+++ b/galenascale/gateway/forwarding.py
@@ -6,12 +6,12 @@
 from galenascale.gateway.admission import fingerprint
 from galenascale.gateway.attempts import MIN_REMAINING_S, AttemptPlan, RequestFailed
 from galenascale.gateway.configuration import RequestKind
-from galenascale.gateway.crashes import InterruptedRun
+from galenascale.gateway.crashes import InterruptedRun, block_reason
 from galenascale.gateway.dispatch import Dispatcher
-from galenascale.gateway.event_stream import EventStreamParser
+from galenascale.gateway.event_stream import EventSequence, EventStreamParser
 from galenascale.gateway.load import hash_key
 from galenascale.gateway.requests import BufferedResponse
-from galenascale.gateway.server_selection import ServerSelector
+from galenascale.gateway.server_selection import ServerSelector, service_order
 from galenascale.gateway.slots.leases import SlotRefused
 from galenascale.gateway.suspect_exchange import record_start
 from galenascale.generated.gateway_messages import SlotOutcome
@@ -61,7 +61,7 @@
         self._plan = plan
         self._caller = caller
         self._services = service_order(route, context.rng)
-        self._last_event_id = request.resume_after
+        self._sequence = EventSequence(request.resume_after)
         self._response_started = False
         self._selected = None
         self._last_error_response = None
@@ -97,7 +97,7 @@
             # It may have waited for the slot.
             self._raise_if_blocked(self._now())
             async with self._dispatcher.send(
-                self._request, selected.server, self._plan, self._last_event_id
+                self._request, selected.server, self._plan, self._sequence.last_id
             ) as attempt:
                 response, served = await self._read_response(attempt)
                 failed = response is not None and response.head.status >= 500
@@ -141,12 +141,8 @@
 
     def _raise_if_blocked(self, now):
         """Raise RequestFailed if the request is known to crash servers."""
-        context = self._context
-        if context.crashes.is_blocked(self._content_key, now):
-            raise self._plan.make_error("request content crashes servers", now)
-        part_key = context.suspects.blocked_part(self._part_keys, now)
-        if part_key is not None:
-            reason = f"prompt part {part_key} crashes servers"
+        reason = block_reason(self._context, self._content_key, self._part_keys, now)
+        if reason is not None:
             raise self._plan.make_error(reason, now)
 
     def _record_refusal(self, refused):
@@ -166,7 +162,7 @@
         server = selected.server
         self._context.health.record_failure(server.incarnation, self._now())
         # A run that goes on after some events was begun elsewhere.
-        begun = self._last_event_id is not None or selected.first_event_at is not None
+        begun = bool(self._sequence.last_id or selected.first_event_at)
         run = InterruptedRun.from_request(self._request, begun=begun, at=self._now())
         self._context.reachability.check_for_crash(server, run)
         if self._route.repeatable and not self._plan.may_run():
@@ -270,23 +266,14 @@
 
     async def _relay_events(self, attempt, head):
         parser = EventStreamParser()
-        first = True
+        continues = self._response_started
         while (piece := await attempt.connection.read()) is not None:
-            events = parser.feed(piece)
-            data = b"".join(event.raw for event in events if self._is_new(event))
-            if not data:
+            events = self._sequence.take_new(parser.feed(piece), continues=continues)
+            if not events:
                 continue
-            if first:
-                first = False
-                now = self._now()
-                self._context.health.record_success(attempt.server.incarnation, now)
-                self._selected.first_event_at = now
-                record_start(self._context, self._part_keys)
-                if self._selected.granted:
-                    self._context.admission.first_event_latency.record(
-                        attempt.server.service, now - attempt.sent_at
-                    )
-            await self._send_to_caller(head, data)
+            if self._selected.first_event_at is None:
+                self._record_first_event(attempt)
+            await self._send_to_caller(head, b"".join(event.raw for event in events))
         if parser.is_inside_event:
             raise BackendError("stream ends inside an event", code="connection_broken")
         attempt.complete = True
@@ -294,13 +281,16 @@
         await self._send_to_caller(head, parser.pending)
         await self._caller.finish()
 
-    def _is_new(self, event):
-        if event.event_id is None:
-            return True
-        if self._last_event_id is not None and event.event_id <= self._last_event_id:
-            return False
-        self._last_event_id = event.event_id
-        return True
+    def _record_first_event(self, attempt):
+        now = self._now()
+        context = self._context
+        context.health.record_success(attempt.server.incarnation, now)
+        self._selected.first_event_at = now
+        record_start(context, self._part_keys)
+        if self._selected.granted:
+            context.admission.first_event_latency.record(
+                attempt.server.service, now - attempt.sent_at
+            )
 
     async def _send_to_caller(self, head, data):
         if not self._response_started:
@@ -308,13 +298,3 @@
             await self._caller.start(head)
         if data:
             await self._caller.send(data)
-
-
-def service_order(route, rng):
-    """Return the services of a route, a weighted random one first."""
-    splits = [split for split in route.splits if split.weight > 0]
-    if len(splits) < 2:
-        return [split.service for split in splits]
-    drawn = rng.choices(splits, [split.weight for split in splits])[0]
-    others = [split.service for split in splits if split is not drawn]
-    return [drawn.service, *others]
--- a/galenascale/gateway/reachability.py
+++ b/galenascale/gateway/reachability.py
@@ -9,7 +9,7 @@
 import asyncio
 
 from galenascale.errors import BackendError
-from galenascale.gateway.suspect_parts import SuspectRun
+from galenascale.gateway.crash_evidence import SuspectRun
 
 # Seconds without a byte from a server that has requests, after which it is
 # checked. Streams send an event every 20 to 60 ms. A queued request may take
--- a/galenascale/gateway/server_selection.py
+++ b/galenascale/gateway/server_selection.py
@@ -138,3 +138,13 @@
         finally:
             if selected.lease is not None:
                 self._context.slots.client.release(selected.lease, selected.outcome)
+
+
+def service_order(route, rng):
+    """Return the services of a route, a weighted random one first."""
+    splits = [split for split in route.splits if split.weight > 0]
+    if len(splits) < 2:
+        return [split.service for split in splits]
+    drawn = rng.choices(splits, [split.weight for split in splits])[0]
+    others = [split.service for split in splits if split is not drawn]
+    return [drawn.service, *others]
--- a/galenascale/gateway/suspect_exchange.py
+++ b/galenascale/gateway/suspect_exchange.py
@@ -1,6 +1,7 @@
 """Exchange of suspicions about prompt parts between hosts, and their log."""
 
-from galenascale.gateway.suspect_parts import RELAY_MARGIN_S, Block, SuspectRun
+from galenascale.gateway.crash_evidence import SuspectRun
+from galenascale.gateway.suspect_parts import RELAY_MARGIN_S, Block
 from galenascale.generated.gateway_messages import CrashedRun, PartBlock, PartStart
 
 # Seconds for which a host reports a crash. Later hosts hear of the blocks.
--- a/galenascale/gateway/suspect_parts.py
+++ b/galenascale/gateway/suspect_parts.py
@@ -11,6 +11,8 @@
 
 import attrs
 
+from galenascale.gateway.crash_evidence import MAX_CRASHES, CrashEvidence
+
 # Crashed servers and different request contents that make a part suspicious
 # enough. A sound request that is retried is a single content.
 MIN_CRASHES = 3
@@ -26,17 +28,11 @@
 # power together crash under sound parts.
 RECENT_START_S = 30.0
 MIN_CRASH_SPAN_S = 3.0
-# Seconds for which crashes count together.
-CRASH_TTL_S = 60.0
 # Seconds for which a part is blocked.
 BLOCK_TTL_S = 300.0
-# Hosts see the same crash of a server within this many seconds.
-SAME_CRASH_S = 2.0
 # Added to the age of a block at each host that passes it on. More than a
 # message takes, so that a block does not outlive its time by being repeated.
 RELAY_MARGIN_S = 1.0
-MAX_CRASHES = 64
-MAX_RUNS_OF_CRASH = 16
 MAX_BLOCKS = 64
 MAX_PARTS = 2048
 # Seconds between two decisions.
@@ -44,19 +40,6 @@
 NEVER = float("-inf")
 
 
-@attrs.frozen
-class SuspectRun:
-    """A request whose server crashed before its answer began."""
-
-    # Key of the server's run.
-    server_key: int
-    content_key: int
-    # Keys of the parts of the prompt, in order.
-    part_keys: tuple[int, ...]
-    # Monotonic time in seconds.
-    at: float
-
-
 @attrs.frozen
 class Block:
     """A blocked part; times are monotonic seconds."""
@@ -70,39 +53,11 @@
     contents: int = 0
 
 
-@attrs.define
-class _ServerCrash:
-    server_key: int
-    at: float
-    # Keys of the parts, by the content key of the request.
-    parts_by_content: dict = attrs.field(factory=dict)
-
-
-@attrs.define
-class _Evidence:
-    """The crashes under one part."""
-
-    crashes: list = attrs.field(factory=list)
-    contents: set = attrs.field(factory=set)
-    # Largest position of the part in a prompt.
-    depth: int = 0
-
-    @property
-    def first_at(self):
-        """Return the time of the first crash."""
-        return min(crash.at for crash in self.crashes)
-
-    @property
-    def span_s(self):
-        """Return the seconds from the first to the last crash."""
-        return max(crash.at for crash in self.crashes) - self.first_at
-
-
 class SuspectParts:
     """Crashes and begun answers by prompt part, of this and other hosts."""
 
     def __init__(self):
-        self._crashes = collections.deque(maxlen=MAX_CRASHES)
+        self._evidence = CrashEvidence()
         # Runs seen by this host, for its messages to the others.
         self._local_runs = collections.deque(maxlen=MAX_CRASHES)
         # Time of the last begun answer by part, at this and at other hosts.
@@ -131,14 +86,14 @@
     def record_crash(self, run):
         """Record a SuspectRun."""
         self._local_runs.append(run)
-        self._add_run(run)
+        self._evidence.add(run)
 
     # What other hosts tell.
 
     def merge_runs(self, runs):
         """Add SuspectRuns that another host saw."""
         for run in runs:
-            self._add_run(run)
+            self._evidence.add(run)
 
     def merge_starts(self, started_at_by_part):
         """Add begun answers at another host; return the acquitted parts."""
@@ -168,7 +123,7 @@
         `settle_s` are the seconds from the first crash within which other
         hosts tell of answers that began.
         """
-        if not self._crashes or now - self._decided_at < DECISION_INTERVAL_S:
+        if not self._evidence.crashes or now - self._decided_at < DECISION_INTERVAL_S:
             return []
         self._decided_at = now
         self._expire(now)
@@ -190,10 +145,7 @@
     def suspected_starts(self, limit):
         """Return this host's last starts of parts under suspicion, by key."""
         suspected = {
-            key
-            for crash in self._crashes
-            for parts in crash.parts_by_content.values()
-            for key in parts
+            key for crash in self._evidence.crashes for key in crash.part_keys()
         }
         suspected.update(self._block_by_part)
         starts = [
@@ -229,21 +181,6 @@
         del self._block_by_part[key]
         return True
 
-    def _add_run(self, run):
-        crash = self._find_crash(run)
-        if crash is None:
-            crash = _ServerCrash(run.server_key, run.at)
-            self._crashes.append(crash)
-        if len(crash.parts_by_content) < MAX_RUNS_OF_CRASH:
-            crash.parts_by_content[run.content_key] = run.part_keys
-
-    def _find_crash(self, run):
-        for crash in self._crashes:
-            same = crash.server_key == run.server_key
-            if same and abs(crash.at - run.at) < SAME_CRASH_S:
-                return crash
-        return None
-
     def _merge_block(self, block, now):
         known = self._block_by_part.get(block.part_key)
         expired = now - block.decided_at > BLOCK_TTL_S
@@ -259,9 +196,7 @@
             self._block_by_part.popitem(last=False)
 
     def _expire(self, now):
-        kept = [crash for crash in self._crashes if now - crash.at <= CRASH_TTL_S]
-        if len(kept) < len(self._crashes):
-            self._crashes = collections.deque(kept, maxlen=MAX_CRASHES)
+        self._evidence.expire(now)
         for key, block in list(self._block_by_part.items()):
             if now - block.decided_at > BLOCK_TTL_S:
                 del self._block_by_part[key]
@@ -275,7 +210,7 @@
         """
         candidates = {
             key: evidence
-            for key, evidence in self._evidence_by_part().items()
+            for key, evidence in self._evidence.by_part(self._started_at).items()
             if now - evidence.first_at >= settle_s and self._is_convicted(key, evidence)
         }
         if not candidates:
@@ -288,22 +223,6 @@
             key, now, evidence.first_at, len(evidence.crashes), len(evidence.contents)
         )
 
-    def _evidence_by_part(self):
-        evidence_by_part = {}
-        for crash in self._crashes:
-            counted = set()
-            for content, parts in crash.parts_by_content.items():
-                for depth, key in enumerate(parts):
-                    if crash.at <= self._started_at(key):
-                        continue
-                    evidence = evidence_by_part.setdefault(key, _Evidence())
-                    evidence.contents.add(content)
-                    evidence.depth = max(evidence.depth, depth)
-                    if key not in counted:
-                        counted.add(key)
-                        evidence.crashes.append(crash)
-        return evidence_by_part
-
     def _is_convicted(self, key, evidence):
         crashes = evidence.crashes
         if key in self._block_by_part or len(crashes) < MIN_CRASHES:
@@ -320,11 +239,7 @@
         return not recently_started or evidence.span_s >= MIN_CRASH_SPAN_S
 
     def _is_explained(self, crash):
-        return any(
-            key in self._block_by_part
-            for parts in crash.parts_by_content.values()
-            for key in parts
-        )
+        return any(key in self._block_by_part for key in crash.part_keys())
 
     def _others_start(self, since):
         starts = self._last_starts
--- a/galenascale/standins/runner.py
+++ b/galenascale/standins/runner.py
@@ -12,22 +12,13 @@
 import httptools
 import orjson
 
+from galenascale.standins.endless_response import (
+    EndlessResponse,
+    send_endless_response,
+)
 from galenascale.standins.runner_request import RunnerRequest
 
 SIGNATURE = "signed"
-# Limit of an endless response, and the size of each of its writes.
-MAX_ENDLESS_BYTES = 48 << 20
-ENDLESS_WRITE_BYTES = 1 << 16
-
-
-@attrs.frozen
-class EndlessResponse:
-    """Response that repeats a byte pattern without end."""
-
-    # Bytes sent first; @ID is replaced by the id of the request.
-    first: bytes
-    # Pattern that is repeated until the connection closes.
-    then: bytes
 
 
 @attrs.define
@@ -243,23 +234,6 @@
         return True
 
 
-async def send_endless_response(source, request_id, writer):
-    """
-    Send an EndlessResponse until the client closes the connection.
-
-    Return False if the client still reads after MAX_ENDLESS_BYTES.
-    """
-    writer.write(source.first.replace(b"@ID", request_id.encode()))
-    pattern = source.then * (ENDLESS_WRITE_BYTES // len(source.then))
-    for _ in range(MAX_ENDLESS_BYTES // len(pattern)):
-        try:
-            writer.write(pattern)
-            await writer.drain()
-        except ConnectionError:
-            return True
-    return False
-
-
 class _RequestReader:
     def __init__(self):
         self.request = RunnerRequest()
--- a/test/gateway/test_broken_streams.py
+++ b/test/gateway/test_broken_streams.py
@@ -7,12 +7,16 @@
 import attrs
 import pytest
 
+from galenascale.errors import BackendError
+from galenascale.gateway.event_stream import EventStreamParser
 from galenascale.gateway.sockets import split_address
 from galenascale.standins.runner import RunnerStandin
 from test.gateway.fleet import gateway_fleet, make_headers, make_route, until
 
 EVENTS = [b"id: %d\ndata: word%d\n\n" % (number, number) for number in range(1, 6)]
 WHOLE = b"".join(EVENTS)
+ERROR_TEXT = b"boom happened"
+ERROR_HEAD = b"HTTP/1.1 500 Internal Server Error"
 
 
 @attrs.frozen
@@ -32,6 +36,12 @@
     return Script(framed, lines=lines, **fields)
 
 
+def with_length(status, body, content_type=b"text/plain", *lines):
+    """Return a Script with a Content-Length."""
+    head = (b"Content-Type: " + content_type, b"Content-Length: %d" % len(body))
+    return Script(body, status, (*head, *lines))
+
+
 class ScriptedRunner(RunnerStandin):
     """Answers with scripts in turn, which all runners of a list share."""
 
@@ -174,3 +184,82 @@
     status, body, _ = await play([script], "/once/a", service="app")
     assert status == 502
     assert b"par" not in body.split(b"message")[0]
+
+
+NOT_RUN = b"X-Galenascale-Not-Executed: 1"
+JSON_ERROR = b'{"error": "' + ERROR_TEXT + b'"}'
+BROKEN = Script(EVENTS[0] + EVENTS[1], reset=True)
+RESUMED = b"".join(EVENTS[2:])
+
+
+@pytest.mark.parametrize(
+    "case, error",
+    [
+        ("500", with_length(500, ERROR_TEXT)),
+        ("500, no length", Script(ERROR_TEXT, 500, ())),
+        ("400", with_length(400, ERROR_TEXT)),
+        ("422", with_length(422, ERROR_TEXT)),
+        ("503, not run", with_length(503, ERROR_TEXT, b"text/plain", NOT_RUN)),
+        ("204", Script(b"", 204, ())),
+        ("200 with a text", with_length(200, ERROR_TEXT)),
+        ("200 with JSON", with_length(200, JSON_ERROR, b"application/json")),
+        ("200 with JSON and a blank line", Script(JSON_ERROR + b"\n\n")),
+        ("error event", chunked(b"event: error\ndata: " + ERROR_TEXT + b"\n\n")),
+        (
+            "an event, then an error event",
+            chunked(EVENTS[2] + b"event: error\ndata: " + ERROR_TEXT + b"\n\n"),
+        ),
+        ("head as body", Script(ERROR_HEAD + b"\r\nA: b\r\n\r\n" + ERROR_TEXT)),
+        ("head, then text", Script(ERROR_HEAD + b"\r\n\r\n" + ERROR_TEXT + b"\n\n")),
+        ("event is missing", chunked(b"".join(EVENTS[3:]))),
+    ],
+)
+@pytest.mark.parametrize("attempts", [2, 3])
+async def test_error_after_a_broken_stream_stays_out_of_it(case, error, attempts):
+    """Guards callers against the text of an error in their stream."""
+    status, body, complete = await play([BROKEN, error], attempts=attempts)
+    assert status == 200
+    assert ERROR_TEXT not in body
+    assert ERROR_HEAD not in body
+    assert WHOLE.startswith(body)
+    assert complete == (body == WHOLE)
+
+
+@pytest.mark.parametrize(
+    "case, tail",
+    [
+        ("between events", ERROR_HEAD + b"\r\nContent-Length: 4\r\n\r\nboom"),
+        ("inside an event", b"id: 3\nda" + ERROR_HEAD + b"\r\nA: b\r\n\r\nboom"),
+        ("JSON", JSON_ERROR + b"\n\n"),
+    ],
+)
+async def test_error_behind_a_stream_without_length_stays_out_of_it(case, tail):
+    """Guards callers against an error on the connection of the stream."""
+    status, body, complete = await play([Script(EVENTS[0] + EVENTS[1] + tail)])
+    assert (status, body, complete) == (200, WHOLE, True)
+
+
+@pytest.mark.parametrize(
+    "raw",
+    [
+        b"id: 1\ndata: {a: 1}\n\n",
+        b"x-weight-version: 4\r\nid: 1\r\ndata: b\r\n\r\n",
+        b": comment\n\nid: 1\ndata: b\n\n",
+        b"event: ping\nid: 1\ndata\n\n",
+        b"retry: 100\n\nid: 1\ndata: b\n\n",
+    ],
+)
+def test_events_are_accepted(raw):
+    """Guards sound streams: all that the format allows is passed on."""
+    (event,) = EventStreamParser().feed(raw)
+    assert event.raw == raw
+    assert event.event_id == 1
+
+
+@pytest.mark.parametrize(
+    "raw", [ERROR_HEAD + b"\r\n\r\n", JSON_ERROR + b"\n\n", b"boom\n\n"]
+)
+def test_other_bytes_are_no_event(raw):
+    """Guards callers against bytes that are no part of a stream."""
+    with pytest.raises(BackendError):
+        EventStreamParser().feed(raw)
--- a/test/gateway/test_endless_bytes.py
+++ b/test/gateway/test_endless_bytes.py
@@ -15,7 +15,10 @@
 from galenascale.gateway.sockets import RECEIVE_BYTES
 from galenascale.generated.gateway_messages import StoreCall, StoreOutcome
 from galenascale.platform.store import StoreClient
-from galenascale.standins.runner import EndlessResponse, send_endless_response
+from galenascale.standins.endless_response import (
+    EndlessResponse,
+    send_endless_response,
+)
 from test.gateway.fleet import ROUTES, gateway_fleet, until
 from test.gateway.test_jobs import output_of, submit, wait_for_results
 
--- a/test/gateway/test_jobs.py
+++ b/test/gateway/test_jobs.py
@@ -11,7 +11,7 @@
 from galenascale.gateway.jobs.item_runs import MAX_BACKOFF_S, OpenItem, RunResult
 from galenascale.gateway.jobs.outcomes import RunResultHandler
 from galenascale.gateway.metrics import GatewayMetrics
-from galenascale.standins.runner import EndlessResponse
+from galenascale.standins.endless_response import EndlessResponse
 from test.gateway.fleet import gateway_fleet, until
 
 TOKENS = {"X-Galenascale-Model": "m", "X-Galenascale-Token-Usage": "100,80"}
--- a/test/gateway/test_suspect_parts.py
+++ b/test/gateway/test_suspect_parts.py
@@ -7,12 +7,12 @@
 import attrs
 import pytest
 
+from galenascale.gateway.crash_evidence import SuspectRun
 from galenascale.gateway.suspect_parts import (
     BLOCK_TTL_S,
     MIN_OTHER_STARTS,
     RELAY_MARGIN_S,
     SuspectParts,
-    SuspectRun,
 )
 from test.gateway.fleet import gateway_fleet
 
--- a/test/soak/faults.py
+++ b/test/soak/faults.py
@@ -7,7 +7,8 @@
 
 import attrs
 
-from galenascale.standins.runner import Behaviour, EndlessResponse
+from galenascale.standins.endless_response import EndlessResponse
+from galenascale.standins.runner import Behaviour
 from test.soak.proxy import Impairment
 
 # Earliest and latest start of a fault, in seconds after the load starts.
