Test messages and upgrades between this build and the one before

Cause: statuses have three new fields; hosts of both builds run side by side while they are replaced.

--- /dev/null
+++ b/test/gateway/test_suspect_exchange.py
@@ -0,0 +1,139 @@
+"""Messages about prompt parts: between builds, and without sense."""
+
+from types import SimpleNamespace
+
+import attrs
+import pytest
+
+from galenascale.codec import decode, encode
+from galenascale.gateway import suspect_exchange
+from galenascale.gateway.crash_evidence import SuspectRun
+from galenascale.gateway.metrics import GatewayMetrics
+from galenascale.gateway.suspect_parts import MIN_OTHER_STARTS, SuspectParts
+from galenascale.generated.gateway_messages import (
+    CrashedRun,
+    HostStatus,
+    PartBlock,
+    PartStart,
+    StatusBatch,
+)
+
+# A datagram with every field of a status, as the build of ea7a587 wrote it.
+EARLIER_DATAGRAM = bytes.fromhex(
+    "191c15021806686f73742d3116e0d5adfd8f67160e160611191c1509150415020011280161180831"
+    "302e302e302e311925161719152a19253d4019155200191c150215121800160615001215f4031915"
+    "0812121215001500150015001500121200191c1502180174160a15001500180012120000"
+)
+# Highest number of a field of a status in that build.
+EARLIER_FIELDS = 15
+# No message is fragmented by usual networks.
+MAX_STATUS_BYTES = 1200
+
+
+def make_context():
+    """Return what the exchange needs of a host."""
+    log = []
+    return SimpleNamespace(
+        suspects=SuspectParts(),
+        metrics=GatewayMetrics(),
+        load=SimpleNamespace(mark_changed=lambda: None),
+        log=SimpleNamespace(write=lambda event, *args, **fields: log.append(event)),
+        events=log,
+    )
+
+
+def full_status(suspects, now):
+    """Return a status with all fields of the build before and the new ones."""
+    (status,) = decode(StatusBatch, EARLIER_DATAGRAM).statuses
+    return attrs.evolve(status, **suspect_exchange.status_fields(suspects, now))
+
+
+def make_suspects(runs=3):
+    """Return SuspectParts in which part 7 is blocked at 14 s."""
+    suspects = SuspectParts()
+    for number in range(runs):
+        suspects.record_crash(SuspectRun(number, number, (5, 6, 7), 10.0))
+    for _ in range(MIN_OTHER_STARTS):
+        suspects.record_start((5,), 13.0)
+    suspects.decide(14.0, 1.5)
+    return suspects
+
+
+def test_datagram_of_the_build_before_is_read():
+    """Guards upgrades: hosts of both builds run side by side."""
+    batch = decode(StatusBatch, EARLIER_DATAGRAM)
+    (status,) = batch.statuses
+    assert status.host_id == "host-1"
+    assert status.crashed == [-31, 32]
+    assert status.leaving_servers == [41]
+    assert batch.slots[0].avoid == [4]
+    assert batch.rates[0].tenant == "t"
+    context = make_context()
+    suspect_exchange.apply_status(context, status, 10.0)
+    assert context.suspects.blocks(10.0) == []
+    assert context.events == []
+
+
+class EarlierStatus(HostStatus):
+    """Status with the fields that the build before knows."""
+
+    thrift_spec = HostStatus.thrift_spec[: EARLIER_FIELDS + 1]
+
+
+def test_status_is_read_by_the_build_before():
+    """Guards upgrades: a field that a build does not know is skipped."""
+    status = full_status(make_suspects(), 14.0)
+    assert status.blocked_parts
+    read = decode(EarlierStatus, encode(status))
+    (earlier,) = decode(StatusBatch, EARLIER_DATAGRAM).statuses
+    assert attrs.asdict(read) == attrs.asdict(earlier)
+
+
+def test_hosts_learn_what_is_blocked():
+    """Guards servers against hosts that saw no crash themselves."""
+    context = make_context()
+    status = full_status(make_suspects(), 14.0)
+    suspect_exchange.apply_status(context, status, 100.0)
+    assert context.suspects.blocked_part((5, 6, 7), 100.0) == 7
+    assert context.suspects.blocked_part((5, 6), 100.0) is None
+    assert context.events == ["part_blocked"]
+
+
+def test_acquittal_is_told():
+    """Guards sound parts that another host blocks."""
+    context = make_context()
+    suspects = make_suspects()
+    suspect_exchange.apply_status(context, full_status(suspects, 14.0), 100.0)
+    suspects.record_start((7,), 14.5)
+    suspect_exchange.apply_status(context, full_status(suspects, 14.5), 100.6)
+    assert context.suspects.blocked_part((5, 6, 7), 100.6) is None
+    assert context.events == ["part_blocked", "part_acquitted"]
+
+
+def test_status_stays_small_in_a_burst_of_crashes():
+    """Guards networks and hosts against large messages."""
+    suspects = make_suspects(runs=500)
+    for number in range(500):
+        parts = tuple(range(number * 1000, number * 1000 + 3))
+        suspects.record_crash(SuspectRun(-number, number << 20, parts, 13.9))
+        suspects.record_start(parts[:1], 13.95)
+    assert len(encode(full_status(suspects, 14.0))) < MAX_STATUS_BYTES
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        {"crashed_runs": [CrashedRun(age_ms=-(1 << 31))]},
+        {"crashed_runs": [CrashedRun(parts=[1] * 10_000)] * 1000},
+        {"started_parts": [PartStart(1, -5)] * 1000},
+        {"blocked_parts": [PartBlock(1, -(1 << 31), -(1 << 31))] * 1000},
+        {"blocked_parts": [PartBlock(1, (1 << 31) - 1, 0)]},
+    ],
+)
+def test_message_without_sense_does_no_harm(fields):
+    """Guards hosts against forged or damaged messages."""
+    context = make_context()
+    status = HostStatus(host_id="host-9", **fields)
+    suspect_exchange.apply_status(context, status, 50.0)
+    suspect_exchange.decide(context, 60.0, 0.1)
+    assert context.suspects.blocked_part((1,), 400.0) is None
--- a/test/soak/__main__.py
+++ b/test/soak/__main__.py
@@ -26,13 +26,21 @@
         type=Path,
         help="run every second host from another checkout, as in an upgrade",
     )
+    parser.add_argument(
+        "--upgrade-from",
+        metavar="CHECKOUT",
+        type=Path,
+        help="start all hosts from another checkout and replace them in turn",
+    )
     arguments = parser.parse_args()
     first_seed = int(time.time()) if arguments.seed is None else arguments.seed
     size = ScenarioSize(hosts=arguments.hosts, faults=arguments.faults)
     environment = {DEFECT_VARIABLE: arguments.defect} if arguments.defect else {}
     seeds = range(first_seed, first_seed + arguments.seeds)
     checkouts = (ROOT, arguments.beside) if arguments.beside else (ROOT,)
-    options = (size, environment, checkouts)
+    if arguments.upgrade_from:
+        checkouts = (arguments.upgrade_from,)
+    options = (size, environment, checkouts, arguments.upgrade_from is not None)
     sys.exit(asyncio.run(_run_scenarios(seeds, options, arguments.together)))
 
 
--- a/test/soak/faults.py
+++ b/test/soak/faults.py
@@ -123,8 +123,18 @@
     process.send_signal(signal.SIGCONT)
 
 
+async def upgrade_hosts(fleet, checkout):
+    """Replace the hosts one after the other by hosts of another checkout."""
+    for process in fleet.processes:
+        process.checkout = checkout
+        await _restart_host(process)
+
+
 async def _stop_host(fleet, fault):
-    process = _pick_target(fleet.processes, fault)
+    await _restart_host(_pick_target(fleet.processes, fault))
+
+
+async def _restart_host(process):
     process.send_signal(signal.SIGTERM)
     # Another fault may restart the host in the meantime.
     stopping = process.process
--- a/test/soak/scenario.py
+++ b/test/soak/scenario.py
@@ -57,12 +57,15 @@
     jobs: int = 0
 
 
-async def run_scenario(seed, size=ScenarioSize(), environment=None, checkouts=(ROOT,)):
+async def run_scenario(
+    seed, size=ScenarioSize(), environment=None, checkouts=(ROOT,), upgrade=False
+):
     """
     Run a seed and return the ScenarioResult.
 
-    Hosts alternate between the code of the checkouts. The directory with their
-    logs is kept if a guarantee was violated.
+    Hosts alternate between the code of the checkouts. In an upgrade they are
+    replaced one after the other by hosts of this checkout. The directory with
+    their logs is kept if a guarantee was violated.
     """
     rng = random.Random(seed)
     directory = make_run_directory()
@@ -73,7 +76,7 @@
         await fleet.start_fleet(size.hosts, runners)
         for runner in fleet.runners:
             runner.behaviour.events = STREAM_EVENTS
-        await _run_phases(fleet, rng, result)
+        await _run_phases(fleet, rng, result, upgrade)
     finally:
         await fleet.stop_fleet()
     if not result.violations:
@@ -81,12 +84,14 @@
     return result
 
 
-async def _run_phases(fleet, rng, result):
+async def _run_phases(fleet, rng, result, upgrade):
     clients = Clients(fleet, rng)
     load = asyncio.create_task(clients.run(CALLERS, SUBMITTERS))
     tasks = [
         asyncio.create_task(_inject_later(fleet, fault)) for fault in result.faults
     ]
+    if upgrade:
+        tasks.append(asyncio.create_task(faults.upgrade_hosts(fleet, ROOT)))
     await asyncio.sleep(LOAD_S)
     clients.stopped = True
     await load
--- a/test/soak/test_soak.py
+++ b/test/soak/test_soak.py
@@ -1,6 +1,9 @@
 """Soak test on fixed seeds, including all seeds that failed before."""
 
+import io
 import random
+import subprocess
+import tarfile
 from unittest.mock import Mock
 
 import pytest
@@ -10,6 +13,7 @@
 from galenascale.standins.store_api import StoreStandin
 from test.soak.checks import check_jobs
 from test.soak.clients import SentJob
+from test.soak.fleet import ROOT
 from test.soak.gateway_process import DEFECT_VARIABLE, DEFECTS_BY_NAME
 from test.soak.scenario import ScenarioSize, run_scenario
 from test.soak.tenants import CHECKS
@@ -42,6 +46,29 @@
     assert result.jobs > 0
 
 
+# Build before hosts told each other of crashed runs and blocked parts.
+EARLIER_BUILD = "ea7a587"
+
+
+@pytest.fixture
+def earlier_checkout(tmp_path):
+    """Return a directory with the sources of EARLIER_BUILD."""
+    command = ["git", "archive", "--format=tar", EARLIER_BUILD]
+    archive = subprocess.run(command, cwd=ROOT, capture_output=True, check=True)
+    with tarfile.open(fileobj=io.BytesIO(archive.stdout)) as tar:
+        tar.extractall(tmp_path, filter="data")
+    return tmp_path
+
+
+async def test_guarantees_hold_in_an_upgrade(earlier_checkout):
+    """Guards upgrades: hosts of two builds run side by side and take turns."""
+    checkouts = (earlier_checkout,)
+    result = await run_scenario(21, SMALL_SIZE, checkouts=checkouts, upgrade=True)
+    assert result.violations == [], f"logs: {result.directory}"
+    assert result.served > result.requests / 4
+    assert result.jobs > 0
+
+
 @pytest.mark.parametrize(
     ("end_requested", "acknowledged", "recorded", "is_violation"),
     [
