Leave a server alone at whose address another one answers

Cause: an answer that another server has the address (421) counted as a refusal for lack of slots. The outdated entry accepts connections, so each check found it reachable, at hosts and owners of slots alike. Change: such an answer excludes the entry for 10 s, longer than it stays listed, and the owner of the slot is told so (SlotOutcome.GONE, which an earlier build ignores: it compares with the outcomes that it knows).

--- a/galenascale/gateway/dispatch.py
+++ b/galenascale/gateway/dispatch.py
@@ -24,6 +24,8 @@
     repeatable: bool
     # Called with the server if its response announces that it is leaving.
     on_leaving: object
+    # Called with the server if another one answers at its address.
+    on_gone: object
     # Whether the response was read to its end and the connection is reusable.
     complete: bool = False
 
@@ -32,6 +34,8 @@
         head = await self.connection.read()
         if head.leaving:
             self.on_leaving(self.server)
+        if head.misdirected:
+            self.on_gone(self.server)
         return head
 
     async def read_body(self, limit):
@@ -100,6 +104,11 @@
             # Triggers a message that tells the other hosts.
             context.load.mark_changed()
 
+    def _mark_gone(self, server):
+        context = self._context
+        context.health.mark_gone(server.incarnation, context.clock.monotonic())
+        context.log.write("server_gone", "warning", server=server.server_id)
+
     @contextlib.asynccontextmanager
     async def send(self, request, server, plan, resume_after):
         """
@@ -138,7 +147,12 @@
         plan.record_send(server.incarnation)
         context.load.start(server.server_id, batch=self._batch)
         attempt = Attempt(
-            server, connection, now, plan.route.repeatable, self._mark_leaving
+            server,
+            connection,
+            now,
+            plan.route.repeatable,
+            self._mark_leaving,
+            self._mark_gone,
         )
         context.reachability.add(attempt)
         try:
--- a/galenascale/gateway/forwarding.py
+++ b/galenascale/gateway/forwarding.py
@@ -11,10 +11,13 @@
 from galenascale.gateway.event_stream import EventSequence, EventStreamParser
 from galenascale.gateway.load import hash_key
 from galenascale.gateway.requests import BufferedResponse
-from galenascale.gateway.server_selection import ServerSelector, service_order
+from galenascale.gateway.server_selection import (
+    ServerSelector,
+    service_order,
+    slot_outcome,
+)
 from galenascale.gateway.slots.leases import SlotRefused
 from galenascale.gateway.suspect_exchange import record_start
-from galenascale.generated.gateway_messages import SlotOutcome
 
 
 class Forwarder:
@@ -100,13 +103,7 @@
                 self._request, selected.server, self._plan, self._sequence.last_id
             ) as attempt:
                 response, served = await self._read_response(attempt)
-                failed = response is not None and response.head.status >= 500
-                if not served and not failed:
-                    selected.outcome = SlotOutcome.REFUSED
-                else:
-                    selected.outcome = (
-                        SlotOutcome.FAILED if failed else SlotOutcome.SERVED
-                    )
+                selected.outcome = slot_outcome(response, served)
         return response, served
 
     def _raise_if_not_resumable(self):
--- a/galenascale/gateway/health.py
+++ b/galenascale/gateway/health.py
@@ -9,6 +9,9 @@
 # network link may recover at any time.
 INITIAL_CHECK_DELAY_S = 0.3
 MAX_CHECK_DELAY_S = 1.2
+# Seconds until a server whose address another one has is checked. The check
+# cannot tell the two apart, and the outdated entry is gone by then.
+GONE_DELAY_S = 10.0
 # Weight of the newest outcome in the moving average of the success rate.
 OUTCOME_WEIGHT = 0.15
 # Time constant in seconds of the exponential decay of past failures. Without
@@ -80,6 +83,12 @@
             health.failed_checks = 1
             health.next_check_at = now
 
+    def mark_gone(self, incarnation, now):
+        """Exclude a server at whose address another one answers."""
+        health = self._get(incarnation)
+        health.failed_checks = max(1, health.failed_checks)
+        health.next_check_at = now + GONE_DELAY_S
+
     def is_unreachable(self, incarnation):
         """Return True while a server is excluded as unreachable."""
         health = self._by_incarnation.get(incarnation)
--- a/galenascale/gateway/requests.py
+++ b/galenascale/gateway/requests.py
@@ -54,6 +54,8 @@
     request_id: str = ""
     # Whether the server states that it did not run the request.
     not_run: bool = False
+    # Whether another server than the addressed one has the address.
+    misdirected: bool = False
     # Whether the server is leaving and accepts no further requests.
     leaving: bool = False
     # Idle time in seconds after which the server closes the connection.
--- a/galenascale/gateway/server_selection.py
+++ b/galenascale/gateway/server_selection.py
@@ -148,3 +148,19 @@
     drawn = rng.choices(splits, [split.weight for split in splits])[0]
     others = [split.service for split in splits if split is not drawn]
     return [drawn.service, *others]
+
+
+def slot_outcome(response, served):
+    """
+    Return what a response tells the owner of the slot about the server.
+
+    `response` is None for a streamed one; `served` is False for one that
+    another server may replace.
+    """
+    if response is None:
+        return SlotOutcome.SERVED
+    if response.head.misdirected:
+        return SlotOutcome.GONE
+    if response.head.status >= 500:
+        return SlotOutcome.FAILED
+    return SlotOutcome.SERVED if served else SlotOutcome.REFUSED
--- a/galenascale/gateway/slots/owner.py
+++ b/galenascale/gateway/slots/owner.py
@@ -174,6 +174,8 @@
             health.record_failure(entry.incarnation, now)
         elif message.outcome == SlotOutcome.UNREACHABLE:
             health.mark_suspected(entry.incarnation, now)
+        elif message.outcome == SlotOutcome.GONE:
+            health.mark_gone(entry.incarnation, now)
 
     def _on_spare(self, message, address, slots, now):
         self._reporters_by_pool[message.from_pool] = (address, now)
--- a/galenascale/platform/headers.py
+++ b/galenascale/platform/headers.py
@@ -198,6 +198,7 @@
         headers=strip_hop_by_hop_headers(headers),
         request_id=(find_header(headers, _REQUEST_ID) or b"").decode("latin-1"),
         not_run=find_header(headers, _NOT_RUN) is not None or status == _MISDIRECTED,
+        misdirected=status == _MISDIRECTED,
         leaving=find_header(headers, _LEAVING) == b"1",
         keep_alive_s=float(keep_alive[1]) if keep_alive else None,
         length=int(length) if length and length.isdigit() else None,
--- a/galenascale/standins/runner.py
+++ b/galenascale/standins/runner.py
@@ -74,6 +74,8 @@
         # Connections that the client closed before the end of a response.
         self.early_disconnects = 0
         self.endless_responses_aborted = 0
+        # Requests for another server that had the address.
+        self.misdirected = 0
         self.sequence = 0
         self.started_ms = 1
         self.address = ""
@@ -151,6 +153,7 @@
             request.extra_header_lines = ("Server-Leaving: 1",)
         target = request.header("X-Galenascale-Target-Instance")
         if target and target != self.server_id:
+            self.misdirected += 1
             _write_whole(writer, request, 421, b"", signed=False)
             return True
         if behaviour.refuse:
--- a/schema/gateway.thrift
+++ b/schema/gateway.thrift
@@ -229,6 +229,8 @@
   /** The server rejected the run for lack of capacity. */
   REFUSED = 3,
   UNREACHABLE = 4,
+  /** Another server has its address. */
+  GONE = 5,
 }
 
 struct SlotMessage {
