Count answers that begin at other hosts before a part is blocked

Cause: only the host's own begun answers counted as the sign that servers are sound; twelve hosts with 20 requests a second see one each in half a second. Change: answers that other hosts tell of, for parts under suspicion, count as well; a repeated one counts once. Measured: test_answers_to_others_at_other_hosts_count failed before.

--- a/galenascale/gateway/suspect_parts.py
+++ b/galenascale/gateway/suspect_parts.py
@@ -20,9 +20,12 @@
 # Of the crashes, those on servers without a request that is blocked already.
 # Below it, the part may only have been near a blocked one.
 MIN_UNEXPLAINED_CRASHES = 2
-# Other answers that must have begun at this host since the first crash. If
-# none begins, the servers are broken, whatever they are asked.
+# Other answers that must have begun since the first crash, at this host or,
+# for parts under suspicion, at others. If none begins, the servers are broken,
+# whatever they are asked.
 MIN_OTHER_STARTS = 3
+# Times of a begun answer that another host repeats differ by less.
+SAME_START_S = 0.05
 # A part whose answers began this many seconds before the first crash or later
 # is blocked only if its crashes span MIN_CRASH_SPAN_S, as servers that lose
 # power together crash under sound parts.
@@ -63,8 +66,8 @@
         # Time of the last begun answer by part, at this and at other hosts.
         self._local_start_by_part = collections.OrderedDict()
         self._remote_start_by_part = collections.OrderedDict()
-        # Times of the last begun answers at this host.
-        self._last_starts = collections.deque(maxlen=MIN_OTHER_STARTS)
+        # Times of the last begun answers, in order.
+        self._last_starts = [NEVER] * MIN_OTHER_STARTS
         self._block_by_part = collections.OrderedDict()
         self._decided_at = NEVER
 
@@ -76,7 +79,7 @@
 
         Return the keys of the parts that were blocked and are acquitted.
         """
-        self._last_starts.append(now)
+        self._count_start(now)
         return [
             key
             for key in part_keys
@@ -97,6 +100,9 @@
 
     def merge_starts(self, started_at_by_part):
         """Add begun answers at another host; return the acquitted parts."""
+        for key, at in started_at_by_part.items():
+            if at > self._remote_start_by_part.get(key, NEVER) + SAME_START_S:
+                self._count_start(at)
         return [
             key
             for key, at in started_at_by_part.items()
@@ -170,6 +176,10 @@
             self._remote_start_by_part.get(key, NEVER),
         )
 
+    def _count_start(self, at):
+        starts = sorted([*self._last_starts, at])
+        self._last_starts = starts[-MIN_OTHER_STARTS:]
+
     def _add_start(self, start_by_part, key, at):
         start_by_part[key] = max(at, start_by_part.get(key, NEVER))
         start_by_part.move_to_end(key)
@@ -233,14 +243,10 @@
         if unexplained < MIN_UNEXPLAINED_CRASHES:
             return False
         first_at = evidence.first_at
-        if not self._others_start(first_at):
+        if self._last_starts[0] <= first_at:
             return False
         recently_started = self._started_at(key) > first_at - RECENT_START_S
         return not recently_started or evidence.span_s >= MIN_CRASH_SPAN_S
 
     def _is_explained(self, crash):
         return any(key in self._block_by_part for key in crash.part_keys())
-
-    def _others_start(self, since):
-        starts = self._last_starts
-        return len(starts) == MIN_OTHER_STARTS and starts[0] > since
--- a/test/gateway/test_suspect_parts.py
+++ b/test/gateway/test_suspect_parts.py
@@ -227,6 +227,25 @@
     assert suspects.merge_blocks([block], 3.6) == []
 
 
+def test_answers_to_others_at_other_hosts_count():
+    """
+    Guards small fleets in which each host sees few answers begin.
+
+    All servers were down before one host had seen three of them, and the next
+    requests with the part crashed servers as these came back.
+    """
+    suspects = SuspectParts()
+    for n in range(3):
+        crash(suspects, n, n, CHAIN, 1.0 + n / 10)
+    suspects.record_start((901,), 1.2)
+    suspects.merge_starts({FIRST: 1.3})
+    # The same answer, told again.
+    suspects.merge_starts({FIRST: 1.3001})
+    assert suspects.decide(3.0, SETTLE_S) == []
+    suspects.merge_starts({FIRST: 1.5})
+    assert [block.part_key for block in suspects.decide(4.0, SETTLE_S)] == [BAD]
+
+
 def test_answer_at_another_host_acquits():
     """Guards a host that sees few requests against its own small sample."""
     suspects = SuspectParts()
