Take only answers under the same suspicion as a sign of sound servers

Callers: none yet; found while reading. If all servers of a service broke for more than three seconds, while a plain service answered, the first part of all prompts would have been blocked for 300 s, with each sound caller of it. Cause: any answer that began at a host counted as the sign that servers are sound, also of another service. Change: only answers to parts that were on the crashed servers count. Measured: test_answers_of_another_service_prove_nothing failed before (the first part was blocked) and passes with 27 others of parts and messages.

--- a/galenascale/gateway/suspect_parts.py
+++ b/galenascale/gateway/suspect_parts.py
@@ -20,9 +20,8 @@
 # Of the crashes, those on servers without a request that is blocked already.
 # Below it, the part may only have been near a blocked one.
 MIN_UNEXPLAINED_CRASHES = 2
-# Other answers that must have begun since the first crash, at this host or,
-# for parts under suspicion, at others. If none begins, the servers are broken,
-# whatever they are asked.
+# Answers to other parts under suspicion that must have begun since the first
+# crash. If none begins, the servers are broken, whatever they are asked.
 MIN_OTHER_STARTS = 3
 # Times of a begun answer that another host repeats differ by less.
 SAME_START_S = 0.05
@@ -66,7 +65,7 @@
         # Time of the last begun answer by part, at this and at other hosts.
         self._local_start_by_part = collections.OrderedDict()
         self._remote_start_by_part = collections.OrderedDict()
-        # Times of the last begun answers, in order.
+        # Times of the last begun answers to parts under suspicion, in order.
         self._last_starts = [NEVER] * MIN_OTHER_STARTS
         self._block_by_part = collections.OrderedDict()
         self._decided_at = NEVER
@@ -79,7 +78,8 @@
 
         Return the keys of the parts that were blocked and are acquitted.
         """
-        self._count_start(now)
+        if self._evidence.accuses_any(part_keys):
+            self._count_start(now)
         return [
             key
             for key in part_keys
