Forget the crashes that a lost host reported

Callers: content that three crashed runs of a lost host accused stayed blocked on the other hosts until they restarted. Cause: a host's report was replaced only by its next one; a host that is lost sends none.

--- a/galenascale/gateway/crashes.py
+++ b/galenascale/gateway/crashes.py
@@ -74,22 +74,23 @@
 
     def __init__(self):
         self._local = []
-        self._remote_keys_by_host = {}
+        # (keys, time of the report) by host.
+        self._remote_by_host = {}
 
     def add(self, key, now):
         """Record that a server crashed while running this content."""
         self._local.append(_Crash(key, now + CRASH_TTL_S))
 
-    def set_remote_crashes(self, host_id, keys):
+    def set_remote_crashes(self, host_id, keys, now):
         """
         Replace the crashes that another host reports.
 
         `keys` holds one content key for each crash.
         """
         if keys:
-            self._remote_keys_by_host[host_id] = tuple(keys)
+            self._remote_by_host[host_id] = (tuple(keys), now)
         else:
-            self._remote_keys_by_host.pop(host_id, None)
+            self._remote_by_host.pop(host_id, None)
 
     def recent_keys(self, now):
         """Return the content keys of the recent crashes seen by this host."""
@@ -99,7 +100,10 @@
     def is_blocked(self, key, now):
         """Return True if content must not run again."""
         count = self.recent_keys(now).count(key)
-        count += sum(keys.count(key) for keys in self._remote_keys_by_host.values())
+        for keys, reported_at in self._remote_by_host.values():
+            # A host that is lost takes nothing back.
+            if now - reported_at <= CRASH_TTL_S:
+                count += keys.count(key)
         return count >= MAX_CRASHES
 
 
--- a/galenascale/gateway/peers.py
+++ b/galenascale/gateway/peers.py
@@ -92,7 +92,7 @@
             for item in status.in_flight
         }
         self._admission.add_remote_refusals(status.refused, now)
-        self._crashes.set_remote_crashes(status.host_id, status.crashed)
+        self._crashes.set_remote_crashes(status.host_id, status.crashed, now)
         suspect_exchange.apply_status(self._context, status, now)
         self._merge_leaving_servers(status, now)
         self._load.set_peer_report(status.host_id, in_flight, now)
--- a/test/gateway/test_crashes.py
+++ b/test/gateway/test_crashes.py
@@ -14,13 +14,13 @@
     history.add(1, 10.0)
     history.add(2, 10.0)
     assert not history.is_blocked(1, 10.0)
-    history.set_remote_crashes("a", [1])
-    history.set_remote_crashes("b", [1, 3])
+    history.set_remote_crashes("a", [1], 10.0)
+    history.set_remote_crashes("b", [1, 3], 10.0)
     assert history.is_blocked(1, 10.0)
     assert not history.is_blocked(2, 10.0)
     # A host that repeats its report has not seen another crash.
-    history.set_remote_crashes("b", [])
-    history.set_remote_crashes("a", [1])
+    history.set_remote_crashes("b", [], 10.0)
+    history.set_remote_crashes("a", [1], 10.0)
     assert not history.is_blocked(1, 10.0)
 
 
@@ -33,6 +33,14 @@
     assert not history.is_blocked(1, 10.1 + CRASH_TTL_S)
 
 
+def test_crashes_of_a_lost_host_expire():
+    """Guards callers against reports of a host that tells nothing more."""
+    history = CrashHistory()
+    history.set_remote_crashes("lost", [1] * MAX_CRASHES, 10.0)
+    assert history.is_blocked(1, 11.0)
+    assert not history.is_blocked(1, 10.1 + CRASH_TTL_S)
+
+
 async def test_request_that_crashes_servers_is_stopped():
     """Guards servers against retries of a request that crashes them."""
     async with gateway_fleet(hosts=2, runners=6) as fleet:
