Let no rejection of a prompt acquit its parts

Callers: none yet; found while reading. A server that rejects a prompt with a deadly part, with status 400 for instance, would have lifted its block. Cause: every answer below 500 that is not streamed counted as a begun answer. Change: only answers below 400 do. Measured: test_rejected_request_acquits_nothing failed before and passes.

--- a/galenascale/gateway/forwarding.py
+++ b/galenascale/gateway/forwarding.py
@@ -231,7 +231,8 @@
         if head.status < 500:
             context.health.record_success(incarnation, self._now())
             self._raise_if_started(response.head)
-            record_start(context, self._part_keys)
+            if head.status < 400:
+                record_start(context, self._part_keys)
             return response, True
         context.health.record_failure(incarnation, self._now())
         self._raise_if_started(response.head)
--- a/test/gateway/test_suspect_parts.py
+++ b/test/gateway/test_suspect_parts.py
@@ -8,6 +8,7 @@
 import pytest
 
 from galenascale.gateway.crash_evidence import SuspectRun
+from galenascale.gateway.load import hash_key
 from galenascale.gateway.suspect_parts import (
     BLOCK_TTL_S,
     MIN_OTHER_STARTS,
@@ -318,3 +319,18 @@
     finally:
         tracemalloc.stop()
     assert after - before < MAX_MEMORY_BYTES
+
+
+async def test_rejected_request_acquits_nothing():
+    """Guards the evidence: a server that rejects a prompt began no answer."""
+    async with gateway_fleet(hosts=1, runners=1) as fleet:
+        host = fleet.hosts[0]
+        (runner,) = fleet.runners_of("llm")
+        keys = tuple(map(hash_key, ("first", "second")))
+        crash(host.context.suspects, 1, 1, keys, host.context.clock.monotonic())
+        runner.behaviour.status = 400
+        assert (await send(fleet, 1, "first", "second")).status == 400
+        assert host.context.suspects.suspected_starts(10) == {}
+        runner.behaviour.status = 200
+        assert (await send(fleet, 2, "first", "second")).status == 200
+        assert set(host.context.suspects.suspected_starts(10)) == set(keys)
