Decide about prompt parts sooner in large fleets

Cause: answers counted as the sign of sound servers only if they began after the host had heard of the crash, up to two rounds of 0.56 s later, when no engine was up any more; and a decision waited for the next rounds. Change: a host keeps its last begun answers, so those from before the news count as well; the host that decides tells all others at once.

--- a/galenascale/gateway/crash_evidence.py
+++ b/galenascale/gateway/crash_evidence.py
@@ -82,14 +82,9 @@
                 return crash
         return None
 
-    def accuses_any(self, part_keys):
-        """Return True if one of the parts was on a crashed server."""
-        return any(
-            key in parts
-            for crash in self.crashes
-            for parts in crash.parts_by_content.values()
-            for key in part_keys
-        )
+    def part_keys(self):
+        """Return the set of all parts that were on crashed servers."""
+        return {key for crash in self.crashes for key in crash.part_keys()}
 
     def expire(self, now):
         """Forget crashes that are too old to count with others."""
--- a/galenascale/gateway/peers.py
+++ b/galenascale/gateway/peers.py
@@ -144,7 +144,7 @@
             self._update_live_peers(now)
             self._load.expire_reports(now)
             round_s = self._round_s()
-            suspect_exchange.decide(self._context, now, round_s)
+            suspect_exchange.decide(self._context, now, round_s, self.broadcast_status)
             self._send_due_status(now)
             await self._clock.sleep(round_s)
 
--- a/galenascale/gateway/suspect_exchange.py
+++ b/galenascale/gateway/suspect_exchange.py
@@ -74,15 +74,19 @@
         _log_blocked(context, block, now, peer=status.host_id)
 
 
-def decide(context, now, round_s):
+def decide(context, now, round_s, tell):
     """
-    Block the parts that the evidence convicts, and tell the other hosts.
+    Block the parts that the evidence convicts.
 
-    `round_s` are the seconds between two rounds of messages.
+    `round_s` are the seconds between two rounds of messages; `tell()` sends
+    the decision to all hosts at once, as each request until then costs a
+    server.
     """
-    for block in context.suspects.decide(now, SETTLE_ROUNDS * round_s):
-        context.load.mark_changed()
+    blocks = context.suspects.decide(now, SETTLE_ROUNDS * round_s)
+    for block in blocks:
         _log_blocked(context, block, now, peer=None)
+    if blocks:
+        tell()
 
 
 def record_start(context, part_keys):
--- a/galenascale/gateway/suspect_parts.py
+++ b/galenascale/gateway/suspect_parts.py
@@ -35,6 +35,7 @@
 # Added to the age of a block at each host that passes it on. More than a
 # message takes, so that a block does not outlive its time by being repeated.
 RELAY_MARGIN_S = 1.0
+MAX_RECENT_STARTS = 64
 MAX_BLOCKS = 64
 MAX_PARTS = 2048
 # Seconds between two decisions.
@@ -65,8 +66,8 @@
         # Time of the last begun answer by part, at this and at other hosts.
         self._local_start_by_part = collections.OrderedDict()
         self._remote_start_by_part = collections.OrderedDict()
-        # Times of the last begun answers to parts under suspicion, in order.
-        self._last_starts = [NEVER] * MIN_OTHER_STARTS
+        # (time, keys of parts) of the last begun answers.
+        self._recent_starts = collections.deque(maxlen=MAX_RECENT_STARTS)
         self._block_by_part = collections.OrderedDict()
         self._decided_at = NEVER
 
@@ -78,8 +79,8 @@
 
         Return the keys of the parts that were blocked and are acquitted.
         """
-        if self._evidence.accuses_any(part_keys):
-            self._count_start(now)
+        if part_keys:
+            self._recent_starts.append((now, part_keys))
         return [
             key
             for key in part_keys
@@ -102,7 +103,7 @@
         """Add begun answers at another host; return the acquitted parts."""
         for key, at in started_at_by_part.items():
             if at > self._remote_start_by_part.get(key, NEVER) + SAME_START_S:
-                self._count_start(at)
+                self._recent_starts.append((at, (key,)))
         return [
             key
             for key, at in started_at_by_part.items()
@@ -150,9 +151,7 @@
 
     def suspected_starts(self, limit):
         """Return this host's last starts of parts under suspicion, by key."""
-        suspected = {
-            key for crash in self._evidence.crashes for key in crash.part_keys()
-        }
+        suspected = self._evidence.part_keys()
         suspected.update(self._block_by_part)
         starts = [
             (self._local_start_by_part[key], key)
@@ -176,10 +175,6 @@
             self._remote_start_by_part.get(key, NEVER),
         )
 
-    def _count_start(self, at):
-        starts = sorted([*self._last_starts, at])
-        self._last_starts = starts[-MIN_OTHER_STARTS:]
-
     def _add_start(self, start_by_part, key, at):
         start_by_part[key] = max(at, start_by_part.get(key, NEVER))
         start_by_part.move_to_end(key)
@@ -243,10 +238,17 @@
         if unexplained < MIN_UNEXPLAINED_CRASHES:
             return False
         first_at = evidence.first_at
-        if self._last_starts[0] <= first_at:
+        if not self._others_start(first_at):
             return False
         recently_started = self._started_at(key) > first_at - RECENT_START_S
         return not recently_started or evidence.span_s >= MIN_CRASH_SPAN_S
 
     def _is_explained(self, crash):
         return any(key in self._block_by_part for key in crash.part_keys())
+
+    def _others_start(self, since):
+        """Return True if answers to other accused parts began meanwhile."""
+        accused = self._evidence.part_keys()
+        starts = [keys for at, keys in self._recent_starts if at > since]
+        others = sum(not accused.isdisjoint(keys) for keys in starts)
+        return others >= MIN_OTHER_STARTS
--- a/test/gateway/test_suspect_exchange.py
+++ b/test/gateway/test_suspect_exchange.py
@@ -120,6 +120,20 @@
     assert len(encode(full_status(suspects, 14.0))) < MAX_STATUS_BYTES
 
 
+def test_own_decision_is_told_at_once():
+    """Guards servers of large fleets, whose rounds of messages are slow."""
+    context = make_context()
+    told = []
+    for number in range(3):
+        run = SuspectRun(number, number, (5, 6, 7), 10.0)
+        context.suspects.record_crash(run)
+    for number in range(MIN_OTHER_STARTS):
+        context.suspects.record_start((5,), 11.0 + number)
+    suspect_exchange.decide(context, 14.0, 0.5, lambda: told.append("told"))
+    suspect_exchange.decide(context, 14.5, 0.5, lambda: told.append("again"))
+    assert told == ["told"]
+
+
 @pytest.mark.parametrize(
     "fields",
     [
@@ -135,5 +149,5 @@
     context = make_context()
     status = HostStatus(host_id="host-9", **fields)
     suspect_exchange.apply_status(context, status, 50.0)
-    suspect_exchange.decide(context, 60.0, 0.1)
+    suspect_exchange.decide(context, 60.0, 0.1, lambda: None)
     assert context.suspects.blocked_part((1,), 400.0) is None
--- a/test/gateway/test_suspect_parts.py
+++ b/test/gateway/test_suspect_parts.py
@@ -247,6 +247,19 @@
     assert [block.part_key for block in suspects.decide(4.0, SETTLE_S)] == [BAD]
 
 
+def test_answers_before_the_news_of_a_crash_count():
+    """
+    Guards large fleets, whose hosts hear of most crashes a second later.
+
+    All servers were down by then, so no answer began after the news.
+    """
+    suspects = SuspectParts()
+    for n in range(MIN_OTHER_STARTS):
+        suspects.record_start((FIRST, 901), 1.1 + n / 10)
+    suspects.merge_runs(SuspectRun(n, n, CHAIN, 1.0 + n / 10) for n in range(3))
+    assert [block.part_key for block in suspects.decide(3.0, SETTLE_S)] == [BAD]
+
+
 def test_answers_of_another_service_prove_nothing():
     """
     Guards a service whose servers are all broken for a while.
