--- a/galenascale/gateway/crashes.py
+++ b/galenascale/gateway/crashes.py
@@ -8,7 +8,6 @@
 import attrs
 
 from galenascale.gateway.admission import fingerprint
-from galenascale.gateway.load import hash_key
 
 # Number of server crashes after which content is blocked.
 MAX_CRASHES = 3
@@ -27,6 +26,8 @@
     content_key: int
     # Ids of the parts of the prompt that other requests may share.
     shared_parts: tuple[str, ...]
+    # Their keys in messages between hosts.
+    part_keys: tuple[int, ...]
     # Whether a server had begun to write the answer.
     begun: bool
     # Monotonic time in seconds.
@@ -41,6 +42,7 @@
             request.request_id,
             fingerprint(request),
             request.shared_parts,
+            request.part_keys,
             begun,
             at,
             batch,
@@ -55,11 +57,6 @@
         """
         return not self.begun and not self.batch
 
-    @property
-    def part_keys(self):
-        """Return the keys of the shared parts in messages between hosts."""
-        return tuple(map(hash_key, self.shared_parts))
-
 
 @attrs.define
 class _Crash:
--- a/galenascale/gateway/forwarding.py
+++ b/galenascale/gateway/forwarding.py
@@ -9,7 +9,6 @@
 from galenascale.gateway.crashes import InterruptedRun, block_reason
 from galenascale.gateway.dispatch import Dispatcher
 from galenascale.gateway.event_stream import EventSequence, EventStreamParser
-from galenascale.gateway.load import hash_key
 from galenascale.gateway.requests import BufferedResponse
 from galenascale.gateway.server_selection import (
     ServerSelector,
@@ -69,7 +68,7 @@
         self._selected = None
         self._last_error_response = None
         self._content_key = fingerprint(request)
-        self._part_keys = tuple(map(hash_key, request.shared_parts))
+        self._part_keys = request.part_keys
         self._max_buffer_bytes = context.settings.held_answer_bytes
 
     def _now(self):
--- a/galenascale/gateway/jobs/item_runs.py
+++ b/galenascale/gateway/jobs/item_runs.py
@@ -9,7 +9,6 @@
 from galenascale.gateway.attempts import AttemptPlan
 from galenascale.gateway.crashes import InterruptedRun
 from galenascale.gateway.event_stream import EventStreamParser
-from galenascale.gateway.load import hash_key
 from galenascale.gateway.requests import CallerRequest
 from galenascale.gateway.suspect_exchange import record_start
 
@@ -188,8 +187,7 @@
         async with dispatcher.send(
             request, server, plan, item.last_event_id
         ) as attempt:
-            part_keys = tuple(map(hash_key, request.shared_parts))
-            return await _read_response(context, item, attempt, part_keys)
+            return await _read_response(context, item, attempt, request.part_keys)
     except BackendError as error:
         if error.step == "connect":
             return RunResult("refused", error.message)
--- a/galenascale/gateway/requests.py
+++ b/galenascale/gateway/requests.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from galenascale.gateway.load import hash_key
+
 Headers = tuple[tuple[bytes, bytes], ...]
 
 
@@ -43,6 +45,11 @@
         """Return the target without its query string."""
         return self.target.partition("?")[0]
 
+    @property
+    def part_keys(self):
+        """Return the keys of the shared parts in messages between hosts."""
+        return tuple(map(hash_key, self.shared_parts))
+
 
 @attrs.frozen
 class ResponseHead:
--- a/galenascale/gateway/suspect_exchange.py
+++ b/galenascale/gateway/suspect_exchange.py
@@ -61,7 +61,7 @@
             for start in status.started_parts[:MAX_STARTS]
         }
     )
-    log_acquitted(context, acquitted, peer=status.host_id)
+    _log_acquitted(context, acquitted, peer=status.host_id)
     blocks = (
         Block(
             block.part,
@@ -95,11 +95,10 @@
     acquitted = context.suspects.record_start(part_keys, now)
     if acquitted:
         context.load.mark_changed()
-    log_acquitted(context, acquitted, peer=None)
+    _log_acquitted(context, acquitted, peer=None)
 
 
-def log_acquitted(context, part_keys, *, peer):
-    """Log parts that are no longer blocked, as an answer to them began."""
+def _log_acquitted(context, part_keys, *, peer):
     for key in part_keys:
         context.log.write("part_acquitted", "warning", part=key, peer=peer)
 
