Count delayed and repeated requests as the rate rule does

The owner of the rate never changed, and no question about it went without an answer.

The rule counts requests that are sent and arrive within a window. The check now does so: a request counts once, by its first arrival, in windows that begin before it was sent. The bound is unchanged. A table of cases shows that 18 requests within a window are still reported, also when a link delays them, and the broken program that limits no rates is still found.

--- a/test/soak/tenants.py
+++ b/test/soak/tenants.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import math
 
 import attrs
 
@@ -65,7 +66,7 @@
     """Yield one line for each violation of the rules for tenants."""
     sent_by_id = {sent.request_id: sent for sent in requests}
     removed_at_by_key = {item.key: item.removed_at for item in fleet.keys.removed}
-    arrivals = []
+    arrived_at_by_id = {}
     for runner in fleet.runners:
         for request in runner.requests:
             sent = sent_by_id.get(request.request_id)
@@ -83,18 +84,31 @@
             ):
                 yield f"{request.request_id} ran with a key taken away"
             if tenant == LIMITED:
-                arrivals.append(request.received_at)
-    yield from _check_rate(sorted(arrivals))
+                arrived_at = arrived_at_by_id.get(sent.request_id, math.inf)
+                arrived_at_by_id[sent.request_id] = min(arrived_at, request.received_at)
+    yield from check_rate(
+        (sent_by_id[request_id].sent_at, arrived_at)
+        for request_id, arrived_at in arrived_at_by_id.items()
+    )
+
 
+def check_rate(requests):
+    """
+    Yield a line if too many requests are sent and reach servers in a window.
 
-def _check_rate(arrivals):
+    `requests` holds for each request when its caller sent it and when it first
+    reached a server. One that a slow link delays counts in no window that
+    begins after it was sent, and one that runs again counts once.
+    """
     tenant = Tenant(LIMITED, requests_per_s=LIMITED_RATE, burst=LIMITED_BURST)
     limit = RateLimit(
         tenant.requests_per_s, tenant.burst, WINDOW_S, OVERSHOOT, SLACK, domains=1
     )
     most = LIMITED_RATE * WINDOW_S + LIMITED_BURST + limit.excess
-    for index, start in enumerate(arrivals):
-        count = sum(at < start + WINDOW_S for at in arrivals[index:])
+    requests = sorted(requests)
+    for index, (start, _) in enumerate(requests):
+        end = start + WINDOW_S
+        count = sum(arrived_at < end for _, arrived_at in requests[index:])
         if count > most:
             yield f"{count} requests of a tenant ran in {WINDOW_S} s, limit {most:.1f}"
             return
--- a/test/soak/test_soak.py
+++ b/test/soak/test_soak.py
@@ -16,7 +16,7 @@
 from test.soak.fleet import ROOT
 from test.soak.gateway_process import DEFECT_VARIABLE, DEFECTS_BY_NAME
 from test.soak.scenario import ScenarioSize, run_scenario
-from test.soak.tenants import CHECKS
+from test.soak.tenants import CHECKS, check_rate
 
 # Run by CI each time; `python -m test.soak` runs new seeds.
 SEEDS = (11, 12)
@@ -95,6 +95,23 @@
     assert bool(list(check_jobs(fleet, [job]))) == is_violation
 
 
+@pytest.mark.parametrize(
+    ("requests", "is_violation"),
+    [
+        # At the limit of 17.2 and beyond it.
+        ([(0.1 * n, 0.1 * n) for n in range(17)], False),
+        ([(0.1 * n, 0.1 * n) for n in range(18)], True),
+        # Delayed until the next window by a slow link or a paused host.
+        ([(0.1 * n, 1.5) for n in range(18)], True),
+        ([(n / 6 - 2.0, 1.5 + n / 100) for n in range(18)], False),
+        ([(0.05 * n, 1.9 + n / 100) for n in range(18)], False),
+    ],
+)
+def test_rate_counts_requests_sent_and_run_in_a_window(requests, is_violation):
+    """Guards against reporting requests that a slow link delivers together."""
+    assert bool(list(check_rate(requests))) == is_violation
+
+
 @pytest.mark.parametrize("name", sorted(DEFECTS_BY_NAME))
 async def test_soak_detects_injected_defect(name):
     """Guards against checks that cannot fail."""
