Send rounds of statuses in slices that do not overflow a link

Rounds and broadcasts now leave in slices of 16 KB with 10 ms in between, and in larger ones if they would take longer than 0.4 s. What a small fleet sends fits in one slice and leaves as before.

--- /dev/null
+++ b/galenascale/gateway/paced_sender.py
@@ -0,0 +1,61 @@
+"""Sends many datagrams in slices, so that they do not overflow a link.
+
+Links drop datagrams once their buffers are full. Those at the end of a burst
+are lost first, and bursts of statuses list the hosts in the same order each
+time, so without pauses the same hosts would miss every round.
+"""
+
+import asyncio
+import collections
+
+# Bytes sent at once. Small compared to the buffers of usual links.
+MIN_SLICE_BYTES = 16 * 1024
+# Seconds between two slices. With it, slices fill links of 13 Mbit/s.
+PAUSE_S = 0.01
+# Longest delay of a datagram in seconds. More bytes than fit in this time are
+# sent in larger slices.
+MAX_DELAY_S = 0.4
+
+
+class PacedSender:
+    """Sends datagrams in their order, with pauses between slices of them."""
+
+    def __init__(self, send):
+        # Called with an address and the bytes of a datagram.
+        self._send = send
+        self._pending = collections.deque()
+        self._pending_bytes = 0
+        self._slice_bytes = MIN_SLICE_BYTES
+        self._timer = None
+
+    def send(self, datagrams):
+        """Send (address, bytes) pairs, the first slice immediately."""
+        for address, data in datagrams:
+            self._pending.append((address, data))
+            self._pending_bytes += len(data)
+        self._slice_bytes = max(
+            MIN_SLICE_BYTES, self._pending_bytes * PAUSE_S / MAX_DELAY_S
+        )
+        if self._timer is None:
+            self._send_slice()
+
+    def _send_slice(self):
+        size = 0
+        while self._pending and size < self._slice_bytes:
+            address, data = self._pending.popleft()
+            size += len(data)
+            self._send(address, data)
+        self._pending_bytes -= size
+        self._timer = None
+        if size:
+            # Also after the last slice, so that the next call waits its turn.
+            loop = asyncio.get_running_loop()
+            self._timer = loop.call_later(PAUSE_S, self._send_slice)
+
+    def close(self):
+        """Drop what was not sent yet."""
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        self._pending.clear()
+        self._pending_bytes = 0
--- a/galenascale/gateway/peers.py
+++ b/galenascale/gateway/peers.py
@@ -8,6 +8,7 @@
 from galenascale.gateway.gossip import StatusRouter
 from galenascale.gateway.load import InFlightCounts
 from galenascale.gateway.ownership import OwnerCandidate
+from galenascale.gateway.paced_sender import PacedSender
 from galenascale.gateway.peer_table import PeerTable
 from galenascale.gateway.sockets import split_address
 from galenascale.generated.gateway_messages import (
@@ -61,11 +62,15 @@
         self._own_address = split_address(settings.peer_listen)[0]
         self._router = StatusRouter(settings.host_id, settings.failure_domain)
         self.table = PeerTable(self._own_address)
+        self._status_sender = PacedSender(self._send)
         self.leaving = False
 
     def connection_made(self, transport):
         self._transport = transport
 
+    def connection_lost(self, error):
+        self._status_sender.close()
+
     def datagram_received(self, data, addr):
         try:
             batch = decode(StatusBatch, data)
@@ -163,21 +168,14 @@
         messages = self._router.take_messages(
             own_status, self.table.alive(now), self.table.addresses(now)
         )
-        encoded_by_statuses = {}
-        for message in messages:
-            # Most messages of a round carry the same statuses, so encode each
-            # combination once.
-            key = tuple(map(id, message.statuses))
-            if key not in encoded_by_statuses:
-                encoded_by_statuses[key] = _encode_batches(message.statuses)
-            for data in encoded_by_statuses[key]:
-                self._send(message.address, data)
+        self._status_sender.send(_encode_messages(messages))
 
     def broadcast_status(self):
-        """Send this host's status to all known addresses immediately."""
+        """Send this host's status to all known addresses now."""
         (data,) = _encode_batches((self._status(),))
-        for address in self.table.addresses(self._clock.monotonic()):
-            self._send(address, data)
+        self._status_sender.send(
+            (address, data) for address in self.table.addresses(self._clock.monotonic())
+        )
 
     def send_slots(self, address, message):
         """Queue a slot message; all of one loop iteration leave together."""
@@ -238,6 +236,19 @@
         ]
 
 
+def _encode_messages(messages):
+    """Yield the address and bytes of each datagram of StatusMessages."""
+    encoded_by_statuses = {}
+    for message in messages:
+        # Most messages of a round carry the same statuses, so encode each
+        # combination once.
+        key = tuple(map(id, message.statuses))
+        if key not in encoded_by_statuses:
+            encoded_by_statuses[key] = _encode_batches(message.statuses)
+        for data in encoded_by_statuses[key]:
+            yield message.address, data
+
+
 def _encode_batches(statuses):
     """Return encoded datagrams; no status is split across two."""
     datagrams = []
