Pass the status of a second relay on by the first one

Cause: a second relay sends in each third round only, its own status too. On the way to another failure domain that is one datagram in 1.7 s; if one is lost, the next comes after 3.4 s, and hosts that are silent for 3 s are held to be dead.

In the other rounds it now sends its own status to the first relay, as each host does.

test_status_of_a_second_relay_takes_no_longer failed before: its status took four rounds, those of other hosts three.

--- a/galenascale/gateway/gossip.py
+++ b/galenascale/gateway/gossip.py
@@ -70,17 +70,12 @@
             self._round += 1
             first = self._host_id == own_relays[0]
             if not first and self._round % SECOND_RELAY_INTERVAL_ROUNDS:
-                return []
+                # Its own status does not wait until it sends all others.
+                return _own_messages(own_status, peers, own_relays)
             return self._relay_messages(peers, relays_by_domain)
         self._domain_pending.clear()
         self._remote_pending.clear()
-        if own_status is None:
-            return []
-        return [
-            StatusMessage(peer.address, (own_status,))
-            for peer in peers
-            if peer.host_id in own_relays
-        ]
+        return _own_messages(own_status, peers, own_relays)
 
     def _relays_by_domain(self, peers):
         hosts_by_domain = {self._failure_domain: [self._host_id]}
@@ -108,3 +103,14 @@
             if statuses:
                 messages.append(StatusMessage(peer.address, statuses))
         return messages
+
+
+def _own_messages(own_status, peers, relays):
+    """Return the StatusMessages with a host's own status to its relays."""
+    if own_status is None:
+        return []
+    return [
+        StatusMessage(peer.address, (own_status,))
+        for peer in peers
+        if peer.host_id in relays
+    ]
--- a/test/gateway/test_gossip.py
+++ b/test/gateway/test_gossip.py
@@ -73,6 +73,28 @@
         assert senders_by_receiver[host_id] | {host_id} >= expected
 
 
+@pytest.mark.parametrize("count", [MAX_DIRECT_PEERS + 2, 84])
+def test_status_of_a_second_relay_takes_no_longer(count):
+    """
+    Guards against second relays that are held to be lost.
+
+    They send every third round only; if one of these datagrams was lost, the
+    hosts of other failure domains heard nothing of them for six rounds.
+    """
+    hosts, routers = make_fleet(count)
+    relays = routers["h0"]._relays_by_domain(hosts[1:])
+    second = next(host for host in hosts if host.host_id == relays["d0"][1])
+    rounds_by_receiver = {}
+    for number in range(1, 5):
+        changed = [second] if number == 1 else []
+        for host_id, senders in run_round(hosts, routers, changed)[1].items():
+            if second.host_id in senders:
+                rounds_by_receiver.setdefault(host_id, number)
+    others = {host.host_id for host in hosts if host != second}
+    assert rounds_by_receiver.keys() >= others
+    assert max(rounds_by_receiver[host_id] for host_id in others) <= 3
+
+
 def test_message_count_grows_linearly_with_hosts():
     """
     Guards large fleets against the processor time of status messages.
