Silence a host of a test at its socket

test_two_hosts_that_both_run_a_job_record_each_item_once failed ("waited too long") since rounds leave in slices: the sender of the slices keeps the method that the test replaced, so the host was not silent and its job was not taken over. The test now replaces the socket, through which all messages go; it checks as much as before.

--- a/test/gateway/test_reported_faults.py
+++ b/test/gateway/test_reported_faults.py
@@ -7,6 +7,7 @@
 import asyncio
 import contextlib
 import socket
+from unittest.mock import Mock
 
 import attrs
 import pytest
@@ -173,7 +174,7 @@
 
 def stop_messages(host):
     """Stop a host from sending messages to other hosts."""
-    host.discovery.peer_protocol._send = lambda address, data: None
+    host.discovery.peer_protocol._transport = Mock()
 
 
 async def test_two_hosts_that_both_run_a_job_record_each_item_once():
@@ -218,10 +219,10 @@
         await until(
             lambda: sum(runner.running for runner in fleet.runners_of("llm")) == 4
         )
-        send = first.discovery.peer_protocol._send
+        transport = first.discovery.peer_protocol._transport
         stop_messages(first)
         await asyncio.sleep(peer_table.PEER_TIMEOUT_S * 0.7)
-        first.discovery.peer_protocol._send = send
+        first.discovery.peer_protocol._transport = transport
         await wait_for_results(fleet, "job-1", 4)
         assert sum(len(runner.requests) for runner in fleet.runners_of("llm")) == 4
 
