Tell other hosts at once what bears on parts that crash servers

Cause: a decision waited for three rounds of messages, so that hosts could tell each other of crashes and of answers that speak for a part.

A host now broadcasts its status when a server crashes under a request of its own, when an answer of its own clears a part and no other host said so yet, and when it decides: at most ten times a second, and less often in fleets of more than 100 hosts. Such broadcasts go before a relay's round. Decisions follow new evidence by 0.05 s, and the first crash by 0.3 s in fleets of any size. The messages are as before, so builds of before read them.

test_large_fleet_decides_within_half_a_second plays 84 hosts in memory: two see the crashes, a third one alone the answer that clears a rare sound part.

--- a/galenascale/gateway/context.py
+++ b/galenascale/gateway/context.py
@@ -26,6 +26,9 @@
     crashes: object = None
     # Prompt parts that may crash servers.
     suspects: object = None
+    # DelayedCall that decides about them.
+    decision: object = None
+    announcer: object = None
     peers: object = None
     store: object = None
     # Access to the job topics, through a peer if the store is unreachable.
--- a/galenascale/gateway/crash_evidence.py
+++ b/galenascale/gateway/crash_evidence.py
@@ -65,15 +65,22 @@
 
     def __init__(self):
         self.crashes = collections.deque(maxlen=MAX_CRASHES)
+        # Filled by crash_times(), None after a change.
+        self._times_by_part = None
 
     def add(self, run):
-        """Add a SuspectRun, seen by any host."""
+        """Add a SuspectRun, seen by any host; return True if it is new."""
         crash = self._find_crash(run)
         if crash is None:
             crash = ServerCrash(run.server_key, run.at)
             self.crashes.append(crash)
-        if len(crash.parts_by_content) < MAX_RUNS_OF_CRASH:
-            crash.parts_by_content[run.content_key] = run.part_keys
+        elif run.content_key in crash.parts_by_content:
+            return False
+        if len(crash.parts_by_content) >= MAX_RUNS_OF_CRASH:
+            return False
+        crash.parts_by_content[run.content_key] = run.part_keys
+        self._times_by_part = None
+        return True
 
     def _find_crash(self, run):
         for crash in self.crashes:
@@ -91,6 +98,16 @@
         kept = [crash for crash in self.crashes if now - crash.at <= CRASH_TTL_S]
         if len(kept) < len(self.crashes):
             self.crashes = collections.deque(kept, maxlen=MAX_CRASHES)
+            self._times_by_part = None
+
+    def crash_times(self, key):
+        """Return the times of the crashes under a part."""
+        if self._times_by_part is None:
+            self._times_by_part = {}
+            for crash in self.crashes:
+                for part in set(crash.part_keys()):
+                    self._times_by_part.setdefault(part, []).append(crash.at)
+        return self._times_by_part.get(key, ())
 
     def by_part(self, started_at):
         """
--- a/galenascale/gateway/host.py
+++ b/galenascale/gateway/host.py
@@ -10,7 +10,9 @@
 from aiohttp import web
 
 from galenascale.clock import Clock
+from galenascale.gateway import suspect_exchange
 from galenascale.gateway.admission import Admission
+from galenascale.gateway.announcer import Announcer, DelayedCall
 from galenascale.gateway.authentication import Authenticator
 from galenascale.gateway.backend_pool import BackendPool
 from galenascale.gateway.background import BackgroundTasks
@@ -127,6 +129,10 @@
         )
         context.reachability = Reachability(context)
         peer_protocol = PeerProtocol(context, started_ms, store_status)
+        context.announcer = Announcer(clock, peer_protocol.broadcast_status)
+        context.decision = DelayedCall(lambda: suspect_exchange.decide(context))
+        stack.callback(context.announcer.close)
+        stack.callback(context.decision.cancel)
         context.slots = SlotService(context, started_ms, peer_protocol.send_slots)
         context.rates = RateService(context, started_ms, peer_protocol.send_rates)
         context.peers = peer_protocol.table
--- a/galenascale/gateway/paced_sender.py
+++ b/galenascale/gateway/paced_sender.py
@@ -27,12 +27,23 @@
         self._pending_bytes = 0
         self._slice_bytes = MIN_SLICE_BYTES
         self._timer = None
+        self._closed = False
 
     def send(self, datagrams):
         """Send (address, bytes) pairs, the first slice immediately."""
-        for address, data in datagrams:
-            self._pending.append((address, data))
-            self._pending_bytes += len(data)
+        self._pending.extend(datagrams)
+        self._start()
+
+    def send_first(self, datagrams):
+        """Send (address, bytes) pairs before those that wait."""
+        self._pending.extendleft(reversed(list(datagrams)))
+        self._start()
+
+    def _start(self):
+        if self._closed:
+            self._pending.clear()
+            return
+        self._pending_bytes = sum(len(data) for _, data in self._pending)
         self._slice_bytes = max(
             MIN_SLICE_BYTES, self._pending_bytes * PAUSE_S / MAX_DELAY_S
         )
@@ -53,7 +64,8 @@
             self._timer = loop.call_later(PAUSE_S, self._send_slice)
 
     def close(self):
-        """Drop what was not sent yet."""
+        """Drop what was not sent yet and all that follows."""
+        self._closed = True
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
--- a/galenascale/gateway/peers.py
+++ b/galenascale/gateway/peers.py
@@ -149,7 +149,7 @@
             self._update_live_peers(now)
             self._load.expire_reports(now)
             round_s = self._round_s()
-            suspect_exchange.decide(self._context, now, round_s, self.broadcast_status)
+            suspect_exchange.decide(self._context)
             self._send_due_status(now)
             await self._clock.sleep(round_s)
 
@@ -171,11 +171,11 @@
         self._status_sender.send(_encode_messages(messages))
 
     def broadcast_status(self):
-        """Send this host's status to all known addresses now."""
+        """Send this host's status to all known addresses; return how many."""
         (data,) = _encode_batches((self._status(),))
-        self._status_sender.send(
-            (address, data) for address in self.table.addresses(self._clock.monotonic())
-        )
+        addresses = self.table.addresses(self._clock.monotonic())
+        self._status_sender.send_first((address, data) for address in addresses)
+        return len(addresses)
 
     def send_slots(self, address, message):
         """Queue a slot message; all of one loop iteration leave together."""
--- a/galenascale/gateway/reachability.py
+++ b/galenascale/gateway/reachability.py
@@ -10,6 +10,7 @@
 
 from galenascale.errors import BackendError
 from galenascale.gateway.crash_evidence import SuspectRun
+from galenascale.gateway.suspect_exchange import record_crash
 
 # Seconds without a byte from a server that has requests, after which it is
 # checked. Streams send an event every 20 to 60 ms. A queued request may take
@@ -152,8 +153,9 @@
             return
         context = self._context
         context.crashes.add(run.content_key, context.clock.monotonic())
-        context.suspects.record_crash(
-            SuspectRun(server.run_key, run.content_key, run.part_keys, run.at)
+        record_crash(
+            context,
+            SuspectRun(server.run_key, run.content_key, run.part_keys, run.at),
         )
         context.load.mark_changed()
 
--- a/galenascale/gateway/suspect_exchange.py
+++ b/galenascale/gateway/suspect_exchange.py
@@ -6,9 +6,11 @@
 
 # Seconds for which a host reports a crash. Later hosts hear of the blocks.
 REPORT_S = 10.0
-# Rounds of messages in which hosts that hear of a crash tell of answers that
-# began: one for the crash, two for the answers, as relays may pass them on.
-SETTLE_ROUNDS = 3
+# Seconds from the first crash under a part in which hosts tell each other of
+# it and of answers that began, by announcements.
+SETTLE_S = 0.3
+# Seconds after new evidence until the next decision.
+DECISION_DELAY_S = 0.05
 # Largest numbers of entries in a message, which is a part of a datagram.
 MAX_RUNS = 12
 MAX_PARTS_OF_RUN = 32
@@ -46,7 +48,7 @@
 def apply_status(context, status, now):
     """Apply what another host's HostStatus tells of prompt parts."""
     suspects = context.suspects
-    suspects.merge_runs(
+    new_runs = suspects.merge_runs(
         SuspectRun(
             run.server,
             run.content,
@@ -72,30 +74,48 @@
     )
     for block in suspects.merge_blocks(blocks, now):
         _log_blocked(context, block, now, peer=status.host_id)
+    if new_runs:
+        context.decision.request(DECISION_DELAY_S)
+        _announce_news(context, {key for run in new_runs for key in run.part_keys})
 
 
-def decide(context, now, round_s, tell):
+def _announce_news(context, part_keys):
+    if context.suspects.take_news(part_keys):
+        context.announcer.announce()
+
+
+def decide(context):
     """
     Block the parts that the evidence convicts.
 
-    `round_s` are the seconds between two rounds of messages; `tell()` sends
-    the decision to all hosts at once, as each request until then costs a
-    server.
+    All hosts are told at once, as each request until then costs a server.
     """
-    blocks = context.suspects.decide(now, SETTLE_ROUNDS * round_s)
+    now = context.clock.monotonic()
+    blocks = context.suspects.decide(now, SETTLE_S)
     for block in blocks:
         _log_blocked(context, block, now, peer=None)
     if blocks:
-        tell()
+        context.announcer.announce()
+    if context.suspects.has_crash_since(now - SETTLE_S):
+        context.decision.request(DECISION_DELAY_S)
+
+
+def record_crash(context, run):
+    """Record a SuspectRun of this host, and tell the others."""
+    context.suspects.record_crash(run)
+    context.decision.request(DECISION_DELAY_S)
+    context.announcer.announce()
 
 
 def record_start(context, part_keys):
     """Record that the answer to a prompt with these parts began."""
     now = context.clock.monotonic()
     acquitted = context.suspects.record_start(part_keys, now)
-    if acquitted:
-        context.load.mark_changed()
     _log_acquitted(context, acquitted, peer=None)
+    if acquitted:
+        context.announcer.announce()
+    else:
+        _announce_news(context, part_keys)
 
 
 def _log_acquitted(context, part_keys, *, peer):
--- a/galenascale/gateway/suspect_parts.py
+++ b/galenascale/gateway/suspect_parts.py
@@ -68,6 +68,8 @@
         self._remote_start_by_part = collections.OrderedDict()
         # (time, keys of parts) of the last begun answers.
         self._recent_starts = collections.deque(maxlen=MAX_RECENT_STARTS)
+        # Of the former, the times that take_news() reported.
+        self._announced_start_by_part = collections.OrderedDict()
         self._block_by_part = collections.OrderedDict()
         self._decided_at = NEVER
 
@@ -95,9 +97,8 @@
     # What other hosts tell.
 
     def merge_runs(self, runs):
-        """Add SuspectRuns that another host saw."""
-        for run in runs:
-            self._evidence.add(run)
+        """Add SuspectRuns that another host saw; return the new ones."""
+        return [run for run in runs if self._evidence.add(run)]
 
     def merge_starts(self, started_at_by_part):
         """Add begun answers at another host; return the acquitted parts."""
@@ -140,8 +141,37 @@
             blocks.append(block)
         return blocks
 
+    def has_crash_since(self, at):
+        """Return True if a crash of that time or later is known."""
+        return any(crash.at >= at for crash in self._evidence.crashes)
+
     # For messages to other hosts.
 
+    def take_news(self, part_keys):
+        """
+        Return True if other hosts should hear of answers that began here.
+
+        That is so if they speak for one of the parts, and neither another host
+        nor an earlier call told of it.
+        """
+        news = [key for key in part_keys if self._is_news(key)]
+        for key in news:
+            self._announced_start_by_part[key] = self._local_start_by_part[key]
+        while len(self._announced_start_by_part) > MAX_PARTS:
+            self._announced_start_by_part.popitem(last=False)
+        return bool(news)
+
+    def _is_news(self, key):
+        local = self._local_start_by_part.get(key, NEVER)
+        told = max(
+            self._remote_start_by_part.get(key, NEVER),
+            self._announced_start_by_part.get(key, NEVER),
+        )
+        return any(
+            _weight_of_start(local, crashed_at) > _weight_of_start(told, crashed_at)
+            for crashed_at in self._evidence.crash_times(key)
+        )
+
     def recent_runs(self, now, ttl_s, limit):
         """Return this host's newest SuspectRuns, up to `ttl_s` seconds old."""
         runs = [run for run in self._local_runs if now - run.at <= ttl_s]
@@ -252,3 +282,10 @@
         starts = [keys for at, keys in self._recent_starts if at > since]
         others = sum(not accused.isdisjoint(keys) for keys in starts)
         return others >= MIN_OTHER_STARTS
+
+
+def _weight_of_start(started_at, crashed_at):
+    """Return how much a begun answer speaks for a part under a crash."""
+    if started_at >= crashed_at:
+        return 2
+    return 1 if started_at > crashed_at - RECENT_START_S else 0
--- a/test/gateway/test_suspect_exchange.py
+++ b/test/gateway/test_suspect_exchange.py
@@ -1,6 +1,7 @@
 """Messages about prompt parts: between builds, and without sense."""
 
 from types import SimpleNamespace
+from unittest.mock import Mock
 
 import attrs
 import pytest
@@ -34,6 +35,9 @@
     """Return what the exchange needs of a host."""
     log = []
     return SimpleNamespace(
+        clock=SimpleNamespace(monotonic=lambda: 14.0),
+        announcer=Mock(),
+        decision=Mock(),
         suspects=SuspectParts(),
         metrics=GatewayMetrics(),
         load=SimpleNamespace(mark_changed=lambda: None),
@@ -123,15 +127,110 @@
 def test_own_decision_is_told_at_once():
     """Guards servers of large fleets, whose rounds of messages are slow."""
     context = make_context()
-    told = []
     for number in range(3):
         run = SuspectRun(number, number, (5, 6, 7), 10.0)
         context.suspects.record_crash(run)
     for number in range(MIN_OTHER_STARTS):
         context.suspects.record_start((5,), 11.0 + number)
-    suspect_exchange.decide(context, 14.0, 0.5, lambda: told.append("told"))
-    suspect_exchange.decide(context, 14.5, 0.5, lambda: told.append("again"))
-    assert told == ["told"]
+    suspect_exchange.decide(context)
+    assert context.announcer.announce.call_count == 1
+    context.clock.monotonic = lambda: 14.5
+    suspect_exchange.decide(context)
+    assert context.announcer.announce.call_count == 1
+
+
+def test_own_crash_is_told_and_decided_about_soon():
+    """Guards servers of large fleets, whose rounds of messages are slow."""
+    context = make_context()
+    suspect_exchange.record_crash(context, SuspectRun(1, 1, (5, 7), 13.9))
+    assert context.announcer.announce.called
+    assert context.decision.request.called
+
+
+@pytest.mark.parametrize(
+    ("own_start", "told_start", "expected"),
+    [
+        # Since the crash at 13.5 s, shortly before it, and long ago.
+        (13.8, None, True),
+        (13.0, None, True),
+        (-60.0, None, False),
+        # What another host told is not repeated.
+        (13.9, 13.7, False),
+        (13.2, 13.1, False),
+        (13.8, 13.1, True),
+        (None, 13.8, False),
+    ],
+)
+def test_answers_that_clear_a_part_are_told_at_once(own_start, told_start, expected):
+    """Guards sound parts against a decision before their answers are known."""
+    context = make_context()
+    if own_start is not None:
+        context.suspects.record_start((5, 6), own_start)
+    if told_start is not None:
+        context.suspects.merge_starts({5: told_start, 6: told_start})
+    suspects = SuspectParts()
+    suspects.record_crash(SuspectRun(1, 1, (5, 6, 7), 13.5))
+    status = full_status(suspects, 14.0)
+    suspect_exchange.apply_status(context, status, 14.0)
+    assert context.announcer.announce.called == expected
+    suspect_exchange.apply_status(context, status, 14.0)
+    assert context.announcer.announce.call_count == expected
+
+
+def test_answer_that_begins_under_suspicion_is_told_once():
+    """Guards large fleets against a broadcast for each answer."""
+    context = make_context()
+    context.suspects.record_crash(SuspectRun(1, 1, (5, 6, 7), 13.5))
+    for _ in range(5):
+        suspect_exchange.record_start(context, (5, 9))
+    assert context.announcer.announce.call_count == 1
+
+
+def test_large_fleet_decides_within_half_a_second():
+    """
+    Guards the servers of large fleets, and the sound parts near a deadly one.
+
+    Rounds of messages take 1.7 s there. The crashes are seen by two hosts, an
+    answer to the rare sound part by a third one only.
+    """
+    common, rare, deadly = 1, 2, 3
+    now = [10.0]
+    announced = []
+    contexts = [make_context() for _ in range(84)]
+    for context in contexts:
+        context.clock.monotonic = lambda: now[0]
+        context.announcer.announce = lambda context=context: announced.append(context)
+
+    def deliver():
+        while announced:
+            sender = announced.pop(0)
+            status = full_status(sender.suspects, now[0])
+            for context in contexts:
+                if context is not sender:
+                    suspect_exchange.apply_status(context, status, now[0])
+
+    for seconds, host, server, content in (
+        (0.0, 0, 1, 8),
+        (0.1, 0, 2, 8),
+        (0.2, 1, 3, 9),
+    ):
+        now[0] = 10.0 + seconds
+        run = SuspectRun(server, content, (common, rare, deadly), now[0])
+        suspect_exchange.record_crash(contexts[host], run)
+        deliver()
+        for starting in range(10, 20):
+            suspect_exchange.record_start(contexts[starting], (common, 100 + starting))
+        deliver()
+    suspect_exchange.record_start(contexts[50], (common, rare))
+    deliver()
+    for seconds in (0.3, 0.4, 0.5):
+        now[0] = 10.0 + seconds
+        for context in contexts:
+            suspect_exchange.decide(context)
+        deliver()
+    for context in contexts:
+        assert context.suspects.blocked_part((common, deadly), now[0]) == deadly
+        assert context.suspects.blocked_part((common, rare), now[0]) is None
 
 
 @pytest.mark.parametrize(
@@ -149,5 +248,6 @@
     context = make_context()
     status = HostStatus(host_id="host-9", **fields)
     suspect_exchange.apply_status(context, status, 50.0)
-    suspect_exchange.decide(context, 60.0, 0.1, lambda: None)
+    context.clock.monotonic = lambda: 60.0
+    suspect_exchange.decide(context)
     assert context.suspects.blocked_part((1,), 400.0) is None
