Check at once whether a server crashed under a request

Connections that a server closed before the end of an answer were checked with the next poll, up to 0.1 s later; the check itself takes one round trip.

Each such connection is now checked by a task of its own, and the decision follows. test_crash_of_a_server_is_noticed_at_once failed before.

--- a/galenascale/gateway/host.py
+++ b/galenascale/gateway/host.py
@@ -128,6 +128,7 @@
             ),
         )
         context.reachability = Reachability(context)
+        stack.callback(context.reachability.close)
         peer_protocol = PeerProtocol(context, started_ms, store_status)
         context.announcer = Announcer(clock, peer_protocol.broadcast_status)
         context.decision = DelayedCall(lambda: suspect_exchange.decide(context))
--- a/galenascale/gateway/reachability.py
+++ b/galenascale/gateway/reachability.py
@@ -29,9 +29,8 @@
         self._attempts_by_incarnation = {}
         self._checked_at = {}
         self._checking = set()
-        # (server, InterruptedRun) for each connection that a server closed
-        # before the answer was complete.
-        self._disconnected = []
+        # Checks of servers that closed a connection before the answer ended.
+        self._crash_checks = set()
 
     def add(self, attempt):
         """Watch the connection of a request that was sent to a server."""
@@ -52,10 +51,6 @@
         """Check servers until cancelled."""
         async with asyncio.TaskGroup() as group:
             while True:
-                while self._disconnected:
-                    group.create_task(
-                        self._check_disconnected(*self._disconnected.pop())
-                    )
                 for server in self._servers_due():
                     self._checking.add(server.incarnation)
                     group.create_task(self._run_check(server))
@@ -124,7 +119,15 @@
 
     def check_for_crash(self, server, run):
         """Check in the background if an InterruptedRun's server crashed."""
-        self._disconnected.append((server, run))
+        # At once, as another such request may crash the next server.
+        task = asyncio.create_task(self._check_disconnected(server, run))
+        self._crash_checks.add(task)
+        task.add_done_callback(self._crash_checks.discard)
+
+    def close(self):
+        """Cancel the checks in the background."""
+        for task in self._crash_checks:
+            task.cancel()
 
     async def _check_disconnected(self, server, run):
         try:
--- a/test/gateway/test_reachability.py
+++ b/test/gateway/test_reachability.py
@@ -2,12 +2,14 @@
 
 import asyncio
 import types
+from unittest.mock import Mock
 
 import attrs
 import pytest
 
 from galenascale.clock import FakeClock
 from galenascale.errors import BackendError
+from galenascale.gateway.crashes import InterruptedRun
 from galenascale.gateway.health import MAX_CHECK_DELAY_S, ServerHealth
 from galenascale.gateway.reachability import (
     RECHECK_INTERVAL_S,
@@ -29,6 +31,11 @@
         """Return the key of the server run."""
         return self.server_id
 
+    @property
+    def run_key(self):
+        """Return the key of the server run in messages."""
+        return self.server_id
+
 
 @attrs.define
 class Connection:
@@ -80,6 +87,12 @@
         settings=types.SimpleNamespace(failure_domain="near"),
         server=server,
     )
+    context.suspects = Mock()
+    context.crashes = Mock()
+    context.decision = Mock()
+    context.announcer = Mock()
+    context.load = Mock()
+    context.metrics = Mock()
     context.reachability = Reachability(context)
     return context
 
@@ -177,3 +190,18 @@
     await check_due(context)
     assert not context.health.is_unreachable("s2")
     assert not context.health.is_unreachable("s3")
+
+
+async def test_crash_of_a_server_is_noticed_at_once(context):
+    """
+    Guards servers, as a request that crashes one goes to the next.
+
+    Checks that waited for the next poll noticed crashes 0.1 s late.
+    """
+    context.pool.code = "connect_refused"
+    run = InterruptedRun("r1", 1, ("a",), (7,), begun=False, at=0.0)
+    context.reachability.check_for_crash(Server("s1"), run)
+    await asyncio.sleep(0)
+    await asyncio.sleep(0)
+    (crash,) = context.suspects.record_crash.call_args.args
+    assert crash.part_keys == (7,)
