Break off unanswered requests whose prompt holds a blocked part

A host now knows its requests at servers whose answers have not begun, by the parts of their prompts, and closes their connections when a part is blocked. Servers drop a request when its connection closes. Answers that have begun, and items of jobs, go on.

test_block_breaks_off_runs_whose_answers_have_not_begun failed before.

--- a/galenascale/gateway/context.py
+++ b/galenascale/gateway/context.py
@@ -26,6 +26,7 @@
     crashes: object = None
     # Prompt parts that may crash servers.
     suspects: object = None
+    unanswered: object = None
     # DelayedCall that decides about them.
     decision: object = None
     announcer: object = None
--- a/galenascale/gateway/forwarding.py
+++ b/galenascale/gateway/forwarding.py
@@ -101,7 +101,9 @@
             async with self._dispatcher.send(
                 self._request, selected.server, self._plan, self._sequence.last_id
             ) as attempt:
-                response, served = await self._read_response(attempt)
+                unanswered = self._context.unanswered
+                with unanswered.watch(attempt.connection, self._part_keys):
+                    response, served = await self._read_response(attempt)
                 selected.outcome = slot_outcome(response, served)
         return response, served
 
@@ -283,6 +285,7 @@
         context = self._context
         context.health.record_success(attempt.server.incarnation, now)
         self._selected.first_event_at = now
+        context.unanswered.remove(attempt.connection, self._part_keys)
         record_start(context, self._part_keys)
         if self._selected.granted:
             context.admission.first_event_latency.record(
--- a/galenascale/gateway/host.py
+++ b/galenascale/gateway/host.py
@@ -54,6 +54,7 @@
 from galenascale.gateway.store_followers import StoreFollowers
 from galenascale.gateway.store_status import StoreStatus
 from galenascale.gateway.suspect_parts import SuspectParts
+from galenascale.gateway.unanswered_runs import UnansweredRuns
 
 # Seconds between two checks for idle backend connections to close.
 IDLE_CHECK_INTERVAL_S = 1.0
@@ -118,6 +119,7 @@
             admission=Admission(rng),
             crashes=CrashHistory(),
             suspects=SuspectParts(),
+            unanswered=UnansweredRuns(),
             store=adapter.make_store(settings.store, session),
             ownership=Ownership(
                 OwnerCandidate(
--- a/galenascale/gateway/suspect_exchange.py
+++ b/galenascale/gateway/suspect_exchange.py
@@ -73,7 +73,7 @@
         for block in status.blocked_parts[:MAX_BLOCKS]
     )
     for block in suspects.merge_blocks(blocks, now):
-        _log_blocked(context, block, now, peer=status.host_id)
+        _apply_block(context, block, now, peer=status.host_id)
     if new_runs:
         context.decision.request(DECISION_DELAY_S)
         _announce_news(context, {key for run in new_runs for key in run.part_keys})
@@ -93,7 +93,7 @@
     now = context.clock.monotonic()
     blocks = context.suspects.decide(now, SETTLE_S)
     for block in blocks:
-        _log_blocked(context, block, now, peer=None)
+        _apply_block(context, block, now, peer=None)
     if blocks:
         context.announcer.announce()
     if context.suspects.has_crash_since(now - SETTLE_S):
@@ -123,7 +123,8 @@
         context.log.write("part_acquitted", "warning", part=key, peer=peer)
 
 
-def _log_blocked(context, block, now, *, peer):
+def _apply_block(context, block, now, *, peer):
+    context.unanswered.break_off(block.part_key)
     context.metrics.blocked_parts.inc()
     context.log.write(
         "part_blocked",
--- a/test/gateway/test_suspect_exchange.py
+++ b/test/gateway/test_suspect_exchange.py
@@ -11,6 +11,7 @@
 from galenascale.gateway.crash_evidence import SuspectRun
 from galenascale.gateway.metrics import GatewayMetrics
 from galenascale.gateway.suspect_parts import MIN_OTHER_STARTS, SuspectParts
+from galenascale.gateway.unanswered_runs import UnansweredRuns
 from galenascale.generated.gateway_messages import (
     CrashedRun,
     HostStatus,
@@ -38,6 +39,7 @@
         clock=SimpleNamespace(monotonic=lambda: 14.0),
         announcer=Mock(),
         decision=Mock(),
+        unanswered=UnansweredRuns(),
         suspects=SuspectParts(),
         metrics=GatewayMetrics(),
         load=SimpleNamespace(mark_changed=lambda: None),
@@ -103,6 +105,25 @@
     assert context.events == ["part_blocked"]
 
 
+def test_block_breaks_off_runs_whose_answers_have_not_begun():
+    """Guards servers that got requests before the decision."""
+    context = make_context()
+    unanswered = context.unanswered
+    waiting, begun, sound = Mock(), Mock(), Mock()
+    status = full_status(make_suspects(), 14.0)
+    with (
+        unanswered.watch(waiting, (5, 6, 7)),
+        unanswered.watch(begun, (5, 6, 7)),
+        unanswered.watch(sound, (5, 6)),
+    ):
+        unanswered.remove(begun, (5, 6, 7))
+        suspect_exchange.apply_status(context, status, 100.0)
+    assert waiting.fail.called
+    assert not begun.fail.called
+    assert not sound.fail.called
+    assert unanswered._connections_by_part == {}
+
+
 def test_acquittal_is_told():
     """Guards sound parts that another host blocks."""
     context = make_context()
