Explain the parts of a host's context that concern suspicions

The fields for suspected prompt parts stood in an order in which a comment seemed to speak of another field. Comments and order only; nothing reads the order.

--- a/galenascale/gateway/context.py
+++ b/galenascale/gateway/context.py
@@ -26,9 +26,11 @@
     crashes: object = None
     # Prompt parts that may crash servers.
     suspects: object = None
-    unanswered: object = None
     # DelayedCall that decides about them.
     decision: object = None
+    # Runs whose answers have not begun, by prompt part.
+    unanswered: object = None
+    # Tells the other hosts of news at once.
     announcer: object = None
     peers: object = None
     store: object = None
