Drop messages that are due when a host has closed its socket

Cause: messages about slots and rates leave at the end of a step of the loop; if the host closes its socket in that step, the event loop's socket object is gone. Nothing was lost, as the host ends, but the error hides others.

Messages are now dropped once the socket is closing, which the sender of slices no longer needs to know. test_messages_that_are_due_at_the_end_are_dropped failed before.

--- a/galenascale/gateway/paced_sender.py
+++ b/galenascale/gateway/paced_sender.py
@@ -28,7 +28,6 @@
         self._timer = None
         # Loop time in seconds of the next slice, at the earliest.
         self._next_slice_at = 0.0
-        self._closed = False
 
     def send(self, datagrams):
         """Send (address, bytes) pairs, the first slice immediately."""
@@ -41,9 +40,6 @@
         self._start()
 
     def _start(self):
-        if self._closed:
-            self._pending.clear()
-            return
         size = sum(len(data) for _, data in self._pending)
         self._slice_bytes = max(MIN_SLICE_BYTES, size * PAUSE_S / MAX_DELAY_S)
         if self._timer is None:
@@ -69,8 +65,7 @@
             self._send_when_allowed()
 
     def close(self):
-        """Drop what was not sent yet and all that follows."""
-        self._closed = True
+        """Drop what was not sent yet."""
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
--- a/galenascale/gateway/peers.py
+++ b/galenascale/gateway/peers.py
@@ -203,6 +203,9 @@
                 self._send(address, encode(batch))
 
     def _send(self, address, data):
+        if self._transport.is_closing():
+            # The host ends; what is due now reaches nobody.
+            return
         self._transport.sendto(data, (address, self._settings.peer_datagram_port))
 
     def _status(self):
