List the sound item that the product's own interface gives up

Callers of `serve`: an item under which two servers crashed in a row, by no fault of its own, ends with the error poison_request and is not run again.

Cause: the tracker of contents that crash servers charges items like online requests; two crashes while the item is a suspect contain it. The users say that items never crash servers by themselves, an existing test asks for the opposite, and a change has to bound what an item that does crash them costs.

--- a/test/batch/test_outcomes.py
+++ b/test/batch/test_outcomes.py
@@ -259,3 +259,19 @@
     assert set(codes.values()) == {None}
     assert (await world.jobs())[job_id].statuses.count(OutcomeStatus.FAILED) == 1
     await world.close()
+
+
+async def test_sound_item_under_which_servers_crashed_is_finished():
+    """Guards items that happen to run when several servers crash in a row."""
+    world = World()
+    job_id = await world.wait(world.submit(0, ("a0",), service="llm"))
+    for _ in range(MAX_POISONED_SERVERS):
+        runs = world.backend.runs["a0"]
+        while world.backend.runs["a0"] == runs:
+            await world.clock.advance(0.05)
+        for number in range(3):
+            world.backend.crash(f"llm-{number}")
+        await world.clock.advance(0.05)
+    await check_all(world)
+    assert dict(await world.results(job_id)) == {"a0": None}
+    await world.close()
