Keep blocks of prompt parts in the store

A host that is cut off from all others, but not from the store, learned each part from crashes of its own.

Cause: blocks were kept in the memory of hosts and in their statuses alone. Nothing that hosts keep outlives their processes, and no status reaches a host that is apart.

The host that decides now writes the block to a topic of the store, and the host whose answer clears the part removes it. Records that cannot be read or are too old are ignored; expired ones are removed with the next decision.

--- a/galenascale/gateway/context.py
+++ b/galenascale/gateway/context.py
@@ -28,6 +28,8 @@
     suspects: object = None
     # DelayedCall that decides about them.
     decision: object = None
+    # Blocks of parts in the store.
+    block_records: object = None
     # Runs whose answers have not begun, by prompt part.
     unanswered: object = None
     # Tells the other hosts of news at once.
--- a/galenascale/gateway/host.py
+++ b/galenascale/gateway/host.py
@@ -16,6 +16,7 @@
 from galenascale.gateway.authentication import Authenticator
 from galenascale.gateway.backend_pool import BackendPool
 from galenascale.gateway.background import BackgroundTasks
+from galenascale.gateway.block_records import BlockRecords
 from galenascale.gateway.configuration import CallerLimits, ConfigurationState
 from galenascale.gateway.configuration_proof import ConfigurationProof
 from galenascale.gateway.context import GatewayContext
@@ -132,10 +133,7 @@
         context.reachability = Reachability(context)
         stack.callback(context.reachability.close)
         peer_protocol = PeerProtocol(context, started_ms, store_status)
-        context.announcer = Announcer(clock, peer_protocol.broadcast_status)
-        context.decision = DelayedCall(lambda: suspect_exchange.decide(context))
-        stack.callback(context.announcer.close)
-        stack.callback(context.decision.cancel)
+        _share_suspicions(context, peer_protocol, stack)
         context.slots = SlotService(context, started_ms, peer_protocol.send_slots)
         context.rates = RateService(context, started_ms, peer_protocol.send_rates)
         context.peers = peer_protocol.table
@@ -196,6 +194,8 @@
         self.background.spawn("log", self.context.log.run)
         self.background.spawn("configuration", self.followers.follow_configuration)
         self.background.spawn("servers", self.followers.follow_servers)
+        self.background.spawn("block_reader", self.context.block_records.follow)
+        self.background.spawn("block_writer", self.context.block_records.write)
         self.background.spawn("peers", self.discovery.peer_protocol.run)
         self.background.spawn("presence", self.discovery.run)
         peer_state = PeerStateFetcher(
@@ -285,3 +285,12 @@
         """Stop immediately, without handing jobs over."""
         await self.background.cancel()
         await self.stack.aclose()
+
+
+def _share_suspicions(context, peer_protocol, stack):
+    """Connect the suspicions about prompt parts with the other hosts."""
+    context.block_records = BlockRecords(context)
+    context.announcer = Announcer(context.clock, peer_protocol.broadcast_status)
+    stack.callback(context.announcer.close)
+    context.decision = DelayedCall(lambda: suspect_exchange.decide(context))
+    stack.callback(context.decision.cancel)
--- a/galenascale/gateway/suspect_exchange.py
+++ b/galenascale/gateway/suspect_exchange.py
@@ -16,6 +16,8 @@
 MAX_PARTS_OF_RUN = 32
 MAX_STARTS = 16
 MAX_BLOCKS = 8
+# In logs, in place of the host that told something.
+STORE = "store"
 
 
 def status_fields(suspects, now):
@@ -94,6 +96,7 @@
     blocks = context.suspects.decide(now, SETTLE_S)
     for block in blocks:
         _apply_block(context, block, now, peer=None)
+        context.block_records.save(block)
     if blocks:
         context.announcer.announce()
     if context.suspects.has_crash_since(now - SETTLE_S):
@@ -112,12 +115,27 @@
     now = context.clock.monotonic()
     acquitted = context.suspects.record_start(part_keys, now)
     _log_acquitted(context, acquitted, peer=None)
+    for key in acquitted:
+        context.block_records.remove(key)
     if acquitted:
         context.announcer.announce()
     else:
         _announce_news(context, part_keys)
 
 
+def apply_stored_block(context, block):
+    """Apply a Block that another host wrote to the store."""
+    now = context.clock.monotonic()
+    for new in context.suspects.merge_blocks([block], now):
+        _apply_block(context, new, now, peer=STORE)
+
+
+def apply_removed_block(context, part_key):
+    """Unblock a part whose block another host removed from the store."""
+    if context.suspects.remove_block(part_key):
+        _log_acquitted(context, [part_key], peer=STORE)
+
+
 def _log_acquitted(context, part_keys, *, peer):
     for key in part_keys:
         context.log.write("part_acquitted", "warning", part=key, peer=peer)
--- a/galenascale/gateway/suspect_parts.py
+++ b/galenascale/gateway/suspect_parts.py
@@ -115,6 +115,10 @@
         """Add Blocks of another host; return those that are new here."""
         return [block for block in blocks if self._merge_block(block, now)]
 
+    def remove_block(self, part_key):
+        """Unblock a part; return True if it was blocked."""
+        return self._block_by_part.pop(part_key, None) is not None
+
     # Decisions.
 
     def blocked_part(self, part_keys, now):
--- a/schema/gateway.thrift
+++ b/schema/gateway.thrift
@@ -128,6 +128,17 @@
   8: string route = "",
 }
 
+/** Requests with a part in their prompt are rejected by all hosts. */
+struct BlockRecord {
+  1: i32 schema_version = 1,
+  /** Hash of the id of the part. */
+  2: i32 part = 0,
+  /** Wall time in milliseconds of the decision. */
+  3: i64 decided_ms = 0,
+  /** Wall time in milliseconds of the first crash that it follows from. */
+  4: i64 evidence_from_ms = 0,
+}
+
 // --- Messages between hosts ---------------------------------------------------
 
 /** Requests that a host has in flight at one backend server. */
--- /dev/null
+++ b/test/gateway/test_block_records.py
@@ -0,0 +1,247 @@
+"""Blocked prompt parts that hosts learn from the store alone."""
+
+import asyncio
+import contextlib
+import itertools
+from types import SimpleNamespace
+from unittest.mock import Mock
+
+import attrs
+import pytest
+
+from galenascale.clock import FakeClock
+from galenascale.codec import encode
+from galenascale.gateway.block_records import BLOCKS_TOPIC, BlockRecords
+from galenascale.gateway.metrics import GatewayMetrics
+from galenascale.gateway.suspect_parts import BLOCK_TTL_S, Block, SuspectParts
+from galenascale.gateway.unanswered_runs import UnansweredRuns
+from galenascale.generated.gateway_messages import BlockRecord
+from galenascale.store import KeyedReadResult, KeyedRecord, StoreUnavailable
+from test.gateway.fleet import gateway_fleet, until
+from test.gateway.test_suspect_parts import (
+    DEADLY,
+    MAX_LATE_REQUESTS,
+    send,
+    send_beside,
+)
+
+
+def requests_with_part(fleet):
+    """Return the requests with the deadly part that reached servers."""
+    return [
+        request
+        for runner in fleet.runners_of("llm")
+        for request in runner.requests
+        if request.has_part(DEADLY)
+    ]
+
+
+def make_deadly(fleet):
+    """Let the servers crash when they begin to answer the deadly part."""
+    for runner in fleet.runners_of("llm"):
+        runner.behaviour = attrs.evolve(runner.behaviour, crash_part=DEADLY)
+
+
+async def restart_hosts(fleet):
+    """Kill all hosts at once and start them anew."""
+    hosts, fleet.hosts = fleet.hosts, []
+    await asyncio.gather(*(host.kill() for host in hosts))
+    for number, _ in enumerate(hosts, start=1):
+        await fleet.add_host(number)
+    await until(lambda: all(host.ready for host in fleet.hosts))
+
+
+async def test_blocked_part_stays_blocked_when_all_hosts_restart():
+    """
+    Guards servers against hosts that all lost their memory.
+
+    They learned again which part crashes servers, at the cost of as many
+    servers as the first time.
+    """
+    async with gateway_fleet(hosts=3, runners=9) as fleet:
+        make_deadly(fleet)
+        numbers = itertools.count(1)
+        await send_beside(fleet, numbers, seconds=5.0)
+        before = len(requests_with_part(fleet))
+        assert before
+        await restart_hosts(fleet)
+        sound = await send_beside(fleet, numbers, seconds=2.0)
+        assert len(requests_with_part(fleet)) - before <= MAX_LATE_REQUESTS
+        assert all(reply.status == 200 for reply in sound)
+
+
+def isolate(host):
+    """Cut a host off from the other hosts, but not from the store."""
+    protocol = host.discovery.peer_protocol
+    protocol._transport = Mock()
+    protocol.datagram_received = lambda data, addr: None
+
+
+async def test_host_that_hears_no_other_learns_what_is_blocked():
+    """Guards servers against hosts that are cut off from all others."""
+    async with gateway_fleet(hosts=3, runners=9) as fleet:
+        make_deadly(fleet)
+        numbers = itertools.count(1)
+        isolate(fleet.hosts[2])
+        end = asyncio.get_running_loop().time() + 5.0
+        while asyncio.get_running_loop().time() < end:
+            number = next(numbers)
+            # The two other hosts.
+            await asyncio.gather(
+                send(fleet, 3 * number, "first", DEADLY),
+                *(send(fleet, 3 * number + 1, "first", f"o{i}") for i in range(3)),
+            )
+        before = len(requests_with_part(fleet))
+        assert before
+        for _ in range(5):
+            await send(fleet, 3 * next(numbers) + 2, "first", DEADLY)
+        assert len(requests_with_part(fleet)) == before
+
+
+# The records themselves, without a network. Times are seconds.
+
+PART = 7
+
+
+class MemoryStore:
+    """A keyed topic in memory; calls fail while it is down."""
+
+    def __init__(self):
+        self.records = []
+        self.is_down = False
+
+    def _check(self, topic):
+        assert topic == BLOCKS_TOPIC
+        if self.is_down:
+            raise StoreUnavailable("down")
+
+    async def append_keyed(self, topic, key, value):
+        self._check(topic)
+        self.records.append(KeyedRecord(key, value, len(self.records)))
+
+    async def read_latest(self, topic):
+        self._check(topic)
+        latest = {record.key: record for record in self.records}
+        kept = [record for record in latest.values() if record.value is not None]
+        return kept, len(self.records)
+
+    async def read_keyed(self, topic, offset, *, wait_s):
+        self._check(topic)
+        if offset == len(self.records):
+            # A new topic is read at once, a known one with a wait.
+            assert offset
+            await asyncio.sleep(0.01)
+        return KeyedReadResult(self.records[offset:], len(self.records), True)
+
+
+class MemoryHost:
+    """The suspicions of a host with its records in a MemoryStore."""
+
+    def __init__(self, store, clock):
+        self.events = []
+        self.suspects = SuspectParts()
+        self.context = SimpleNamespace(
+            clock=clock,
+            store=store,
+            suspects=self.suspects,
+            unanswered=UnansweredRuns(),
+            metrics=GatewayMetrics(),
+            log=SimpleNamespace(
+                write=lambda event, *_, **__: self.events.append(event)
+            ),
+        )
+        self.records = BlockRecords(self.context)
+
+    @contextlib.asynccontextmanager
+    async def running(self):
+        """Follow and write in the background."""
+        tasks = [
+            asyncio.ensure_future(run())
+            for run in (self.records.follow, self.records.write)
+        ]
+        try:
+            yield self
+        finally:
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+
+    def is_blocked(self):
+        """Return True if the part is blocked here."""
+        now = self.context.clock.monotonic()
+        return self.suspects.blocked_part((PART,), now) is not None
+
+
+@pytest.mark.parametrize(
+    ("age_s", "expected"),
+    # A negative age: the clock of the host that wrote it is ahead.
+    [(0.0, True), (-5.0, True), (BLOCK_TTL_S - 1, True), (BLOCK_TTL_S + 1, False)],
+)
+async def test_age_of_a_record_counts(age_s, expected):
+    """Guards sound parts against records that outlive their blocks."""
+    store, clock = MemoryStore(), FakeClock()
+    now = clock.monotonic()
+    async with MemoryHost(store, clock).running() as writer:
+        writer.records.save(Block(PART, now - age_s, now - age_s - 1))
+        await until(lambda: len(store.records) == 2)
+    async with MemoryHost(store, clock).running() as host:
+        await until(lambda: host.records._position == 2)
+        assert host.is_blocked() == expected
+        assert host.events == (["part_blocked"] if expected else [])
+
+
+async def test_removed_record_unblocks():
+    """Guards sound callers of hosts that hear of no other host."""
+    store, clock = MemoryStore(), FakeClock()
+    now = clock.monotonic()
+    async with (
+        MemoryHost(store, clock).running() as writer,
+        MemoryHost(store, clock).running() as reader,
+    ):
+        writer.records.save(Block(PART, now, now - 1))
+        await until(reader.is_blocked)
+        writer.records.remove(PART)
+        await until(lambda: not reader.is_blocked())
+    async with MemoryHost(store, clock).running() as late:
+        await until(lambda: late.records._position)
+        assert not late.is_blocked()
+
+
+async def test_decision_is_written_once_the_store_is_back():
+    """Guards decisions that are made while the store is away."""
+    store, clock = MemoryStore(), FakeClock()
+    store.is_down = True
+    now = clock.monotonic()
+    async with MemoryHost(store, clock).running() as host:
+        host.records.save(Block(PART, now, now - 1))
+        await clock.advance(3.0)
+        store.is_down = False
+        await clock.advance(3.0)
+        await until(lambda: [r.key for r in store.records if r.value] == [str(PART)])
+
+
+async def test_expired_records_leave_the_store():
+    """Guards the store against a record for each part there ever was."""
+    store, clock = MemoryStore(), FakeClock()
+    async with MemoryHost(store, clock).running() as host:
+        for number in range(20):
+            now = clock.monotonic()
+            host.records.save(Block(number, now, now - 1))
+            await until(lambda: not host.records._unwritten_by_key)
+            await until(lambda: host.records._position == len(store.records))
+            await clock.advance(BLOCK_TTL_S / 4)
+    records, _ = await store.read_latest(BLOCKS_TOPIC)
+    assert len(records) <= 6
+
+
+@pytest.mark.parametrize(
+    "value", [b"\xff\xff", b"?", encode(BlockRecord(schema_version=2, part=PART))]
+)
+async def test_record_that_cannot_be_read_does_no_harm(value):
+    """Guards hosts against damaged records and those of a later build."""
+    store, clock = MemoryStore(), FakeClock()
+    now = clock.monotonic()
+    await store.append_keyed(BLOCKS_TOPIC, "8", value)
+    async with MemoryHost(store, clock).running() as host:
+        host.records.save(Block(PART, now, now - 1))
+        await until(host.is_blocked)
--- a/test/gateway/test_suspect_exchange.py
+++ b/test/gateway/test_suspect_exchange.py
@@ -39,6 +39,7 @@
         clock=SimpleNamespace(monotonic=lambda: 14.0),
         announcer=Mock(),
         decision=Mock(),
+        block_records=Mock(),
         unanswered=UnansweredRuns(),
         suspects=SuspectParts(),
         metrics=GatewayMetrics(),
