Look at unreachable servers alone in each poll

One cause, named in docs/CAPACITY.md: ten times a second each host looked at all servers to find those to check. ServerHealth now keeps the unreachable ones apart, and those whose entry is gone are forgotten, which were kept for ever.

--- a/galenascale/gateway/health.py
+++ b/galenascale/gateway/health.py
@@ -49,15 +49,16 @@
 
     def __init__(self):
         self._by_incarnation = {}
+        # In the order in which they were excluded; the values are unused.
+        self._unreachable = {}
 
     def _get(self, incarnation):
         return self._by_incarnation.setdefault(incarnation, _Health())
 
     def record_success(self, incarnation, now):
         """Record a successful response; the server is reachable."""
-        health = self._get(incarnation)
-        health.failed_checks = 0
-        health.record(1.0, now)
+        self.mark_reachable(incarnation)
+        self._get(incarnation).record(1.0, now)
 
     def record_failure(self, incarnation, now):
         """Record a response that reports a failure or is incomplete."""
@@ -66,38 +67,41 @@
     def mark_reachable(self, incarnation):
         """Mark a server that accepted a connection."""
         self._get(incarnation).failed_checks = 0
+        self._unreachable.pop(incarnation, None)
+
+    def _exclude(self, incarnation, failed_checks, next_check_at):
+        health = self._get(incarnation)
+        health.failed_checks = failed_checks
+        health.next_check_at = next_check_at
+        self._unreachable[incarnation] = None
 
     def mark_unreachable(self, incarnation, now):
         """Exclude an unreachable server and schedule its next check."""
-        health = self._get(incarnation)
-        delay_s = min(
-            INITIAL_CHECK_DELAY_S * 2**health.failed_checks, MAX_CHECK_DELAY_S
-        )
-        health.failed_checks += 1
-        health.next_check_at = now + delay_s
+        failed_checks = self._get(incarnation).failed_checks
+        delay_s = min(INITIAL_CHECK_DELAY_S * 2**failed_checks, MAX_CHECK_DELAY_S)
+        self._exclude(incarnation, failed_checks + 1, now + delay_s)
 
     def mark_suspected(self, incarnation, now):
         """Exclude a possibly unreachable server; its check is due at once."""
         if not self.is_unreachable(incarnation):
-            health = self._get(incarnation)
-            health.failed_checks = 1
-            health.next_check_at = now
+            self._exclude(incarnation, 1, now)
 
     def mark_gone(self, incarnation, now):
         """Exclude a server at whose address another one answers."""
-        health = self._get(incarnation)
-        health.failed_checks = max(1, health.failed_checks)
-        health.next_check_at = now + GONE_DELAY_S
+        failed_checks = max(1, self._get(incarnation).failed_checks)
+        self._exclude(incarnation, failed_checks, now + GONE_DELAY_S)
 
     def is_unreachable(self, incarnation):
         """Return True while a server is excluded as unreachable."""
-        health = self._by_incarnation.get(incarnation)
-        return health is not None and health.failed_checks > 0
+        return incarnation in self._unreachable
 
-    def is_check_due(self, incarnation, now):
-        """Return True if an unreachable server should be checked now."""
-        health = self._by_incarnation.get(incarnation)
-        return self.is_unreachable(incarnation) and now >= health.next_check_at
+    def due_checks(self, now):
+        """Return the unreachable incarnations that should be checked now."""
+        return [
+            incarnation
+            for incarnation in self._unreachable
+            if now >= self._by_incarnation[incarnation].next_check_at
+        ]
 
     def quality(self, incarnation, now):
         """Return a weight from MIN_QUALITY to 1, from the success rate."""
@@ -109,3 +113,4 @@
     def remove(self, incarnation):
         """Remove an incarnation that ended."""
         self._by_incarnation.pop(incarnation, None)
+        self._unreachable.pop(incarnation, None)
--- a/galenascale/gateway/reachability.py
+++ b/galenascale/gateway/reachability.py
@@ -71,9 +71,11 @@
                 attempt.connection.active_at < silent_since for attempt in attempts
             ):
                 yield next(iter(attempts)).server
-        for entry in self._context.servers.all_entries():
-            due = self._context.health.is_check_due(entry.incarnation, now)
-            if due and entry.incarnation not in self._checking:
+        for incarnation in self._context.health.due_checks(now):
+            entry = self._context.servers.find(incarnation)
+            if entry is None:
+                self._context.health.remove(incarnation)
+            elif incarnation not in self._checking:
                 yield entry
 
     async def _run_check(self, server):
--- a/galenascale/gateway/servers.py
+++ b/galenascale/gateway/servers.py
@@ -220,6 +220,13 @@
             is_same_run and not is_removed and self._accepts_requests(known.entry, now)
         )
 
+    def find(self, incarnation):
+        """Return the entry of a run of a server, or None if it is removed."""
+        known = self._records_by_id.get(incarnation[0])
+        if known is None or known.entry is None:
+            return None
+        return known.entry if known.entry.incarnation == incarnation else None
+
     def all_entries(self):
         """Return all entries that have not been removed."""
         return [known.entry for known in self._records_by_id.values() if known.entry]
--- a/test/gateway/test_outdated_entries.py
+++ b/test/gateway/test_outdated_entries.py
@@ -35,7 +35,7 @@
     health = ServerHealth()
     health.mark_gone("s", 10.0)
     assert health.is_unreachable("s")
-    assert not health.is_check_due("s", 10.0 + MAX_CHECK_DELAY_S)
-    assert health.is_check_due("s", 10.1 + GONE_DELAY_S)
+    assert health.due_checks(10.0 + MAX_CHECK_DELAY_S) == []
+    assert health.due_checks(10.1 + GONE_DELAY_S) == ["s"]
     health.mark_reachable("s")
     assert not health.is_unreachable("s")
--- a/test/gateway/test_reachability.py
+++ b/test/gateway/test_reachability.py
@@ -58,6 +58,11 @@
     repeatable: bool
 
 
+def find(entries, incarnation):
+    """Return the entry of a run of a server, or None."""
+    return next((item for item in entries if item.incarnation == incarnation), None)
+
+
 class Pool:
     """Opens connections, or fails with `code` if it is set."""
 
@@ -82,7 +87,10 @@
         pool=Pool(),
         health=ServerHealth(),
         log=types.SimpleNamespace(write=lambda *args, **fields: None),
-        servers=types.SimpleNamespace(all_entries=lambda: context.entries),
+        servers=types.SimpleNamespace(
+            all_entries=lambda: context.entries,
+            find=lambda incarnation: find(context.entries, incarnation),
+        ),
         entries=[server],
         settings=types.SimpleNamespace(failure_domain="near"),
         server=server,
@@ -205,3 +213,21 @@
     await asyncio.sleep(0)
     (crash,) = context.suspects.record_crash.call_args.args
     assert crash.part_keys == (7,)
+
+
+async def test_poll_looks_at_unreachable_servers_only(context):
+    """Guards hosts of large fleets, in which most servers are reachable."""
+    context.entries = [Server(f"s{n}") for n in range(3000)]
+    context.health.mark_suspected("s7", context.clock.monotonic())
+    context.servers.all_entries = Mock(side_effect=AssertionError)
+    (due,) = context.reachability._servers_due()
+    assert due.server_id == "s7"
+
+
+async def test_removed_server_is_forgotten(context):
+    """Guards memory: requests fail after their server's entry is gone."""
+    context.health.mark_unreachable("former", context.clock.monotonic())
+    await context.clock.advance(MAX_CHECK_DELAY_S)
+    await check_due(context)
+    assert context.pool.opened == []
+    assert not context.health.is_unreachable("former")
