Parse the entry of a server only if more than its number changed

Another cause, named in docs/CAPACITY.md: each host parses the entry of each server each 1.2 s, 2,500 a second, though its number alone is new.

The decoder of the platform compares an entry without its number with the last one and returns the entry that it has; the list then keeps it.

--- a/galenascale/gateway/servers.py
+++ b/galenascale/gateway/servers.py
@@ -108,7 +108,10 @@
         known = self._records_by_id.get(server_id)
         if known is not None and offset <= known.offset:
             return
-        if entry is not None:
+        if entry is not None and known is not None and known.entry is entry:
+            known.offset = offset
+            known.removed_at = None
+        elif entry is not None:
             self._replace(server_id, known, _ServerRecord(offset, entry))
         elif known is None or known.entry is None:
             self._records_by_id[server_id] = _ServerRecord(offset, None)
--- a/galenascale/platform/adapter.py
+++ b/galenascale/platform/adapter.py
@@ -24,7 +24,6 @@
     """Translation between the platform's formats and the gateway's types."""
 
     decode_configuration = staticmethod(configuration.decode_configuration)
-    decode_server = staticmethod(servers.decode_server)
     parse_request = staticmethod(headers.parse_request)
     build_backend_headers = staticmethod(headers.build_backend_headers)
     build_item_headers = staticmethod(headers.build_item_headers)
@@ -34,6 +33,9 @@
     parse_submission = staticmethod(jobs.parse_submission)
     encode_results = staticmethod(jobs.encode_results)
 
+    def __init__(self):
+        self.decode_server = servers.ServerDecoder().decode
+
 
 class PlatformAdapter:
     """Creates the components of a gateway that depend on the platform."""
--- a/test/gateway/test_servers.py
+++ b/test/gateway/test_servers.py
@@ -30,16 +30,22 @@
     assert usable(servers, 11.0) == []
 
 
-def test_expired_entries_stay_usable_for_grace_period_after_outage():
+@pytest.mark.parametrize(
+    "registered_again",
+    # Equal registrations are decoded once, into the same object.
+    [lambda entry: make_entry(sequence=2), lambda entry: entry],
+)
+def test_expired_entries_stay_usable_for_grace_period_after_outage(registered_again):
     """Guards service after an outage in which all entries expired."""
     servers = ServerList()
-    servers.apply("s1", 0, make_entry(), 10.0)
+    entry = make_entry()
+    servers.apply("s1", 0, entry, 10.0)
     servers.apply("s2", 1, make_entry("s2"), 10.0)
     servers.store_recovered(20.0)
     servers.apply("s1", 2, None, 20.1)
     servers.apply("s2", 3, None, 20.1)
     assert usable(servers, 21.9) == ["s1", "s2"]
-    servers.apply("s1", 4, make_entry(sequence=2), 21.9)
+    servers.apply("s1", 4, registered_again(entry), 21.9)
     # A server that has not registered again is removed.
     assert usable(servers, 20.0 + ServerList.RECOVERY_GRACE_S) == ["s1"]
 
--- a/test/platform/test_formats.py
+++ b/test/platform/test_formats.py
@@ -1,5 +1,8 @@
 """Formats of the platform: decoding, encoding and forwarded headers."""
 
+from unittest.mock import Mock
+
+import attrs
 import orjson
 import pytest
 from hypothesis import given
@@ -207,3 +210,70 @@
     )
     assert entry.incarnation == ("s1", 12, "10.0.0.1:80")
     assert entry.draining is (state == "draining")
+
+
+def make_registration(**fields):
+    """Return the registration of a server; its number comes last."""
+    return orjson.dumps(
+        {
+            "Service": "llm",
+            "Address": "10.0.0.1:80",
+            "Zone": "a",
+            "Slots": 8,
+            "State": "ready",
+            "born": 12,
+            "Seq": 4,
+        }
+        | fields
+    )
+
+
+def test_registration_that_repeats_the_last_one_is_not_parsed(monkeypatch):
+    """Guards the processor time of hosts with thousands of servers."""
+    parse = Mock(side_effect=servers.parse_json_object)
+    monkeypatch.setattr(servers, "parse_json_object", parse)
+    decoder = servers.ServerDecoder()
+    for sequence in range(10):
+        for server_id in ("s1", "s2"):
+            entry = decoder.decode(server_id, make_registration(Seq=sequence))
+            assert entry.server_id == server_id
+    assert parse.call_count == 2
+
+
+@pytest.mark.parametrize(
+    ("fields", "changed"),
+    [
+        ({"State": "draining"}, {"draining": True}),
+        ({"Address": "10.0.0.2:80"}, {"address": "10.0.0.2:80"}),
+        ({"born": 13}, {"started_ms": 13}),
+        ({"Slots": 9}, {"slots": 9}),
+        ({"Service": 'an "Seq":4 other'}, {"service": 'an "Seq":4 other'}),
+    ],
+)
+def test_registration_that_differs_is_decoded(fields, changed):
+    """Guards against the state of an earlier registration."""
+    decoder = servers.ServerDecoder()
+    first = decoder.decode("s1", make_registration())
+    second = decoder.decode("s1", make_registration(**fields, Seq=5))
+    assert attrs.evolve(first, sequence=5, **changed) == second
+    assert decoder.decode("s1", make_registration(Seq=6)) == attrs.evolve(
+        first, sequence=6
+    )
+
+
+@pytest.mark.parametrize("sequence", [None, "4", 4.5, [4], True])
+def test_registration_with_a_malformed_number_is_rejected(sequence):
+    """Guards against a registration that only looks like the last one."""
+    decoder = servers.ServerDecoder()
+    decoder.decode("s1", make_registration())
+    with pytest.raises(DecodeError):
+        decoder.decode("s1", make_registration(Seq=sequence))
+
+
+def test_known_registrations_are_bounded(monkeypatch):
+    """Guards memory: servers come back under new ids."""
+    monkeypatch.setattr(servers, "MAX_KNOWN_SERVERS", 10)
+    decoder = servers.ServerDecoder()
+    for number in range(100):
+        decoder.decode(f"s{number}", make_registration())
+    assert len(decoder._known_by_id) == 10
