Keep the bytes of the first block records in a test

Cause: records of blocked parts outlive the build that wrote them, but nothing held their format; a test that encodes and decodes with the same build passes whatever changes. Change: the bytes of a record as this build writes it, read and written.

--- a/test/gateway/test_block_records.py
+++ b/test/gateway/test_block_records.py
@@ -101,6 +101,9 @@
 # The records themselves, without a network. Times are seconds.
 
 PART = 7
+# A record as the first build that knows it writes it: part 7, decided at
+# 1,000 s after a first crash at 999 s.
+RECORD_BYTES = bytes.fromhex("1502150e1680897a16b0f97900")
 
 
 class MemoryStore:
@@ -245,3 +248,17 @@
     async with MemoryHost(store, clock).running() as host:
         host.records.save(Block(PART, now, now - 1))
         await until(host.is_blocked)
+
+
+async def test_record_of_the_first_build_is_read():
+    """Guards upgrades: records outlive the build that wrote them."""
+    store, clock = MemoryStore(), FakeClock(start_s=1010.0)
+    await store.append_keyed(BLOCKS_TOPIC, str(PART), RECORD_BYTES)
+    async with MemoryHost(store, clock).running() as host:
+        await until(host.is_blocked)
+        (block,) = host.suspects.blocks(clock.monotonic())
+        assert (block.decided_at, block.evidence_from) == (1000.0, 999.0)
+    async with MemoryHost(MemoryStore(), clock).running() as writer:
+        writer.records.save(block)
+        records = writer.context.store.records
+        await until(lambda: [r.value for r in records if r.value] == [RECORD_BYTES])
