Notice removed blocks whose removal the store deleted

Callers: none yet; found while reading.

Cause: it then reads the newest record of each key, in which a removed one is missing, and only records that are there were applied.

--- a/galenascale/gateway/block_records.py
+++ b/galenascale/gateway/block_records.py
@@ -111,27 +111,37 @@
         await self._context.clock.sleep(RETRY_DELAY_S)
 
     async def _read(self):
-        store = self._context.store
         if self._position is None:
-            records, end_offset = await store.read_latest(BLOCKS_TOPIC)
-            if not end_offset:
-                await store.append_keyed(BLOCKS_TOPIC, _CREATION_KEY, None)
-            self._position = end_offset
-        else:
-            result = await store.read_keyed(
-                BLOCKS_TOPIC, self._position, wait_s=READ_WAIT_S
-            )
-            records = result.records
-            self._position = result.next_offset
+            await self._read_snapshot()
+            return
+        result = await self._context.store.read_keyed(
+            BLOCKS_TOPIC, self._position, wait_s=READ_WAIT_S
+        )
+        for record in result.records:
+            self._apply(record)
+        self._position = result.next_offset
+
+    async def _read_snapshot(self):
+        store = self._context.store
+        records, end_offset = await store.read_latest(BLOCKS_TOPIC)
+        if not end_offset:
+            await store.append_keyed(BLOCKS_TOPIC, _CREATION_KEY, None)
+        # The store may have deleted the records that removed these.
+        for key in self._record_by_key.keys() - {record.key for record in records}:
+            self._apply_removal(key)
         for record in records:
             self._apply(record)
+        self._position = end_offset
+
+    def _apply_removal(self, key):
+        record = self._record_by_key.pop(key, None)
+        if record is not None:
+            suspect_exchange.apply_removed_block(self._context, record.part)
 
     def _apply(self, stored):
         context = self._context
         if stored.value is None:
-            record = self._record_by_key.pop(stored.key, None)
-            if record is not None:
-                suspect_exchange.apply_removed_block(context, record.part)
+            self._apply_removal(stored.key)
             return
         try:
             record = decode(BlockRecord, stored.value)
--- a/test/gateway/test_block_records.py
+++ b/test/gateway/test_block_records.py
@@ -17,7 +17,12 @@
 from galenascale.gateway.suspect_parts import BLOCK_TTL_S, Block, SuspectParts
 from galenascale.gateway.unanswered_runs import UnansweredRuns
 from galenascale.generated.gateway_messages import BlockRecord
-from galenascale.store import KeyedReadResult, KeyedRecord, StoreUnavailable
+from galenascale.store import (
+    KeyedReadResult,
+    KeyedRecord,
+    PartitionTrimmed,
+    StoreUnavailable,
+)
 from test.gateway.fleet import gateway_fleet, until
 from test.gateway.test_suspect_parts import (
     DEADLY,
@@ -121,6 +126,8 @@
         self.records = []
         self.is_down = False
         self.calls = 0
+        # Records before it are deleted but for the newest of each key.
+        self.first_offset = 0
         self._appended = asyncio.Event()
 
     def _check(self, topic):
@@ -148,6 +155,8 @@
             assert offset
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(self._appended.wait(), wait_s)
+        if offset < self.first_offset:
+            raise PartitionTrimmed(self.first_offset)
         return KeyedReadResult(self.records[offset:], len(self.records), True)
 
 
@@ -225,6 +234,18 @@
         assert not late.is_blocked()
 
 
+async def test_removal_that_the_store_deleted_unblocks():
+    """Guards sound callers when the store forgets its history."""
+    store, clock = MemoryStore(), QuickClock()
+    now = clock.monotonic()
+    async with MemoryHost(store, clock).running() as host:
+        host.records.save(Block(PART, now, now - 1))
+        await until(host.is_blocked)
+        await store.append_keyed(BLOCKS_TOPIC, str(PART), None)
+        store.first_offset = len(store.records)
+        await until(lambda: not host.is_blocked())
+
+
 async def test_decision_is_written_once_the_store_is_back():
     """Guards decisions that are made while the store is away."""
     store, clock = MemoryStore(), QuickClock()
