Let the tests of block records wait for the block itself

Cause: both tests of whole hosts gave the decision and its record five seconds; on a busy machine they would have failed without a fault. Change: they send until the store holds the block, at most ten seconds, and the host that hears no other has the users' three seconds to learn it. What is asserted of the requests is as before.

--- a/test/gateway/test_block_records.py
+++ b/test/gateway/test_block_records.py
@@ -23,10 +23,11 @@
     PartitionTrimmed,
     StoreUnavailable,
 )
-from test.gateway.fleet import gateway_fleet, until
+from test.gateway.fleet import WAIT_S, gateway_fleet, until
 from test.gateway.test_suspect_parts import (
     DEADLY,
     MAX_LATE_REQUESTS,
+    STABLE_S,
     send,
     send_beside,
 )
@@ -57,6 +58,24 @@
     await until(lambda: all(host.ready for host in fleet.hosts))
 
 
+def has_record(host):
+    """Return True if a host has read the record of a block."""
+    return bool(host.context.block_records._record_by_key)
+
+
+async def send_until_blocked(fleet, numbers, hosts):
+    """Send requests to some hosts until the store holds a block."""
+    give_up_at = asyncio.get_running_loop().time() + WAIT_S
+    while not has_record(fleet.hosts[0]):
+        assert asyncio.get_running_loop().time() < give_up_at, "nothing is blocked"
+        parts = [(DEADLY,), ("other1",), ("other2",), ("other3",)]
+        batch = [
+            send(fleet, next(numbers) * len(fleet.hosts) + host, "first", *rest)
+            for rest, host in zip(parts, itertools.cycle(hosts))
+        ]
+        await asyncio.gather(*batch)
+
+
 async def test_blocked_part_stays_blocked_when_all_hosts_restart():
     """
     Guards servers against hosts that all lost their memory.
@@ -67,11 +86,11 @@
     async with gateway_fleet(hosts=3, runners=9) as fleet:
         make_deadly(fleet)
         numbers = itertools.count(1)
-        await send_beside(fleet, numbers, seconds=5.0)
+        await send_until_blocked(fleet, numbers, range(3))
         before = len(requests_with_part(fleet))
         assert before
         await restart_hosts(fleet)
-        sound = await send_beside(fleet, numbers, seconds=2.0)
+        sound = await send_beside(fleet, itertools.count(1000), seconds=2.0)
         assert len(requests_with_part(fleet)) - before <= MAX_LATE_REQUESTS
         assert all(reply.status == 200 for reply in sound)
 
@@ -89,14 +108,8 @@
         make_deadly(fleet)
         numbers = itertools.count(1)
         isolate(fleet.hosts[2])
-        end = asyncio.get_running_loop().time() + 5.0
-        while asyncio.get_running_loop().time() < end:
-            number = next(numbers)
-            # The two other hosts.
-            await asyncio.gather(
-                send(fleet, 3 * number, "first", DEADLY),
-                *(send(fleet, 3 * number + 1, "first", f"o{i}") for i in range(3)),
-            )
+        await send_until_blocked(fleet, numbers, range(2))
+        await until(lambda: has_record(fleet.hosts[2]), STABLE_S)
         before = len(requests_with_part(fleet))
         assert before
         for _ in range(5):
