Keep the failed checks of unreachable servers in one place

Cause: since polls look at unreachable servers alone, ServerHealth held twice which servers these are: as a count of failed checks in each server's health, and as keys of a second table that each change had to keep in step. Change: the table of unreachable servers holds their failed checks and the time of the next one; a server is unreachable if it is in it. Behaviour is as before.

--- a/galenascale/gateway/health.py
+++ b/galenascale/gateway/health.py
@@ -28,9 +28,6 @@
     success_rate: float = 1.0
     # Monotonic time in seconds of the last outcome.
     updated_at: float = 0.0
-    # Failed checks since the server was last reachable; 0 while it is.
-    failed_checks: int = 0
-    next_check_at: float = float("-inf")
 
     def decayed_success_rate(self, now):
         """Return the success rate with past failures decayed until `now`."""
@@ -44,13 +41,23 @@
         self.updated_at = now
 
 
+@attrs.frozen
+class _FailedChecks:
+    """Checks of a server that is excluded as unreachable."""
+
+    # Since the server was last reachable.
+    count: int
+    # Monotonic time in seconds.
+    next_check_at: float
+
+
 class ServerHealth:
     """Health of each incarnation (process run) of the backend servers."""
 
     def __init__(self):
         self._by_incarnation = {}
-        # In the order in which they were excluded; the values are unused.
-        self._unreachable = {}
+        # Of the unreachable ones only.
+        self._failed_checks_by_incarnation = {}
 
     def _get(self, incarnation):
         return self._by_incarnation.setdefault(incarnation, _Health())
@@ -66,18 +73,19 @@
 
     def mark_reachable(self, incarnation):
         """Mark a server that accepted a connection."""
-        self._get(incarnation).failed_checks = 0
-        self._unreachable.pop(incarnation, None)
+        self._failed_checks_by_incarnation.pop(incarnation, None)
+
+    def _failed_checks(self, incarnation):
+        failed = self._failed_checks_by_incarnation.get(incarnation)
+        return 0 if failed is None else failed.count
 
     def _exclude(self, incarnation, failed_checks, next_check_at):
-        health = self._get(incarnation)
-        health.failed_checks = failed_checks
-        health.next_check_at = next_check_at
-        self._unreachable[incarnation] = None
+        failed = _FailedChecks(failed_checks, next_check_at)
+        self._failed_checks_by_incarnation[incarnation] = failed
 
     def mark_unreachable(self, incarnation, now):
         """Exclude an unreachable server and schedule its next check."""
-        failed_checks = self._get(incarnation).failed_checks
+        failed_checks = self._failed_checks(incarnation)
         delay_s = min(INITIAL_CHECK_DELAY_S * 2**failed_checks, MAX_CHECK_DELAY_S)
         self._exclude(incarnation, failed_checks + 1, now + delay_s)
 
@@ -88,19 +96,19 @@
 
     def mark_gone(self, incarnation, now):
         """Exclude a server at whose address another one answers."""
-        failed_checks = max(1, self._get(incarnation).failed_checks)
+        failed_checks = max(1, self._failed_checks(incarnation))
         self._exclude(incarnation, failed_checks, now + GONE_DELAY_S)
 
     def is_unreachable(self, incarnation):
         """Return True while a server is excluded as unreachable."""
-        return incarnation in self._unreachable
+        return incarnation in self._failed_checks_by_incarnation
 
     def due_checks(self, now):
         """Return the unreachable incarnations that should be checked now."""
         return [
             incarnation
-            for incarnation in self._unreachable
-            if now >= self._by_incarnation[incarnation].next_check_at
+            for incarnation, failed in self._failed_checks_by_incarnation.items()
+            if now >= failed.next_check_at
         ]
 
     def quality(self, incarnation, now):
@@ -113,4 +121,4 @@
     def remove(self, incarnation):
         """Remove an incarnation that ended."""
         self._by_incarnation.pop(incarnation, None)
-        self._unreachable.pop(incarnation, None)
+        self._failed_checks_by_incarnation.pop(incarnation, None)
