Ask about the age of one block record instead of all

Cause: to see if one record is in force, the keys of all expired records were listed and searched, before each record that is written. Change: one question about one record, which the clean-up asks as well. Behaviour is as before.

--- a/galenascale/gateway/block_records.py
+++ b/galenascale/gateway/block_records.py
@@ -48,21 +48,18 @@
             decided_ms=self._wall_ms(block.decided_at),
             evidence_from_ms=self._wall_ms(block.evidence_from),
         )
-        for key in self._expired_keys():
-            self._write_later(key, None)
+        for key, known in self._record_by_key.items():
+            if self._is_expired(known):
+                self._write_later(key, None)
         self._write_later(str(block.part_key), encode(record))
 
     def remove(self, part_key):
         """Remove the record of a part that an answer of this host cleared."""
         self._write_later(str(part_key), None)
 
-    def _expired_keys(self):
-        expired_ms = self._context.clock.wall_ms() - BLOCK_TTL_S * 1000
-        return [
-            key
-            for key, record in self._record_by_key.items()
-            if record.decided_ms < expired_ms
-        ]
+    def _is_expired(self, record):
+        age_ms = self._context.clock.wall_ms() - record.decided_ms
+        return age_ms > BLOCK_TTL_S * 1000
 
     def _write_later(self, key, value):
         self._unwritten_by_key[key] = value
@@ -91,7 +88,8 @@
 
     def _has_record(self, key):
         """Return True if another host has written a record in force."""
-        return key in self._record_by_key and key not in self._expired_keys()
+        record = self._record_by_key.get(key)
+        return record is not None and not self._is_expired(record)
 
     async def follow(self):
         """Read what the hosts decide until cancelled."""
