Read the limits that servers name, and log when they begin, change and end

A server in need names in its answers how many requests a second it takes from all hosts. Nothing read the header, so no line could tell whether a host knew of a limit, and the hypotheses of the incident could not be told apart. Hosts now keep what the answers to them say, write a line for each change and the limit in the lines of sends and items, and count changes. No decision uses it yet. A limit ends with the first answer to a later request that names none, whatever its age, so an idle server is not limited for ever. What is no decimal number changes nothing; of several the lowest counts.

--- a/galenascale/gateway/context.py
+++ b/galenascale/gateway/context.py
@@ -22,6 +22,8 @@
     pool: object
     ownership: object = None
     reachability: object = None
+    # ServerLimits: request rates that backend servers name.
+    limits: object = None
     admission: object = None
     crashes: object = None
     # Prompt parts that may crash servers.
--- a/galenascale/gateway/dispatch.py
+++ b/galenascale/gateway/dispatch.py
@@ -5,6 +5,7 @@
 import attrs
 
 from galenascale.errors import BackendError, Execution
+from galenascale.gateway import limit_exchange
 from galenascale.gateway.balancing import Candidate, choose_candidate
 
 # Maximum number of servers compared for one request. Of a larger pool a random
@@ -26,6 +27,8 @@
     on_leaving: object
     # Called with the server if another one answers at its address.
     on_gone: object
+    # Called with the Attempt and the ResponseHead of the server itself.
+    on_head: object
     # Whether the response was read to its end and the connection is reusable.
     complete: bool = False
 
@@ -36,6 +39,8 @@
             self.on_leaving(self.server)
         if head.misdirected:
             self.on_gone(self.server)
+        else:
+            self.on_head(self, head)
         return head
 
     async def read_body(self, limit):
@@ -109,6 +114,11 @@
         context.health.mark_gone(server.incarnation, context.clock.monotonic())
         context.log.write("server_gone", "warning", server=server.server_id)
 
+    def _record_limit(self, attempt, head):
+        """Record the limit that a server names in an answer, or its end."""
+        if head.limit is not None or self._context.limits:
+            limit_exchange.record_answer(self._context, attempt, head)
+
     @contextlib.asynccontextmanager
     async def send(self, request, server, plan, resume_after):
         """
@@ -153,6 +163,7 @@
             plan.route.repeatable,
             self._mark_leaving,
             self._mark_gone,
+            self._record_limit,
         )
         context.reachability.add(attempt)
         try:
--- a/galenascale/gateway/forwarding.py
+++ b/galenascale/gateway/forwarding.py
@@ -4,6 +4,7 @@
 
 from galenascale.errors import BackendError
 from galenascale.gateway.admission import fingerprint
+from galenascale.gateway.attempt_log import log_attempt
 from galenascale.gateway.attempts import MIN_REMAINING_S, AttemptPlan, RequestFailed
 from galenascale.gateway.configuration import RequestKind
 from galenascale.gateway.crashes import InterruptedRun, block_reason
@@ -180,28 +181,8 @@
             )
 
     def _log_attempt(self, selected, outcome, response):
-        context = self._context
-        candidate = selected.candidate
-        now = context.clock.monotonic()
-        context.metrics.sends.labels(outcome).inc()
-        context.log.write(
-            "send",
-            request=self._request.request_id,
-            server=candidate.server.server_id,
-            online=candidate.online,
-            batch=candidate.batch,
-            slots=candidate.server.slots,
-            quality=round(candidate.quality, 3),
-            granted=selected.granted,
-            waited_s=round(selected.waited_s, 4),
-            elapsed_s=round(now - selected.selected_at, 4),
-            first_event_s=selected.first_event_s,
-            servers_age_s=round(now - (context.servers.read_at or now), 3),
-            config=context.configuration.version,
-            run=self._plan.runs,
-            remaining_s=round(self._plan.remaining_s(now), 3),
-            outcome=outcome,
-            status=response.head.status if response else None,
+        log_attempt(
+            self._context, self._request, self._plan, selected, outcome, response
         )
 
     async def _read_response(self, attempt):
--- a/galenascale/gateway/host.py
+++ b/galenascale/gateway/host.py
@@ -47,6 +47,7 @@
 from galenascale.gateway.rates.service import RateService
 from galenascale.gateway.reachability import Reachability
 from galenascale.gateway.request_handler import RequestHandler
+from galenascale.gateway.server_limits import ServerLimits
 from galenascale.gateway.servers import ServerList
 from galenascale.gateway.slot_shares import SlotShares
 from galenascale.gateway.slots.service import SlotService
@@ -121,6 +122,7 @@
             crashes=CrashHistory(),
             suspects=SuspectParts(),
             unanswered=UnansweredRuns(),
+            limits=ServerLimits(),
             store=adapter.make_store(settings.store, session),
             ownership=Ownership(
                 OwnerCandidate(
@@ -175,6 +177,7 @@
         if change == "removed":
             self.context.health.remove(entry.incarnation)
             self.context.reachability.forget(entry.incarnation)
+            self.context.limits.remove(entry)
         self.context.log.write(
             f"server_{change}",
             server=entry.server_id,
--- a/galenascale/gateway/jobs/runner.py
+++ b/galenascale/gateway/jobs/runner.py
@@ -168,6 +168,7 @@
             server=server.server_id,
             online=in_flight.online,
             batch=in_flight.batch,
+            limit=self._context.limits.rate_of(server),
             resume_after=item.last_event_id,
             due_in_s=(item.due_at_ms - self._context.clock.wall_ms()) / 1000,
         )
--- a/galenascale/gateway/metrics.py
+++ b/galenascale/gateway/metrics.py
@@ -40,6 +40,11 @@
         self.rejections = self._counter(
             "rejections", "Requests rejected for their caller.", ("tenant", "reason")
         )
+        self.limit_changes = self._counter(
+            "server_limit_changes",
+            "Limits on request rates that servers began, changed or ceased to name.",
+            ("change",),
+        )
         self._tenant_labels = set()
         self.items = self._counter("items", "Runs of items by outcome.", ("outcome",))
         self.first_part_seconds = self._histogram(
--- a/galenascale/gateway/requests.py
+++ b/galenascale/gateway/requests.py
@@ -65,6 +65,8 @@
     misdirected: bool = False
     # Whether the server is leaving and accepts no further requests.
     leaving: bool = False
+    # NamedLimit of the server on its request rate; None if it names none.
+    limit: object = None
     # Idle time in seconds after which the server closes the connection.
     keep_alive_s: float | None = None
     # Content length in bytes; None if not stated.
--- a/galenascale/platform/headers.py
+++ b/galenascale/platform/headers.py
@@ -4,6 +4,7 @@
 
 from galenascale.errors import UserError
 from galenascale.gateway.requests import CallerRequest, ResponseHead
+from galenascale.gateway.server_limits import NamedLimit
 
 _REQUEST_ID = b"x-galenascale-attempt-id"
 _DEADLINE_MS = b"x-galenascale-deadline-ms"
@@ -18,6 +19,11 @@
 _MAX_PROMPT_PARTS = 32
 _NOT_RUN = b"x-galenascale-not-executed"
 _LEAVING = b"server-leaving"
+# Requests per second that the server takes from all hosts together.
+_LIMIT = b"server-limit"
+_RATE = re.compile(r"[0-9]{1,15}(\.[0-9]{1,15})?")
+# Characters of a limit that go into logs.
+_MAX_LIMIT_TEXT = 40
 _WAIT_MS = b"x-galenascale-wait-ms"
 _AUTHORIZATION = b"authorization"
 _TENANT = b"x-galenascale-tenant"
@@ -189,6 +195,22 @@
     return tuple(headers)
 
 
+def parse_limit(headers):
+    """
+    Return the NamedLimit in a response head, or None.
+
+    Of several rates the lowest counts.
+    """
+    values = [value for name, value in headers if name.lower() == _LIMIT]
+    if not values:
+        return None
+    text = b",".join(values).decode("latin-1")
+    rates = [
+        float(part) for part in map(str.strip, text.split(",")) if _RATE.fullmatch(part)
+    ]
+    return NamedLimit(text[:_MAX_LIMIT_TEXT], min(rates, default=None))
+
+
 def parse_response_head(status, headers):
     """Return the ResponseHead of a backend server's response."""
     keep_alive = _KEEP_ALIVE_TIMEOUT.search(find_header(headers, b"keep-alive") or b"")
@@ -200,6 +222,7 @@
         not_run=find_header(headers, _NOT_RUN) is not None or status == _MISDIRECTED,
         misdirected=status == _MISDIRECTED,
         leaving=find_header(headers, _LEAVING) == b"1",
+        limit=parse_limit(headers),
         keep_alive_s=float(keep_alive[1]) if keep_alive else None,
         length=int(length) if length and length.isdigit() else None,
     )
--- a/galenascale/standins/runner.py
+++ b/galenascale/standins/runner.py
@@ -54,6 +54,8 @@
     echo_request_id: bool = False
     # Send the header Server-Leaving with each response.
     leaving: bool = False
+    # Values of the header Server-Limit, sent with each response.
+    limits: tuple[str, ...] = ()
     # Sent instead of the usual response.
     endless: EndlessResponse | None = None
 
@@ -151,6 +153,9 @@
         behaviour = attrs.evolve(self.behaviour)
         if behaviour.leaving:
             request.extra_header_lines = ("Server-Leaving: 1",)
+        request.extra_header_lines += tuple(
+            f"Server-Limit: {limit}" for limit in behaviour.limits
+        )
         target = request.header("X-Galenascale-Target-Instance")
         if target and target != self.server_id:
             self.misdirected += 1
