Refuse odd server entries, records and addresses that another writer left

What was seen elsewhere: one odd entry among those of the servers ended the hosts that read the list, or stopped them following it. Deep nesting and huge numbers were refused already. A host name is looked up, an id with a line break changes the headers of requests. A keyed record without a readable key made the follower drop its place and count the store as lost. An address of a host that is none closes the socket for messages between hosts.

Addresses are IP addresses and ports now, numbers have bounds, names are printable text, records without a key are left out and logged, and an unexpected error in one check is logged and stops no other.

--- a/galenascale/gateway/peer_table.py
+++ b/galenascale/gateway/peer_table.py
@@ -2,6 +2,8 @@
 
 import attrs
 
+from galenascale.gateway.sockets import is_ip_address
+
 # Seconds without a status after which a host is considered dead.
 PEER_TIMEOUT_S = 3.0
 # Seconds without a status for which a host may still be alive. Hosts that
@@ -53,13 +55,17 @@
         self._by_host_id = {}
 
     def add_address(self, address, now):
-        """Add an address that may belong to a host."""
+        """Add an address that may belong to a host, if it is one."""
+        if not is_ip_address(address):
+            return
         if address != self._own_address and address not in self._by_address:
             # No status yet; the address expires unless one arrives.
             self._by_address[address] = Peer(address, now)
 
     def update(self, status, now):
-        """Apply a status; return the Peer, or None if the status is stale."""
+        """Apply a status; return the Peer, or None if it is stale or odd."""
+        if not is_ip_address(status.address):
+            return None
         known = self._by_host_id.get(status.host_id)
         if known is not None and (status.started_ms, status.sequence) <= (
             known.started_ms,
@@ -101,6 +107,13 @@
             if not peer.leaving and now - peer.last_seen_at <= POSSIBLY_ALIVE_S
         ]
 
+    def known_count(self, now):
+        """Return the number of hosts heard of that have not left since."""
+        return sum(
+            not peer.leaving and now - peer.last_seen_at <= ADDRESS_TIMEOUT_S
+            for peer in self._by_host_id.values()
+        )
+
     def is_running(self, host_id, started_ms, now):
         """Return True if this run of a host is alive and not leaving."""
         peer = self._by_host_id.get(host_id)
--- a/galenascale/gateway/reachability.py
+++ b/galenascale/gateway/reachability.py
@@ -84,6 +84,15 @@
         except BackendError:
             # check() has recorded and logged the failure.
             return
+        except Exception as error:
+            # An unexpected error in one check must not stop the others.
+            context = self._context
+            context.health.mark_unreachable(
+                server.incarnation, context.clock.monotonic()
+            )
+            context.log.write(
+                "check_fault", "error", server=server.server_id, reason=repr(error)
+            )
         finally:
             self._checking.discard(server.incarnation)
 
--- a/galenascale/gateway/sockets.py
+++ b/galenascale/gateway/sockets.py
@@ -1,6 +1,8 @@
 """TCP options that detect unresponsive peers, and addresses."""
 
 import contextlib
+import functools
+import ipaddress
 import socket
 
 # Milliseconds for which sent bytes may stay unacknowledged before the kernel
@@ -15,6 +17,8 @@
 # Most bytes of one receive call. The event loop asks for 256 KB each time and
 # allocates them, however few have arrived.
 RECEIVE_BYTES = 1 << 16
+# Addresses whose check is cached.
+MAX_CACHED_ADDRESSES = 1 << 13
 
 
 class BoundedSocket(socket.socket):
@@ -47,6 +51,16 @@
         sock.setsockopt(level, option, value)
 
 
+@functools.lru_cache(MAX_CACHED_ADDRESSES)
+def is_ip_address(text):
+    """Return True for an IP address; a name would have to be looked up."""
+    try:
+        ipaddress.ip_address(text)
+    except ValueError:
+        return False
+    return True
+
+
 def split_address(address):
     """Return (host, port) of "host:port"."""
     host, _, port = address.rpartition(":")
--- a/galenascale/gateway/topic_follower.py
+++ b/galenascale/gateway/topic_follower.py
@@ -79,6 +79,10 @@
             self._topic, position, wait_s=wait_s, timeout_s=timeout_s
         )
         self._store_status.record_answer()
+        for reason in result.broken:
+            self._store_status.log.write(
+                "keyed_record_broken", "warning", topic=self._topic, reason=reason
+            )
         for record in result.records:
             on_record(record)
         if self._position == position:
--- a/galenascale/platform/servers.py
+++ b/galenascale/platform/servers.py
@@ -1,6 +1,7 @@
 """Decoding of the registration records of backend servers."""
 
 import collections
+import ipaddress
 import re
 
 from galenascale.errors import DecodeError
@@ -13,6 +14,15 @@
 _DRAINING = "draining"
 # The field that differs in each registration of a running server.
 _SEQUENCE = re.compile(rb'"Seq":\s*[0-9]+')
+# Ids, services and failure domains: text without control characters.
+_NAME = re.compile(r"[!-~]([ -~]{0,254}[!-~])?")
+_PORT = re.compile(r"[0-9]{1,5}")
+_MAX_PORT = 65535
+# More slots than any server has; each slot costs memory.
+MAX_SLOTS = 1 << 16
+_MAX_NUMBER = (1 << 63) - 1
+# Characters of a wrong value that go into logs.
+_MAX_SHOWN = 60
 # Largest number of servers whose last registrations are kept.
 MAX_KNOWN_SERVERS = 1 << 15
 
@@ -48,25 +58,51 @@
 
     Raise DecodeError if the data is not a valid registration.
     """
+    _check_name("id", server_id)
     fields = parse_json_object(data, "server entry")
     state = get_field(fields, "State", str)
     if state not in (_READY, _DRAINING):
         raise DecodeError(
             f"server state {state!r} is neither ready nor draining", step="decode"
         )
-    address = get_field(fields, "Address", str)
-    host, _, port = address.rpartition(":")
-    if not host or not port.isdigit():
-        raise DecodeError(
-            f"server address {address!r} is not a host and a port", step="decode"
-        )
     return ServerEntry(
         server_id=server_id,
-        service=get_field(fields, "Service", str),
-        address=address,
-        failure_domain=get_field(fields, "Zone", str),
-        slots=max(1, get_field(fields, "Slots", int)),
+        service=_check_name("service", get_field(fields, "Service", str)),
+        address=_check_address(get_field(fields, "Address", str)),
+        failure_domain=_check_name("zone", get_field(fields, "Zone", str)),
+        slots=max(1, _get_number(fields, "Slots", MAX_SLOTS)),
         draining=state == _DRAINING,
-        started_ms=get_field(fields, "born", int, 0),
-        sequence=get_field(fields, "Seq", int),
+        started_ms=_get_number(fields, "born", _MAX_NUMBER, 0),
+        sequence=_get_number(fields, "Seq", _MAX_NUMBER),
     )
+
+
+def _check_name(field, name):
+    """Return a name that can be sent in headers; raise DecodeError."""
+    if _NAME.fullmatch(name) is None:
+        raise DecodeError(f"server {field} is not a name", step="decode")
+    return name
+
+
+def _check_address(address):
+    """Return an IP address and port; raise DecodeError if it is none."""
+    host, _, port = address.rpartition(":")
+    try:
+        ipaddress.ip_address(host)
+    except ValueError:
+        host = ""
+    is_port = _PORT.fullmatch(port) and 0 < int(port) <= _MAX_PORT
+    if not host or not is_port:
+        raise DecodeError(
+            f"server address {address[:_MAX_SHOWN]!r} is not an IP address and a port",
+            step="decode",
+        )
+    return address
+
+
+def _get_number(fields, name, largest, *default):
+    """Return a whole number from 0 to `largest`; raise DecodeError."""
+    number = get_field(fields, name, int, *default)
+    if not 0 <= number <= largest:
+        raise DecodeError(f"field {name} is out of range", step="decode")
+    return number
--- a/galenascale/platform/store.py
+++ b/galenascale/platform/store.py
@@ -149,12 +149,21 @@
         """Return the KeyedReadResult of the records from an offset on."""
         result = await self.read(topic, 0, offset, wait_s=wait_s, timeout_s=timeout_s)
         records = []
+        broken = []
         for record_offset, record in result.records:
-            key, value = decode_keyed_record(record)
+            try:
+                key, value = decode_keyed_record(record)
+            except DecodeError as error:
+                # Without a key it says nothing; the others hold.
+                broken.append(f"offset {record_offset}: {error.message}")
+                continue
             records.append(KeyedRecord(key, value, record_offset))
-        next_offset = offset + len(records)
+        next_offset = offset + len(result.records)
         return KeyedReadResult(
-            records, next_offset, is_at_end=next_offset >= result.next_offset
+            records,
+            next_offset,
+            is_at_end=next_offset >= result.next_offset,
+            broken=tuple(broken),
         )
 
     async def join(self, group, member, topics, lease_s, generation):
--- a/galenascale/standins/topic_store.py
+++ b/galenascale/standins/topic_store.py
@@ -112,8 +112,11 @@
     def _update_newest(self, topic, offset, records):
         newest = self._newest_by_topic.setdefault(topic, {})
         for number, record in enumerate(records):
-            end = 1 + record[0]
-            key, value = record[1:end].decode(), record[end:]
+            end = 1 + (record[0] if record else 0)
+            if len(record) < end:
+                # Kept in the log, but it names no key.
+                continue
+            key, value = record[1:end].decode("utf-8", "replace"), record[end:]
             newest.pop(key, None)
             if value:
                 newest[key] = (value, offset + number)
--- a/galenascale/store.py
+++ b/galenascale/store.py
@@ -76,6 +76,8 @@
     next_offset: int
     # Whether the topic held no further record.
     is_at_end: bool
+    # Why records were left out that could not be read.
+    broken: tuple[str, ...] = ()
 
 
 @attrs.frozen
