Start each answer with no state of the one before

A caller got a failure of the host, or its request ended with an error of the program, when a server closed a kept connection before the first byte of an answer: whether there was a head, and whether it stated a length, were those of the answer before. After a 204 without a length the close looked like the end of an answer without a length, and where a head was due there was none.

Cuts inside a head were refused as broken already.

--- a/galenascale/gateway/backend_connection.py
+++ b/galenascale/gateway/backend_connection.py
@@ -9,6 +9,7 @@
 import asyncio
 import collections
 
+import attrs
 import httptools
 
 from galenascale.errors import BackendError, Execution
@@ -33,6 +34,17 @@
 _STATUSES_WITHOUT_BODY = frozenset((204, 304))
 
 
+@attrs.define
+class _ResponseState:
+    """What is known of the response that is being parsed."""
+
+    headers: list = attrs.field(factory=list)
+    has_head: bool = False
+    has_length: bool = False
+    # Whether it answers no request, or only says that the answer follows.
+    is_skipped: bool = False
+
+
 class BackendConnection(asyncio.BufferedProtocol):
     """Sends one request at a time and reads its response."""
 
@@ -45,13 +57,10 @@
         self._buffered_bytes = 0
         self._request_id = None
         self._method = ""
-        self._headers = []
+        self._response = _ResponseState()
         self._byte_limits = ResponseLimits()
         # Chunks of the body found in the bytes that are being parsed.
         self._body_chunks = []
-        self._has_length = False
-        self._is_skipping = False
-        self._has_head = False
         self.closed = False
         # Ids of requests that were answered with a refusal or an error. They
         # may be sent again, but not on this connection: a second copy of that
@@ -112,8 +121,9 @@
         if self._request_id is None:
             self.closed = True
             return
-        without_length = self._has_head and not self._has_length
-        if error is None and without_length and not self._is_skipping:
+        response = self._response
+        without_length = response.has_head and not response.has_length
+        if error is None and without_length and not response.is_skipped:
             # The end of the connection marks the end of such a response.
             self.reusable = False
             self._finish()
@@ -126,18 +136,15 @@
         if self._request_id is None:
             # The same bytes hold a second response.
             self.reusable = False
-            self._is_skipping = True
+            self._response.is_skipped = True
             return
-        self._has_head = False
-        self._is_skipping = False
-        self._has_length = False
-        self._headers = []
+        self._response = _ResponseState()
 
     def on_header(self, name, value):
         if name.lower() in (b"content-length", b"transfer-encoding"):
-            self._has_length = True
-        self._headers.append((name, value))
-        if len(self._headers) > MAX_HEADERS:
+            self._response.has_length = True
+        self._response.headers.append((name, value))
+        if len(self._response.headers) > MAX_HEADERS:
             raise ValueError(f"response has more than {MAX_HEADERS} headers")
 
     def on_headers_complete(self):
@@ -145,14 +152,14 @@
             return
         status = self._parser.get_status_code()
         if status < 200:
-            self._is_skipping = True
+            self._response.is_skipped = True
             return
-        head = self._parse_head(status, tuple(self._headers))
+        head = self._parse_head(status, tuple(self._response.headers))
         if not self._matches_request(head):
-            self._is_skipping = True
+            self._response.is_skipped = True
             self.reusable = False
             return
-        self._has_head = True
+        self._response.has_head = True
         if head.not_run or status >= STATUS_ERROR:
             self._failed_ids.add(self._request_id)
         self.reusable = self._parser.should_keep_alive()
@@ -172,7 +179,7 @@
     def on_body(self, body):
         if self._request_id is None:
             return
-        if self._is_skipping:
+        if self._response.is_skipped:
             self._byte_limits.add_skipped(len(body))
         else:
             self._byte_limits.add_body(len(body))
@@ -192,9 +199,9 @@
     def on_message_complete(self):
         if self._request_id is None:
             return
-        if self._is_skipping:
+        if self._response.is_skipped:
             return
-        if self._has_head:
+        if self._response.has_head:
             self._finish()
 
     def _finish(self):
@@ -226,6 +233,8 @@
         """Send a request; `read` returns its response."""
         self._request_id = request_id
         self._method = method
+        # Nothing known of the last response may describe the next one.
+        self._response = _ResponseState()
         self._events.clear()
         self._body_chunks.clear()
         self._byte_limits.reset()
--- a/galenascale/standins/runner.py
+++ b/galenascale/standins/runner.py
@@ -40,6 +40,10 @@
     reset: bool = False
     # Send no Content-Length; the response ends when the connection closes.
     omit_content_length: bool = False
+    # The same on a connection that stays open, for a status without a body.
+    omit_length: bool = False
+    # Send this many bytes of the head of each response, and close.
+    cut_head_at: int | None = None
     # Bytes sent after each response.
     trailing_bytes: bytes = b""
     # Stop listening and reset the connection when a request arrives.
@@ -191,9 +195,15 @@
         if behaviour.crash_part is not None and request.has_part(behaviour.crash_part):
             await self.crash(behaviour.crash_downtime_s)
             return False
+        if behaviour.cut_head_at is not None:
+            writer.write(_head(request, 200, [])[: behaviour.cut_head_at])
+            return False
         if behaviour.reset:
             writer.transport.abort()
             return False
+        if behaviour.omit_length:
+            writer.write(_head(request, behaviour.status, []))
+            return True
         if request.header("X-Galenascale-Model") is not None:
             return await self._stream(request, behaviour, reader, writer)
         await asyncio.sleep(behaviour.processing_time_s)
