Keep what a server names as its limit over all hosts

Cause: nothing read what their answers say, so each host and each owner of slots chose them as before, and plain requests ask no owner at all.

The owner of a server's slots keeps its pace as well, as a bucket of tokens. The host that reads a limit tells all others at once, and again for ten seconds. While a server of a service names one, all requests to the service, plain ones too, ask for a slot; a host never chooses a limited server itself, and the last check before a send returns a slot that was not counted against the limit or whose grant is old, so repeats, resumed streams and items are bound by the same line. Hosts that disagree about the owner have parts of the limit whose sum stays within what a server bears: a substitute of an owner that is heard a sixteenth, owners that do not hear each other by the hosts they reach, and one that starts has no tokens. What a limited pool cannot start soon goes to the pool of another domain with the shorter queue; where all servers are limited, what cannot start in time is refused at once with the time at which there is room. An item leaves a token for the next request. A server that names 0 gets a request each 4 s, since only an answer ends a limit.

New fields are absent without limits; the former build skips them, and its grants, which count no limit, are returned by hosts that know one.

Measured: the five cases of test_limited_servers.py, which failed before, pass.

--- a/bench/ablation.py
+++ b/bench/ablation.py
@@ -17,7 +17,13 @@
 from galenascale.gateway.jobs import item_runs, relaying_store, scheduler
 from galenascale.gateway.jobs.runner import JobRunner
 from galenascale.gateway.slot_shares import SlotShares
-from galenascale.gateway.slots import pool, runs, wait_queue
+from galenascale.gateway.slots import (
+    pool,
+    runs,
+    server_slots,
+    sibling_pools,
+    wait_queue,
+)
 from galenascale.gateway.slots.client import SlotClient
 from galenascale.gateway.slots.owner import PoolOwner
 from galenascale.gateway.stopping import GracefulStop
@@ -79,7 +85,7 @@
 
 
 def _disable_pool_forwarding():
-    _replace_attribute(pool.SlotPool, "_forward", lambda *args: [])
+    _replace_attribute(sibling_pools.SiblingPools, "forward", lambda *args: [])
 
 
 def _disable_batch_reserve():
@@ -100,13 +106,13 @@
 
 
 def _pick_first_free_server():
-    def first_server(slots, avoid, now):
+    def first_server(slots, avoid, now, batch=False):
         for server in slots._servers_by_key.values():
             if slots._free_on(server) > 0 and server.key not in avoid:
                 return server
         return None
 
-    _replace_attribute(pool.SlotPool, "_best_server", first_server)
+    _replace_attribute(server_slots.ServerSlots, "best", first_server)
 
 
 def _ignore_failures_on_other_hosts():
--- a/galenascale/gateway/attempts.py
+++ b/galenascale/gateway/attempts.py
@@ -100,6 +100,10 @@
         self.refused.add(incarnation)
         self.had_connection_failure = True
 
+    def record_limited(self, incarnation):
+        """Record a server whose limit allows no request now."""
+        self.refused.add(incarnation)
+
     def record_server_loss(self):
         """
         Record that a server crashed or became unreachable during a run.
--- a/galenascale/gateway/backend_connection.py
+++ b/galenascale/gateway/backend_connection.py
@@ -9,11 +9,11 @@
 import asyncio
 import collections
 
-import attrs
 import httptools
 
 from galenascale.errors import BackendError, Execution
 from galenascale.gateway.response_limits import ResponseLimits
+from galenascale.gateway.response_state import ResponseState
 from galenascale.gateway.sockets import enable_dead_peer_detection
 
 # Size of buffered response bytes above which reading from the socket pauses,
@@ -34,17 +34,6 @@
 _STATUSES_WITHOUT_BODY = frozenset((204, 304))
 
 
-@attrs.define
-class _ResponseState:
-    """What is known of the response that is being parsed."""
-
-    headers: list = attrs.field(factory=list)
-    has_head: bool = False
-    has_length: bool = False
-    # Whether it answers no request, or only says that the answer follows.
-    is_skipped: bool = False
-
-
 class BackendConnection(asyncio.BufferedProtocol):
     """Sends one request at a time and reads its response."""
 
@@ -57,7 +46,7 @@
         self._buffered_bytes = 0
         self._request_id = None
         self._method = ""
-        self._response = _ResponseState()
+        self._response = ResponseState()
         self._byte_limits = ResponseLimits()
         # Chunks of the body found in the bytes that are being parsed.
         self._body_chunks = []
@@ -138,7 +127,7 @@
             self.reusable = False
             self._response.is_skipped = True
             return
-        self._response = _ResponseState()
+        self._response = ResponseState()
 
     def on_header(self, name, value):
         if name.lower() in (b"content-length", b"transfer-encoding"):
@@ -234,7 +223,7 @@
         self._request_id = request_id
         self._method = method
         # Nothing known of the last response may describe the next one.
-        self._response = _ResponseState()
+        self._response = ResponseState()
         self._events.clear()
         self._body_chunks.clear()
         self._byte_limits.reset()
--- a/galenascale/gateway/dispatch.py
+++ b/galenascale/gateway/dispatch.py
@@ -7,6 +7,7 @@
 from galenascale.errors import BackendError, Execution
 from galenascale.gateway import limit_exchange
 from galenascale.gateway.balancing import Candidate, choose_candidate
+from galenascale.gateway.slots.leases import is_paced
 
 # Maximum number of servers compared for one request. Of a larger pool a random
 # sample is compared, whose best servers are nearly as free.
@@ -74,6 +75,8 @@
                 entry
                 for entry in context.servers.usable(service, now)
                 if not plan.excludes(entry.incarnation)
+                # Only the owner of their pool may let requests go there.
+                and context.limits.rate_of(entry) is None
             ]
             if len(entries) > MAX_CANDIDATES:
                 entries = context.rng.sample(entries, MAX_CANDIDATES)
@@ -119,12 +122,30 @@
         if head.limit is not None or self._context.limits:
             limit_exchange.record_answer(self._context, attempt, head)
 
+    def _find_obstacle(self, server, plan, lease, now):
+        """Return a BackendError if nothing may be sent now, or None."""
+        context = self._context
+        if not context.servers.is_usable(server, now):
+            # The server announced that it leaves, or was removed, while the
+            # body was read or the connection was opened.
+            plan.record_unreachable(server.incarnation)
+            return _not_sent(server, "server is leaving", "server_left")
+        if context.limits.rate_of(server) is not None and not is_paced(lease, now):
+            # The owner of the pool did not know of the limit, or the request
+            # could not be sent soon enough.
+            plan.record_limited(server.incarnation)
+            limit_exchange.record_unpaced(context, server)
+            return _not_sent(server, "server named a limit", "server_limited")
+        return None
+
     @contextlib.asynccontextmanager
-    async def send(self, request, server, plan, resume_after):
+    async def send(self, request, server, plan, resume_after, lease=None):
         """
         Send a request and yield the Attempt; close its connection on errors.
 
-        Raise BackendError (not run) if the server is unreachable or leaving.
+        `lease` is that of the slot. Raise BackendError (not run) if the server
+        is unreachable or leaving, or if the lease does not let a request go to
+        a server that named a limit.
         """
         context = self._context
         try:
@@ -139,18 +160,10 @@
                 context.reachability.record_unreachable(server, error)
             raise
         now = context.clock.monotonic()
-        if not context.servers.is_usable(server, now):
-            # The server announced that it leaves, or was removed, while the
-            # body was read or the connection was opened.
-            plan.record_unreachable(server.incarnation)
+        error = self._find_obstacle(server, plan, lease, now)
+        if error is not None:
             context.pool.release(server, connection)
-            raise BackendError(
-                "server is leaving",
-                code="server_left",
-                step="connect",
-                peer=server.server_id,
-                execution=Execution.NOT_RUN,
-            )
+            raise error
         headers = context.dialect.build_backend_headers(
             request, server.server_id, plan.remaining_s(now), resume_after
         )
@@ -183,6 +196,16 @@
                 connection.abort()
 
 
+def _not_sent(server, message, code):
+    return BackendError(
+        message,
+        code=code,
+        step="connect",
+        peer=server.server_id,
+        execution=Execution.NOT_RUN,
+    )
+
+
 def _encode_head(request, headers):
     line = f"{request.method} {request.target} HTTP/1.1"
     lines = [line.encode("utf-8", "surrogateescape")]
--- a/galenascale/gateway/forwarding.py
+++ b/galenascale/gateway/forwarding.py
@@ -100,7 +100,11 @@
             # It may have waited for the slot.
             self._raise_if_blocked(self._now())
             async with self._dispatcher.send(
-                self._request, selected.server, self._plan, self._sequence.last_id
+                self._request,
+                selected.server,
+                self._plan,
+                self._sequence.last_id,
+                selected.lease,
             ) as attempt:
                 unanswered = self._context.unanswered
                 with unanswered.watch(attempt.connection, self._part_keys):
@@ -149,6 +153,9 @@
         now = self._now()
         context = self._context
         retry_after_s = context.admission.refuse(self._content_key, self._plan, now)
+        if refused.limited:
+            # The owner knows when there is room.
+            retry_after_s = refused.wait_s
         context.load.mark_changed()
         reason = f"queues are too long, {refused}"
         return self._plan.make_error(reason, now, retry_after_s)
--- a/galenascale/gateway/jobs/item_runs.py
+++ b/galenascale/gateway/jobs/item_runs.py
@@ -185,7 +185,7 @@
     )
     try:
         async with dispatcher.send(
-            request, server, plan, item.last_event_id
+            request, server, plan, item.last_event_id, item.lease
         ) as attempt:
             return await _read_response(context, item, attempt, request.part_keys)
     except BackendError as error:
--- a/galenascale/gateway/metrics.py
+++ b/galenascale/gateway/metrics.py
@@ -45,6 +45,11 @@
             "Limits on request rates that servers began, changed or ceased to name.",
             ("change",),
         )
+        self.limited_requests = self._counter(
+            "limited_requests",
+            "Requests and items that limits of servers affected, by how.",
+            ("effect",),
+        )
         self._tenant_labels = set()
         self.items = self._counter("items", "Runs of items by outcome.", ("outcome",))
         self.first_part_seconds = self._histogram(
--- a/galenascale/gateway/ownership.py
+++ b/galenascale/gateway/ownership.py
@@ -22,6 +22,17 @@
     is_responsive: bool = True
 
 
+@attrs.frozen
+class Standing:
+    """How sure a host can be that it alone owns an object."""
+
+    # Hosts that rank before it and are heard.
+    responsive_ahead: int
+    # Hosts that this host speaks for, of those known.
+    reached: int
+    known: int
+
+
 class Ownership:
     """Owners of named objects, each among the hosts of a failure domain."""
 
@@ -32,6 +43,8 @@
         self._ranked_addresses_by_object = {}
         # Addresses from which no messages arrived recently.
         self._unresponsive = frozenset()
+        # Hosts heard of within a longer time, this one included.
+        self._known_count = 1
         # Ends of suspicion in monotonic seconds, by address.
         self._suspected_until = {}
 
@@ -50,8 +63,13 @@
         """Return the number of hosts, this one included."""
         return len(self._hosts)
 
-    def set_hosts(self, others):
-        """Set the other OwnerCandidates; return True if they changed."""
+    def set_hosts(self, others, known_count=0):
+        """
+        Set the other OwnerCandidates; return True if they changed.
+
+        `known_count` counts the hosts heard of within a longer time, too.
+        """
+        self._known_count = max(known_count, len(others) + 1)
         self._unresponsive = {host.address for host in others if not host.is_responsive}
         hosts = (
             *(attrs.evolve(host, is_responsive=True) for host in others),
@@ -107,6 +125,25 @@
         first = self._ranked_addresses(name, failure_domain)[0]
         return address != first and address == self.owner(name, failure_domain, now)
 
+    def standing(self, name, failure_domain, asking_hosts):
+        """
+        Return this host's Standing as owner of an object.
+
+        An owner speaks for all hosts that it hears. One in place of hosts that
+        are silent speaks for the `asking_hosts` of the failure domain, as the
+        others may ask a host that only this one does not hear.
+        """
+        addresses = self._ranked_addresses(name, failure_domain)
+        rank = len(addresses)
+        if self.own_address in addresses:
+            rank = addresses.index(self.own_address)
+        ahead = [host for host in addresses[:rank] if host not in self._unresponsive]
+        if rank:
+            reached = min(asking_hosts, len(addresses))
+            return Standing(len(ahead), reached, len(addresses))
+        reached = len(self._hosts) - len(self._unresponsive)
+        return Standing(0, reached, self._known_count)
+
     def suspect(self, address, now):
         """Replace a host as owner for SUSPICION_S, as it gave no answer."""
         if address != self._own_host.address:
--- a/galenascale/gateway/peers.py
+++ b/galenascale/gateway/peers.py
@@ -4,7 +4,7 @@
 
 from galenascale.codec import decode, encode
 from galenascale.errors import DecodeError
-from galenascale.gateway import suspect_exchange
+from galenascale.gateway import limit_exchange, suspect_exchange
 from galenascale.gateway.gossip import StatusRouter
 from galenascale.gateway.load import InFlightCounts
 from galenascale.gateway.ownership import OwnerCandidate
@@ -99,6 +99,7 @@
         self._admission.add_remote_refusals(status.refused, now)
         self._crashes.set_remote_crashes(status.host_id, status.crashed, now)
         suspect_exchange.apply_status(self._context, status, now)
+        limit_exchange.apply_status(self._context, status, now)
         self._merge_leaving_servers(status, now)
         self._load.set_peer_report(status.host_id, in_flight, now)
         if status.host_id not in self._live_host_ids:
@@ -138,7 +139,8 @@
             )
             for peer in peers
         ]
-        if self._context.ownership.set_hosts(candidates):
+        known_count = self.table.known_count(self._clock.monotonic())
+        if self._context.ownership.set_hosts(candidates, known_count + 1):
             self._context.slots.on_owners_changed()
             self._context.rates.on_owners_changed()
 
@@ -227,6 +229,9 @@
             **suspect_exchange.status_fields(
                 self._context.suspects, self._clock.monotonic()
             ),
+            **limit_exchange.status_fields(
+                self._context.limits, self._clock.monotonic()
+            ),
         )
 
     def _in_flight(self):
--- a/galenascale/gateway/server_selection.py
+++ b/galenascale/gateway/server_selection.py
@@ -19,6 +19,9 @@
 # that it is queued at a server, so that it does not time out without being
 # served.
 MAX_WAIT_FRACTION = 0.5
+# Owners that are asked about servers with limits: the regular one and, if it
+# is silent, a substitute.
+MAX_OWNERS = 2
 
 
 @attrs.define
@@ -67,9 +70,10 @@
 
         Raise SlotRefused if the caller should retry later.
         """
-        if route.kind is RequestKind.STREAMING:
-            for service in services:
-                selected = await self._acquire_slot(service, plan, content_key)
+        for service in services:
+            limited = self._has_limited_server(service, plan)
+            if route.kind is RequestKind.STREAMING or limited:
+                selected = await self._acquire_slot(service, plan, content_key, limited)
                 if selected is not None:
                     return selected
         candidate = self._dispatcher.choose_server(plan, services)
@@ -84,8 +88,23 @@
             self._context.metrics.slots.labels("own_choice").inc()
         return SelectedServer(candidate, self._context.clock.monotonic(), lease)
 
-    async def _acquire_slot(self, service, plan, content_key):
-        """Return a SelectedServer with a granted slot, or None."""
+    def _has_limited_server(self, service, plan):
+        """Return True if a server that may be tried has named a limit."""
+        limits = self._context.limits
+        if not limits:
+            return False
+        now = self._context.clock.monotonic()
+        return any(
+            limits.rate_of(entry) is not None and not plan.excludes(entry.incarnation)
+            for entry in self._context.servers.usable(service, now)
+        )
+
+    async def _acquire_slot(self, service, plan, content_key, limited):
+        """
+        Return a SelectedServer with a granted slot, or None.
+
+        `limited` says that servers named limits; this host cannot choose them.
+        """
         context = self._context
         now = context.clock.monotonic()
         entries = context.servers.usable(service, now)
@@ -93,14 +112,19 @@
             # Servers that refused the request are retried after a backoff.
             return None
         admission = context.admission
-        lease = await context.slots.client.acquire(
-            service,
-            now + plan.remaining_s(now) * MAX_WAIT_FRACTION,
-            start_by=admission.start_by(plan, service),
-            avoid=self._excluded_server_keys(entries, plan),
-            returned=admission.was_refused(content_key, now),
-            refusable=admission.may_refuse(plan, now),
-        )
+        give_up_at = now + plan.remaining_s(now) * MAX_WAIT_FRACTION
+        lease = None
+        for _ in range(MAX_OWNERS if limited else 1):
+            lease = await context.slots.client.acquire(
+                service,
+                give_up_at,
+                start_by=admission.start_by(plan, service),
+                avoid=self._excluded_server_keys(entries, plan),
+                returned=admission.was_refused(content_key, now),
+                refusable=not plan.runs if limited else admission.may_refuse(plan, now),
+            )
+            if lease is not None or context.clock.monotonic() >= give_up_at:
+                break
         if lease is None:
             return None
         after = context.clock.monotonic()
@@ -130,16 +154,21 @@
         try:
             yield
         except BackendError as error:
-            unreachable = error.step == "connect" and error.code != "server_left"
-            selected.outcome = (
-                SlotOutcome.UNREACHABLE if unreachable else SlotOutcome.FAILED
-            )
+            selected.outcome = _failure_outcome(error)
             raise
         finally:
             if selected.lease is not None:
                 self._context.slots.client.release(selected.lease, selected.outcome)
 
 
+def _failure_outcome(error):
+    if error.code == "server_limited":
+        return SlotOutcome.UNUSED
+    if error.step == "connect" and error.code != "server_left":
+        return SlotOutcome.UNREACHABLE
+    return SlotOutcome.FAILED
+
+
 def service_order(route, rng):
     """Return the services of a route, a weighted random one first."""
     splits = [split for split in route.splits if split.weight > 0]
--- a/galenascale/gateway/slots/client.py
+++ b/galenascale/gateway/slots/client.py
@@ -4,7 +4,9 @@
 import itertools
 
 from galenascale.gateway.load import hash_key
+from galenascale.gateway.slots.acquisition import SlotAcquisition
 from galenascale.gateway.slots.leases import (
+    PACED_GRANT_TTL_S,
     RENEWAL_INTERVAL_S,
     Lease,
     PendingRequest,
@@ -14,10 +16,6 @@
 from galenascale.gateway.slots.wait_queue import SlotRequest
 from galenascale.generated.gateway_messages import SlotMessageKind, SlotOutcome
 
-# Seconds in which an owner answers; it is one hop away and decides at once. A
-# message may be lost, so a request is sent twice.
-ANSWER_TIMEOUT_S = 0.025
-ANSWER_ATTEMPTS = 2
 # Number of renewal intervals without a message from the owner after which a
 # pending request is given up.
 MAX_MISSED_RENEWALS = 3.0
@@ -68,50 +66,14 @@
         Wait for the slot until the monotonic time `give_up_at`, in seconds.
         None means that this time has passed or that no owner decides. `fields`
         are those of the SlotRequest. Raise SlotRefused if the request is
-        `refusable` and would start too late.
+        `refusable` and would start too late, or if the limits of all servers
+        let it start only after `give_up_at`.
         """
-        future = asyncio.get_running_loop().create_future()
-        pending = self.submit(
-            service, lambda result: self._deliver_result(future, result), **fields
-        )
-        if pending is None:
-            return None
-        result = None
-        try:
-            if await self._wait_for_answer(pending):
-                async with asyncio.timeout(max(0.0, give_up_at - self._now())):
-                    result = await future
-        except TimeoutError:
-            return None
-        finally:
-            self.cancel(pending)
-            if result is None and future.done() and not future.cancelled():
-                # The slot was granted while the wait was being cancelled.
-                self._release_unused(future.result())
-        if isinstance(result, SlotRefused):
-            raise result
-        return result
-
-    def _deliver_result(self, future, result):
-        """Set the result, or release the slot if nothing waits for it."""
-        if future.done():
-            self._release_unused(result)
-        else:
-            future.set_result(result)
-
-    def _release_unused(self, result):
-        if isinstance(result, Lease):
-            self.release(result, SlotOutcome.UNUSED)
-
-    async def _wait_for_answer(self, pending):
-        """Return True if an owner answers; repeat the request once."""
-        for number in range(ANSWER_ATTEMPTS):
-            if number:
-                self._send_request(pending)
-            if await pending.wait_for_answer(ANSWER_TIMEOUT_S):
-                return True
-        self._suspect_owner(pending.owner, "no answer")
-        return False
+        if self._context.limits:
+            fields["give_up_at"] = give_up_at
+        loop_time = asyncio.get_running_loop().time()
+        give_up_at += loop_time - self._now()
+        return await SlotAcquisition(self).run(service, give_up_at, **fields)
 
     def submit(self, service, on_result, **fields):
         """
@@ -127,10 +89,11 @@
         request = SlotRequest(host="", number=next(self._numbers), **fields)
         pending = PendingRequest(request, pool, self._owner(pool), now, now, on_result)
         self._pending_by_number[request.number] = pending
-        self._send_request(pending)
+        self.repeat(pending)
         return pending
 
-    def _send_request(self, pending):
+    def repeat(self, pending):
+        """Send a pending request, again if its message may be lost."""
         now = self._now()
         pending.sent_at = now
         self._notify(
@@ -147,7 +110,7 @@
         if self._pending_by_number.pop(number, None) is not None:
             self._notify(pending.owner, pending.pool, make_ended(pending.pool, number))
 
-    def _suspect_owner(self, owner, reason):
+    def suspect_owner(self, owner, reason):
         """Use the next host as owner, and renew the held slots there."""
         now = self._now()
         self._pool_map.suspect(owner, now)
@@ -210,6 +173,11 @@
             lease.confirmed_at = now
             lease.owner = address
             return
+        if self._is_late(message, now):
+            # The window that it was counted in has passed. The request is
+            # still pending and is repeated.
+            self._end_unless_held(message, pool, address)
+            return
         pending = self._complete(message, pool, address, now)
         if pending is None:
             self._end_unless_held(message, pool, address)
@@ -223,10 +191,20 @@
             request.start_by,
             confirmed_at=now,
             owner=address,
+            paced_at=now if message.paced else None,
         )
         self._leases_by_number[lease.number] = lease
         pending.on_result(lease)
 
+    def _is_late(self, message, now):
+        """Return True for a paced grant that waited for this host to run."""
+        pending = self._pending_by_number.get(message.run)
+        return (
+            message.paced
+            and pending is not None
+            and now - pending.sent_at > pending.interval_s + PACED_GRANT_TTL_S
+        )
+
     def _end_unless_held(self, message, pool, address):
         """End a run that an owner counts but that has no lease here."""
         if message.run not in self._leases_by_number and pool is not None:
@@ -241,12 +219,12 @@
     def _on_refused(self, message, pool, address, now):
         pending = self._complete(message, pool, address, now)
         if pending is not None:
-            pending.on_result(SlotRefused(message.wait_ms / 1000))
+            pending.on_result(SlotRefused(message.wait_ms / 1000, message.paced))
 
     def _on_unknown_pool(self, message, pool, address, now):
         pending = self._complete(message, pool, address, now)
         if pending is not None:
-            self._suspect_owner(address, "owner has no server of the pool")
+            self.suspect_owner(address, "owner has no server of the pool")
             pending.on_result(None)
 
     def _on_make_room(self, message, pool, address, now):
@@ -263,11 +241,11 @@
             self._notify(owner, pool, message)
         for pending in list(self._pending_by_number.values()):
             if now - pending.confirmed_at > MAX_MISSED_RENEWALS * pending.interval_s:
-                self._suspect_owner(pending.owner, "no message about a queued request")
+                self.suspect_owner(pending.owner, "no message about a queued request")
                 del self._pending_by_number[pending.request.number]
                 pending.on_result(None)
             elif now - pending.sent_at >= pending.interval_s:
-                self._send_request(pending)
+                self.repeat(pending)
         if now - self._leases_renewed_at >= RENEWAL_INTERVAL_S:
             self.renew_leases(now)
 
@@ -277,7 +255,7 @@
         leases = list(self._leases_by_number.values())
         stale = [lease for lease in leases if now - lease.confirmed_at > HOLD_TIMEOUT_S]
         for owner in {lease.owner or self._owner(lease.pool) for lease in stale}:
-            self._suspect_owner(owner, "no confirmation of a held slot")
+            self.suspect_owner(owner, "no confirmation of a held slot")
         for lease in stale:
             lease.owner = None
             lease.confirmed_at = now
--- a/galenascale/gateway/slots/decisions.py
+++ b/galenascale/gateway/slots/decisions.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from galenascale.gateway.slots.pace import Pace
 from galenascale.gateway.slots.wait_queue import SlotRequest
 
 
@@ -15,6 +16,8 @@
     quality: float = 1.0
     # Requests and items at the server, according to the hosts' load reports.
     reported_runs: int = 0
+    # Pace at which this host may grant it; None unless it named a limit.
+    pace: Pace | None = None
 
 
 @attrs.define
@@ -26,6 +29,10 @@
     free_for_batch: int
     # Slots of items that can be preempted.
     preemptible: int
+    # Forecast seconds until one more online request starts, and how many start
+    # a second; the rate is 0 if unknown.
+    wait_s: float = 0.0
+    starts_per_s: float = 0.0
     # Monotonic time in seconds at which the report arrived.
     received_at: float = 0.0
 
@@ -36,6 +43,10 @@
 
     request: SlotRequest
     server_key: int
+    # Whether the server named a limit, which the run was counted against.
+    paced: bool = False
+    # Whether another server had free slots that its limit kept idle.
+    passed_over: bool = False
 
 
 @attrs.frozen
@@ -45,6 +56,8 @@
     request: SlotRequest
     # Forecast wait in seconds.
     wait_s: float
+    # Whether a limit keeps free slots idle.
+    limited: bool = False
 
 
 @attrs.frozen
@@ -54,6 +67,8 @@
     request: SlotRequest
     # Forecast wait in seconds.
     wait_s: float
+    # Whether all servers named limits.
+    limited: bool = False
 
 
 @attrs.frozen
@@ -81,3 +96,15 @@
 
     host: str
     number: int
+
+
+def limit_effect(decision):
+    """Return how limits of servers affected a request, or None."""
+    match decision:
+        case Grant(passed_over=True):
+            return "elsewhere"
+        case Queued(limited=True):
+            return "waited"
+        case Refused(limited=True):
+            return "refused"
+    return None
--- a/galenascale/gateway/slots/leases.py
+++ b/galenascale/gateway/slots/leases.py
@@ -11,14 +11,23 @@
 # was not renewed within the lease time.
 ONLINE_RENEWAL_INTERVAL_S = 0.1
 RENEWAL_INTERVAL_S = 0.7
+# Seconds after a grant in which a request goes to a server that named a limit;
+# later it would count in a window in which others were granted.
+PACED_GRANT_TTL_S = 0.5
 
 
 class SlotRefused(Exception):  # noqa: N818
-    """The owner refused, as it forecasts a wait of `wait_s` seconds."""
+    """
+    The owner refused, as it forecasts a wait of `wait_s` seconds.
 
-    def __init__(self, wait_s):
-        super().__init__(f"wait of {wait_s:.3f} s for a slot")
+    `limited` says that the limits of all servers are the reason.
+    """
+
+    def __init__(self, wait_s, limited=False):
+        cause = " as all servers named limits" if limited else ""
+        super().__init__(f"wait of {wait_s:.3f} s for a slot{cause}")
         self.wait_s = wait_s
+        self.limited = limited
 
 
 @attrs.define(eq=False)
@@ -35,6 +44,9 @@
     confirmed_at: float
     # Address of the host that counts the slot as used; None if unknown.
     owner: str | None = None
+    # Monotonic time in seconds at which the grant that the owner counted
+    # against the limit of the server arrived; None if it counted none.
+    paced_at: float | None = None
     # Called with the lease if the owner needs the slot for an online request.
     on_preempt: object = None
 
@@ -69,3 +81,10 @@
         except TimeoutError:
             return False
         return True
+
+
+def is_paced(lease, now):
+    """Return True while a lease allows a send to a server with a limit."""
+    if lease is None or lease.paced_at is None:
+        return False
+    return now - lease.paced_at <= PACED_GRANT_TTL_S
--- a/galenascale/gateway/slots/messages.py
+++ b/galenascale/gateway/slots/messages.py
@@ -1,5 +1,7 @@
 """Construction of the messages about slots between hosts."""
 
+import math
+
 from galenascale.gateway.slots.decisions import Grant, Refused
 from galenascale.generated.gateway_messages import SlotMessage, SlotMessageKind
 
@@ -26,9 +28,16 @@
         returned=request.returned,
         refusable=request.refusable,
         forwarded=request.forwarded,
+        give_up_ms=_give_up_ms(request, now),
     )
 
 
+def _give_up_ms(request, now):
+    if math.isinf(request.give_up_at):
+        return 0
+    return max(1, to_milliseconds(request.give_up_at - now))
+
+
 def make_hold(lease, now):
     """Return the message that renews a held slot."""
     return SlotMessage(
@@ -68,6 +77,7 @@
             pool=pool.key,
             run=run,
             server=decision.server_key,
+            paced=decision.paced,
         )
     refused = isinstance(decision, Refused)
     return SlotMessage(
@@ -75,6 +85,7 @@
         pool=pool.key,
         run=run,
         wait_ms=to_milliseconds(decision.wait_s),
+        paced=refused and decision.limited,
     )
 
 
@@ -87,4 +98,6 @@
         free=free_slots.free,
         free_for_batch=free_slots.free_for_batch,
         batch_runs=free_slots.preemptible,
+        wait_ms=to_milliseconds(free_slots.wait_s),
+        millistarts_per_s=to_milliseconds(free_slots.starts_per_s),
     )
--- a/galenascale/gateway/slots/owner.py
+++ b/galenascale/gateway/slots/owner.py
@@ -1,17 +1,18 @@
 """Serving of slot requests for the pools that this host owns."""
 
+import math
+
 import attrs
 
-from galenascale.gateway.load import hash_key
 from galenascale.gateway.servers import find_by_key
 from galenascale.gateway.slots.decisions import (
     Forwarded,
     FreeSlots,
     Grant,
-    PoolServer,
     Preempted,
     Queued,
     Refused,
+    limit_effect,
 )
 from galenascale.gateway.slots.messages import (
     make_answer,
@@ -19,7 +20,9 @@
     make_free_slots,
     make_hold_ack,
 )
+from galenascale.gateway.slots.pace import LimitPart
 from galenascale.gateway.slots.pool import LEASE_S, SlotPool
+from galenascale.gateway.slots.pool_servers import grantable_servers
 from galenascale.gateway.slots.runs import Run
 from galenascale.gateway.slots.wait_queue import SlotRequest
 from galenascale.generated.gateway_messages import (
@@ -137,6 +140,7 @@
             returned=message.returned,
             refusable=message.refusable,
             forwarded=message.forwarded,
+            give_up_at=now + (message.give_up_ms / 1000 or math.inf),
         )
         return slots.submit(request, now)
 
@@ -153,7 +157,12 @@
         )
         # Confirms to the host that this owner counts the run.
         self._send(host, make_hold_ack(message))
-        return slots.record_run(run, now)
+        is_new = not self._is_learning(message.pool, now)
+        return slots.record_run(run, now, new=is_new)
+
+    def _is_learning(self, pool_key, now):
+        """Return True while hosts may name runs that others granted."""
+        return now < self._owned_by_key[pool_key].learning_until
 
     def _on_ended(self, message, address, slots, now):
         host = message.host or address
@@ -179,11 +188,18 @@
 
     def _on_spare(self, message, address, slots, now):
         self._reporters_by_pool[message.from_pool] = (address, now)
-        free_slots = FreeSlots(message.free, message.free_for_batch, message.batch_runs)
+        free_slots = FreeSlots(
+            message.free,
+            message.free_for_batch,
+            message.batch_runs,
+            message.wait_ms / 1000,
+            message.millistarts_per_s / 1000,
+        )
         return slots.update_free_slots(message.from_pool, free_slots, now)
 
     def _send_decisions(self, pool, decisions, now):
         for decision in decisions:
+            self._count_limited(decision)
             match decision:
                 case Forwarded():
                     self._forward(decision, now)
@@ -197,6 +213,11 @@
                 case Grant() | Queued() | Refused():
                     self._send(decision.request.host, make_answer(pool, decision))
 
+    def _count_limited(self, decision):
+        effect = limit_effect(decision)
+        if effect is not None:
+            self._context.metrics.limited_requests.labels(effect).inc()
+
     def _forward(self, decision, now):
         pool = self._pool_map.pool_by_key(decision.pool_key)
         if pool is None:
@@ -249,33 +270,21 @@
 
     def _refresh(self, pool, owned, now):
         context = self._context
-        entries = [
-            entry
-            for entry in context.servers.usable(pool.service, now)
-            if pool.contains(entry)
-        ]
-        reachable = [
-            entry
-            for entry in entries
-            if not context.health.is_unreachable(entry.incarnation)
-        ]
+        part = self._own_part(pool, owned) if context.limits else LimitPart()
         learning = now < owned.learning_until
         owned.slots.set_servers(
-            [
-                PoolServer(
-                    key=hash_key(entry.server_id),
-                    slots=entry.slots,
-                    quality=context.health.quality(entry.incarnation, now),
-                    reported_runs=context.load.total_at(entry.server_id).total
-                    if learning
-                    else 0,
-                )
-                for entry in reachable
-            ]
+            grantable_servers(context, pool, part, now, learning=learning)
         )
 
+    def _own_part(self, pool, owned):
+        """Return the LimitPart of servers that this host may grant."""
+        hosts = owned.slots.host_count()
+        return LimitPart.from_standing(self._pool_map.standing(pool, hosts))
+
     def _report_free_slots(self, pool, owned, now):
         free_slots = owned.slots.free_slots()
+        if self._context.limits:
+            owned.slots.add_forecast(free_slots)
         if (
             free_slots == owned.reported_free_slots
             and now - owned.reported_at < FREE_SLOTS_REPEAT_S
--- a/galenascale/gateway/slots/pool.py
+++ b/galenascale/gateway/slots/pool.py
@@ -7,10 +7,10 @@
 requests do not need. It returns its decisions; the caller sends them.
 """
 
+import itertools
 import math
 
 from galenascale.gateway.slots.decisions import (
-    Forwarded,
     FreeSlots,
     Grant,
     Preempted,
@@ -19,69 +19,85 @@
     Refused,
 )
 from galenascale.gateway.slots.runs import Run, RunTable
+from galenascale.gateway.slots.server_slots import ServerSlots
+from galenascale.gateway.slots.sibling_pools import SiblingPools
 from galenascale.gateway.slots.wait_queue import WaitQueue
 
 # Seconds after which a run or a request is dropped unless its host renews it;
 # hosts send several renewals within this time.
 LEASE_S = 2.5
-# Seconds for which a server that refused a run gets no other one: it has more
-# runs than the pool knows of.
-REFUSAL_PAUSE_S = 0.1
 # Seconds after which the preemption of an item that still runs is repeated.
 PREEMPT_RETRY_S = 0.1
 # Weight of the newest run in the moving average of the run time, and number of
 # runs before which no wait is forecast.
 RUN_TIME_WEIGHT = 0.05
 MIN_RUNS_FOR_FORECAST = 20
-# Seconds after which another pool's report of its free slots is dropped.
-FREE_SLOTS_MAX_AGE_S = 0.7
-# Weight of the random term that chooses between equally free servers.
-JITTER = 1e-3
 
 
 class SlotPool:
     """Allocates the slots of a pool's servers to requests and items."""
 
     def __init__(self, rng):
-        self._rng = rng
-        self._servers_by_key = {}
         self._runs = RunTable()
+        self._servers = ServerSlots(rng, self._runs)
         self._online_queue = WaitQueue()
         self._batch_queue = WaitQueue()
-        self._refused_until_by_server = {}
-        self._free_slots_by_pool = {}
+        self._siblings = SiblingPools()
         self._mean_run_s = 0.0
         self._completed = 0
 
     def set_servers(self, servers):
         """Set the PoolServers that may be granted."""
-        self._servers_by_key = {server.key: server for server in servers}
+        self._servers.set(servers)
 
     @property
     def has_servers(self):
         """Return True if there is a server to grant."""
-        return bool(self._servers_by_key)
+        return bool(self._servers)
 
     @property
     def in_use(self):
         """Return True if the pool has runs or waiting requests."""
         return bool(self._runs or self._online_queue or self._batch_queue)
 
+    def host_count(self):
+        """Return the number of hosts with runs or waiting requests."""
+        return len({entry.host for entry in self._entries()})
+
+    def _entries(self):
+        return itertools.chain(self._runs, self._online_queue, self._batch_queue)
+
     def free_slots(self):
         """Return the FreeSlots to report to other pools."""
-        free = max(0, self._free_slot_count() - len(self._online_queue))
+        free = max(0, self._servers.startable_count() - len(self._online_queue))
         return FreeSlots(
             free=free,
             free_for_batch=max(0, free - self.reserve()),
-            preemptible=len(self._runs.preemptible()),
+            preemptible=sum(
+                self._servers.has_tokens(run.server_key)
+                for run in self._runs.preemptible()
+            ),
         )
 
+    def add_forecast(self, free_slots):
+        """Set the forecast wait in FreeSlots, as far as it is known."""
+        mean_run_s = self._known_mean_run_s()
+        starts_per_s = self._servers.starts_per_s(mean_run_s)
+        if math.isfinite(starts_per_s):
+            free_slots.starts_per_s = round(starts_per_s, 1)
+            ahead = len(self._online_queue) + 1
+            free_slots.wait_s = round(self._servers.wait_s(ahead, mean_run_s), 2)
+
+    def _known_mean_run_s(self):
+        """Return the mean run time in seconds, 0 after too few runs."""
+        return self._mean_run_s if self._completed >= MIN_RUNS_FOR_FORECAST else 0.0
+
     def pressure(self):
         """Return the Pressure while a request waits, else None."""
         if not (self._online_queue or self._batch_queue):
             return None
         return Pressure(
-            slots=sum(server.slots for server in self._servers_by_key.values()),
+            slots=self._servers.slots,
             online=self._runs.online,
             batch=self._runs.batch,
             waiting_online=len(self._online_queue),
@@ -90,8 +106,7 @@
 
     def update_free_slots(self, pool_key, free_slots, now):
         """Store another pool's free slots; return the decisions."""
-        free_slots.received_at = now
-        self._free_slots_by_pool[pool_key] = free_slots
+        self._siblings.update(pool_key, free_slots, now)
         return self._schedule(now)
 
     def submit(self, request, now):
@@ -101,7 +116,7 @@
         if run is not None:
             # The grant was lost, or the request came twice.
             run.seen_at = now
-            return [Grant(request, run.server_key)]
+            return [Grant(request, run.server_key, run.paced)]
         queue = self._batch_queue if request.batch else self._online_queue
         queue.add(request)
         decisions = self._schedule(now)
@@ -111,30 +126,35 @@
 
     def _queue_or_refuse(self, request, queue, now):
         wait_s = self._forecast_wait_s(request, queue, now)
-        if (
-            request.refusable
-            and not request.returned
-            and now + wait_s > request.start_by
-        ):
+        limited = self._servers.all_limited
+        starts_at = now + wait_s
+        refusable = request.refusable and not request.returned
+        is_late = refusable and starts_at > request.start_by
+        if is_late or (limited and starts_at > request.give_up_at):
             queue.remove(request.run_id)
-            return Refused(request, wait_s)
-        return Queued(request, wait_s)
+            return Refused(request, wait_s, limited)
+        return Queued(request, wait_s, self._servers.is_held_back(request.avoid))
 
     def _forecast_wait_s(self, request, queue, now):
         """Return the forecast wait for a slot in seconds."""
-        slots = sum(server.slots for server in self._servers_by_key.values())
-        if self._completed < MIN_RUNS_FOR_FORECAST or not slots:
-            return 0.0
-        return (queue.count_ahead(request, now) + 1) * self._mean_run_s / slots
+        ahead = queue.count_ahead(request, now) + 1
+        return self._servers.wait_s(ahead, self._known_mean_run_s())
+
+    def record_run(self, run, now, *, new=True):
+        """
+        Add or renew a host's run; return the items preempted for it.
 
-    def record_run(self, run, now):
-        """Add or renew a host's run; return the items preempted for it."""
+        `new` says that a run which the pool does not know has just been sent,
+        and not before this host owned the pool.
+        """
         self._online_queue.remove(run.run_id)
         self._batch_queue.remove(run.run_id)
         known = self._runs.get(run.run_id)
         if known is None:
             run.seen_at = now
             self._runs.add(run)
+            if new:
+                self._servers.spend(run.server_key)
         else:
             known.seen_at = now
         return self._preempt_excess_items(run.server_key, now)
@@ -147,7 +167,7 @@
             return self._schedule(now) if queued else []
         self._runs.remove(run)
         if refused:
-            self._refused_until_by_server[run.server_key] = now + REFUSAL_PAUSE_S
+            self._servers.pause(run.server_key, now)
         elif not run.batch:
             self._record_run_time(now - run.started_at)
         return self._schedule(now)
@@ -163,9 +183,7 @@
         self._runs.expire(now - LEASE_S)
         self._online_queue.expire(now - LEASE_S)
         self._batch_queue.expire(now - LEASE_S)
-        for pool_key, free_slots in list(self._free_slots_by_pool.items()):
-            if now - free_slots.received_at > FREE_SLOTS_MAX_AGE_S:
-                del self._free_slots_by_pool[pool_key]
+        self._siblings.expire(now)
         preemptions = [
             self._preempt(run, now)
             for run in self._runs
@@ -181,36 +199,19 @@
         """
         return math.ceil(math.sqrt(self._runs.online + 1))
 
-    def _free_on(self, server):
-        return server.slots - max(
-            server.reported_runs, self._runs.counts_at(server.key).total
-        )
-
-    def _free_slot_count(self):
-        servers = self._servers_by_key.values()
-        return sum(max(0, self._free_on(server)) for server in servers)
-
-    def _best_server(self, avoid, now):
-        """Return the server with the best free share and quality, or None."""
-        best = None
-        best_score = 0.0
-        for server in self._servers_by_key.values():
-            free = self._free_on(server)
-            if free <= 0 or server.key in avoid:
-                continue
-            if now < self._refused_until_by_server.get(server.key, now):
-                continue
-            score = free / server.slots * server.quality + JITTER * self._rng.random()
-            if score > best_score:
-                best, best_score = server, score
-        return best
-
     def _schedule(self, now):
         """Return the decisions on requests that need not wait any longer."""
+        self._servers.refill(now)
         decisions = []
+        ahead = 0
         for request in self._online_queue.in_order(now):
+            ahead += 1
             new_decisions = self._place_online(request, now)
+            if not new_decisions and self._servers.has_limits:
+                wait_s = self._servers.wait_s(ahead, self._known_mean_run_s())
+                new_decisions = self._siblings.forward_if_sooner(request, wait_s)
             if new_decisions:
+                ahead -= 1
                 self._online_queue.remove(request.run_id)
                 decisions += new_decisions
         if self._online_queue:
@@ -223,10 +224,10 @@
         return decisions
 
     def _place_online(self, request, now):
-        server = self._best_server(request.avoid, now)
+        server = self._servers.best(request.avoid, now)
         if server is not None:
             return [self._grant(request, server.key, now)]
-        forwarded = self._forward(request, lambda free_slots: free_slots.free)
+        forwarded = self._siblings.forward(request, lambda free_slots: free_slots.free)
         if forwarded:
             return forwarded
         item = self._item_to_preempt(request.avoid)
@@ -235,57 +236,48 @@
                 self._preempt(item, now),
                 self._grant(request, item.server_key, now),
             ]
-        if self._servers_by_key.keys() <= request.avoid:
-            return self._forward(request, lambda free_slots: 1)
-        return self._forward(request, lambda free_slots: free_slots.preemptible)
+        if self._servers.are_within(request.avoid):
+            return self._siblings.forward(request, lambda free_slots: 1)
+        return self._siblings.forward(
+            request, lambda free_slots: free_slots.preemptible
+        )
 
     def _place_batch(self, request, now):
-        if self._free_slot_count() > self.reserve():
-            server = self._best_server(request.avoid, now)
+        if self._servers.free_count() > self.reserve():
+            server = self._servers.best(request.avoid, now, batch=True)
             if server is not None:
                 return [self._grant(request, server.key, now)]
-        return self._forward(request, lambda free_slots: free_slots.free_for_batch)
+        return self._siblings.forward(
+            request, lambda free_slots: free_slots.free_for_batch
+        )
 
     def _grant(self, request, server_key, now):
-        slack_s = request.start_by - now
-        self._runs.add(
-            Run(
-                request.host,
-                request.number,
-                server_key,
-                request.batch,
-                slack_s,
-                now,
-                now,
-            )
+        passed_over = self._servers.is_held_back(request.avoid)
+        run = Run(
+            request.host,
+            request.number,
+            server_key,
+            request.batch,
+            slack_s=request.start_by - now,
+            started_at=now,
+            seen_at=now,
+            paced=self._servers.spend(server_key),
         )
-        return Grant(request, server_key)
-
-    def _forward(self, request, count_of):
-        """Forward a request to the pool with the largest `count_of` slots."""
-        free_slots_by_pool = self._free_slots_by_pool
-        if request.forwarded or not free_slots_by_pool:
-            return []
-        key = max(free_slots_by_pool, key=lambda key: count_of(free_slots_by_pool[key]))
-        free_slots = free_slots_by_pool[key]
-        if count_of(free_slots) <= 0:
-            return []
-        if free_slots.free > 0:
-            free_slots.free -= 1
-            free_slots.free_for_batch -= 1
-        else:
-            free_slots.preemptible -= 1
-        return [Queued(request, 0.0), Forwarded(request, key)]
+        self._runs.add(run)
+        return Grant(request, server_key, run.paced, passed_over)
 
     def _item_to_preempt(self, avoid):
         for run in self._runs.preemptible():
-            if run.server_key in self._servers_by_key and run.server_key not in avoid:
+            key = run.server_key
+            if self._servers.get(key) is None or key in avoid:
+                continue
+            if self._servers.has_tokens(key):
                 return run
         return None
 
     def _preempt_excess_items(self, server_key, now):
         """Preempt items at a server that has more runs than slots."""
-        server = self._servers_by_key.get(server_key)
+        server = self._servers.get(server_key)
         count = self._runs.counts_at(server_key)
         if server is None or not count.batch or count.total <= server.slots:
             return []
--- a/galenascale/gateway/slots/pool_map.py
+++ b/galenascale/gateway/slots/pool_map.py
@@ -125,6 +125,11 @@
             pool.owner_name, pool.failure_domain, address, now
         )
 
+    def standing(self, pool, asking_hosts):
+        """Return this host's Standing as owner that some hosts ask."""
+        name, domain = pool.owner_name, pool.failure_domain
+        return self._ownership.standing(name, domain, asking_hosts)
+
     def suspect(self, address, now):
         """Replace a host as owner for a while, as it gave no answer."""
         self._ownership.suspect(address, now)
--- a/galenascale/gateway/slots/runs.py
+++ b/galenascale/gateway/slots/runs.py
@@ -18,6 +18,8 @@
     seen_at: float
     # When its host was last told to preempt the run.
     preempted_at: float | None = None
+    # Whether it was counted against the limit of its server.
+    paced: bool = False
 
     @property
     def run_id(self):
--- a/galenascale/gateway/slots/wait_queue.py
+++ b/galenascale/gateway/slots/wait_queue.py
@@ -21,6 +21,8 @@
     refusable: bool = False
     # Whether the owner of another pool forwarded the request.
     forwarded: bool = False
+    # Monotonic time in seconds at which its host stops waiting.
+    give_up_at: float = float("inf")
     # Monotonic time in seconds of the host's last message about the request.
     seen_at: float = 0.0
 
@@ -55,6 +57,9 @@
     def __len__(self):
         return len(self._by_run_id)
 
+    def __iter__(self):
+        return iter(self._by_run_id.values())
+
     def contains(self, request):
         """Return True if this request object is in the queue."""
         return self._by_run_id.get(request.run_id) is request
--- a/schema/gateway.thrift
+++ b/schema/gateway.thrift
@@ -175,6 +175,16 @@
   3: i32 evidence_age_ms = 0,
 }
 
+/** What an answer of a backend server said of the requests that it takes. */
+struct ServerLimitReport {
+  /** Key of the run of the server. */
+  1: i32 run = 0,
+  /** Thousandths of a request per second from all hosts together; -1 if the
+   * server ceased to name a limit. */
+  2: i32 millirequests_per_s = 0,
+  3: i32 age_ms = 0,
+}
+
 /** State that a host sends to all other hosts in datagrams. */
 struct HostStatus {
   1: i32 schema_version = 1,
@@ -207,6 +217,8 @@
   17: list<PartStart> started_parts,
   /** Parts that this host blocks, by its own decision or that of others. */
   18: list<PartBlock> blocked_parts,
+  /** Limits that servers named to this host lately, and ends of limits. */
+  19: list<ServerLimitReport> server_limits,
 }
 
 /** Kinds of messages between hosts about slots of backend servers. */
@@ -256,7 +268,8 @@
   5: i32 server = 0,
   6: bool batch = 0,
   /** ASK, HOLD: milliseconds left to start in time, negative if late.
-   * QUEUED, REFUSED: estimated milliseconds that the ASK will wait. */
+   * QUEUED, REFUSED: estimated milliseconds that the ASK will wait.
+   * SPARE: the same for one more ASK, if millistarts_per_s is stated. */
   7: i32 wait_ms = 0,
   /** ASK: hashes of the ids of servers to avoid. */
   8: list<i32> avoid,
@@ -279,6 +292,14 @@
   17: bool stand_in = 0,
   /** To an owner: it was forwarded by a host that does not own the pool. */
   18: bool redirected = 0,
+  /** GRANT: the server named a limit, which the run was counted against.
+   * REFUSED: the limits of all servers are the reason. */
+  19: bool paced = 0,
+  /** ASK: milliseconds until the host stops waiting; 0 if not stated. */
+  20: i32 give_up_ms = 0,
+  /** SPARE: thousandths of requests that start in the pool each second; 0 if
+   * unknown. */
+  21: i32 millistarts_per_s = 0,
 }
 
 /** Kinds of messages between hosts about the request rates of tenants. */
--- a/test/gateway/test_limited_servers.py
+++ b/test/gateway/test_limited_servers.py
@@ -8,8 +8,8 @@
 from test.gateway.fleet import gateway_fleet, until
 from test.gateway.test_jobs import submit
 
-# From the pages of the users: a window of WINDOW_S may hold OVERSHOOT times the
-# limit and SLACK requests more, from STABLE_S after it was first named.
+# On the pages of the users: from STABLE_S after a limit was first named, each
+# window of WINDOW_S may hold OVERSHOOT times the limit, and SLACK requests.
 WINDOW_S = 4.0
 OVERSHOOT = 1.5
 SLACK = 5
--- a/test/gateway/test_slot_hosts.py
+++ b/test/gateway/test_slot_hosts.py
@@ -11,8 +11,9 @@
 from galenascale.gateway.load import FleetLoad, hash_key
 from galenascale.gateway.metrics import GatewayMetrics
 from galenascale.gateway.ownership import SUSPICION_S, OwnerCandidate, Ownership
+from galenascale.gateway.server_limits import ServerLimits
 from galenascale.gateway.servers import ServerEntry, ServerList
-from galenascale.gateway.slots import client, pool_map
+from galenascale.gateway.slots import acquisition, pool_map
 from galenascale.gateway.slots.leases import SlotRefused
 from galenascale.gateway.slots.pool import MIN_RUNS_FOR_FORECAST
 from galenascale.gateway.slots.pool_map import build_pools
@@ -33,7 +34,7 @@
 @pytest.fixture(autouse=True)
 def long_answer_timeout(monkeypatch):
     """Raise the time that hosts wait for answers."""
-    monkeypatch.setattr(client, "ANSWER_TIMEOUT_S", ANSWER_TIMEOUT_S)
+    monkeypatch.setattr(acquisition, "ANSWER_TIMEOUT_S", ANSWER_TIMEOUT_S)
 
 
 class Clock:
@@ -80,6 +81,7 @@
     rng: random.Random
     metrics: GatewayMetrics
     ownership: Ownership
+    limits: ServerLimits = attrs.field(factory=ServerLimits)
     slots: SlotService = None
     task: object = None
 
@@ -260,7 +262,7 @@
         # Without an answer the host chooses a server by itself.
         assert await acquire(host) is None
         waited_s = host.clock.monotonic() - started_at
-        assert waited_s < 2 * client.ANSWER_ATTEMPTS * ANSWER_TIMEOUT_S
+        assert waited_s < 2 * acquisition.ANSWER_ATTEMPTS * ANSWER_TIMEOUT_S
         leases = [await acquire(host) for _ in range(SLOTS - 1)]
         assert None not in [held, *leases]
         assert await acquire(host, wait_s=0.1) is None
--- a/test/gateway/test_slot_pool.py
+++ b/test/gateway/test_slot_pool.py
@@ -21,10 +21,10 @@
 from galenascale.gateway.slots.pool import (
     LEASE_S,
     MIN_RUNS_FOR_FORECAST,
-    REFUSAL_PAUSE_S,
     SlotPool,
 )
 from galenascale.gateway.slots.runs import Run
+from galenascale.gateway.slots.server_slots import REFUSAL_PAUSE_S
 from galenascale.gateway.slots.wait_queue import SlotRequest
 
 SIXTY_HOSTS = LoadPattern(
@@ -305,7 +305,7 @@
         counts = dict.fromkeys((1, 2, 3), 0)
         for server_key, _ in self.holding.values():
             counts[server_key] += 1
-        paused = self.pool._refused_until_by_server
+        paused = self.pool._servers._refused_until_by_key
         open_keys = {
             key
             for key, count in counts.items()
