Log requests that end with an unexpected error

Such a request got 500 from the HTTP library and wrote no line, so its id led nowhere. Its line says request_fault and the reason. test_unexpected_error_of_a_request_is_logged failed before.

--- a/galenascale/gateway/request_handler.py
+++ b/galenascale/gateway/request_handler.py
@@ -66,6 +66,10 @@
         except asyncio.CancelledError:
             exchange.finish("caller_left")
             raise
+        except Exception as error:
+            # The HTTP library answers 500 and closes the connection.
+            exchange.finish("request_fault", reason=repr(error))
+            raise
 
     def _reject_malformed(self, error):
         self._context.log.write("request_malformed", "warning", reason=error.message)
--- a/galenascale/gateway/slots/acquisition.py
+++ b/galenascale/gateway/slots/acquisition.py
@@ -18,12 +18,12 @@
         self._client = client
         self._future = asyncio.get_running_loop().create_future()
 
-    async def run(self, service, give_up_at, **fields):
+    async def run(self, service, until, **fields):
         """
         Return the Lease of a slot, or None.
 
-        Wait for an answer, then for the slot until the loop time `give_up_at`,
-        in seconds. None means that this time has passed or that no owner
+        Wait for an answer, then for the slot until a loop time in seconds.
+        None means that this time has passed or that no owner
         decides. Raise SlotRefused if the owner refuses the request.
         """
         pending = self._client.submit(service, self._deliver_result, **fields)
@@ -32,7 +32,7 @@
         result = None
         try:
             if await self._wait_for_answer(pending):
-                async with asyncio.timeout_at(give_up_at):
+                async with asyncio.timeout_at(until):
                     result = await self._future
         except TimeoutError:
             return None
--- a/galenascale/gateway/slots/client.py
+++ b/galenascale/gateway/slots/client.py
@@ -71,9 +71,8 @@
         """
         if self._context.limits:
             fields["give_up_at"] = give_up_at
-        loop_time = asyncio.get_running_loop().time()
-        give_up_at += loop_time - self._now()
-        return await SlotAcquisition(self).run(service, give_up_at, **fields)
+        until = asyncio.get_running_loop().time() + give_up_at - self._now()
+        return await SlotAcquisition(self).run(service, until, **fields)
 
     def submit(self, service, on_result, **fields):
         """
--- a/test/gateway/test_online.py
+++ b/test/gateway/test_online.py
@@ -180,3 +180,29 @@
         answer = await reader.read()
         assert b" 400 " in answer.partition(b"\r\n")[0]
         assert not fleet.runners_of("app")[0].requests
+
+
+# Guards operators against requests that end with 500 and no log line.
+async def test_unexpected_error_of_a_request_is_logged():
+    """The request gets no promise that it did not run, and others go on."""
+    async with gateway_fleet() as fleet:
+        host = fleet.hosts[0]
+        lines = []
+        write = host.context.log.write
+
+        def keep(event, level="info", **fields):
+            lines.append((event, fields))
+            write(event, level, **fields)
+
+        host.context.log.write = keep
+        servers = host.context.servers
+        usable = servers.usable
+        servers.usable = lambda *_: 1 / 0
+        reply = await fleet.request("/plain/a", request_id="r1")
+        servers.usable = usable
+        assert reply.status == 500
+        (fields,) = [fields for event, fields in lines if event == "request"]
+        assert fields["request"] == "r1"
+        assert fields["outcome"] == "request_fault"
+        assert "ZeroDivisionError" in fields["reason"]
+        assert (await fleet.request("/plain/a", request_id="r2")).status == 200
