Refuse what a stopping host reads late and might cut off

Callers lost requests in a planned stop, in calm: one whose body arrived after the listener had closed was passed on to a server and cut off at the end of the grace period, also one that must not run twice.

--- a/galenascale/gateway/request_handler.py
+++ b/galenascale/gateway/request_handler.py
@@ -12,6 +12,8 @@
 
 # Retry-After in seconds while the host has no configuration.
 NO_CONFIGURATION_RETRY_S = 0.5
+# The same while it stops; the next attempt meets another host.
+STOPPING_RETRY_S = 0.1
 # Seconds within which a caller must send the body of a request.
 BODY_TIMEOUT_S = 10.0
 # Errors after which the connection closes: a body that was not read whole, and
@@ -28,9 +30,15 @@
         self._forwarder = forwarder
         self._jobs = jobs
         self._authenticator = authenticator
-        self.stopping = False
+        # StopWindow of a host that stops.
+        self.stop_window = None
         self.in_flight = 0
 
+    @property
+    def stopping(self):
+        """Return True once the host stops."""
+        return self.stop_window is not None
+
     async def handle(self, request):
         """Handle one HTTP request; called by the HTTP library."""
         self.in_flight += 1
@@ -146,8 +154,20 @@
         if request.tenant and route.kind is not RequestKind.BATCH:
             await self._context.rates.admit(request.tenant)
 
+    def _refuse_if_stopping(self, plan):
+        """Raise RequestFailed (503) if the stop might cut a request off."""
+        window = self.stop_window
+        now = self._context.clock.monotonic()
+        if window is not None and window.would_cut(now, plan.deadline):
+            raise not_run_error(
+                "host stops before the request is done",
+                code="host_stopping",
+                retry_after_s=STOPPING_RETRY_S,
+            )
+
     async def _forward(self, exchange, route):
         plan = self._forwarder.plan(exchange.request, route, exchange.arrived_at)
+        self._refuse_if_stopping(plan)
         caller = responses.CallerStream(
             exchange.http_request, exchange.record_first_part
         )
--- a/galenascale/gateway/stopping.py
+++ b/galenascale/gateway/stopping.py
@@ -7,6 +7,9 @@
 # Seconds for which new connections are still accepted. The load balancer
 # checks readiness once a second and removes a host after two failed checks.
 ACCEPT_PERIOD_S = 3.2
+# Seconds after which the balancer sends no more requests, and those that were
+# under way have been read. What is read later may be refused without loss.
+LATE_AFTER_S = 2.8
 # Seconds before the end of the grace period at which the remaining requests
 # are cut off, so that the process exits before it is killed.
 CUTOFF_MARGIN_S = 0.4
@@ -16,6 +19,27 @@
 POLL_INTERVAL_S = 0.05
 
 
+@attrs.frozen
+class StopWindow:
+    """When a stopping host takes requests, in monotonic seconds."""
+
+    late_at: float
+    # When it cuts off the requests that are left.
+    ends_at: float
+
+    @classmethod
+    def from_grace(cls, began_at, grace_s):
+        """Return the window of a stop with a grace period in seconds."""
+        return cls(
+            began_at + min(LATE_AFTER_S, grace_s / 2),
+            began_at + grace_s - CUTOFF_MARGIN_S,
+        )
+
+    def would_cut(self, read_at, deadline):
+        """Return True if a request read now might be cut off at the end."""
+        return read_at >= self.late_at and deadline > self.ends_at
+
+
 @attrs.define
 class GracefulStop:
     """Refuses new work, hands jobs over and lets requests finish."""
@@ -33,8 +57,9 @@
         clock = self.context.clock
         began_at = clock.monotonic()
         grace_s = self.context.settings.bounds.stop_grace_s
-        end_at = began_at + grace_s - CUTOFF_MARGIN_S
-        self.request_handler.stopping = True
+        window = StopWindow.from_grace(began_at, grace_s)
+        end_at = window.ends_at
+        self.request_handler.stop_window = window
         self.context.ownership.stop_owning()
         self.context.rates.on_owners_changed()
         self.context.log.write(
