--- a/test/soak/faults.py
+++ b/test/soak/faults.py
@@ -28,7 +28,7 @@
 # Seconds for which an engine cuts off its streams in these faults.
 CUT_STREAMS_S = 2.0
 # Fault kinds that every scenario contains; they are not drawn at random.
-GUARANTEED_KINDS = {"lose_answers", "cut_streams", "replace_key"}
+GUARANTEED_KINDS = {"lose_answers", "cut_streams", "replace_key", "name_limit"}
 # Range in seconds in which each scenario takes a key away; later requests with
 # it show whether hosts know.
 KEY_CHANGE_S = (0.5, 3.0)
@@ -84,6 +84,9 @@
     for target in range(2):
         at_s = round(rng.uniform(*KEY_CHANGE_S), 2)
         faults.append(Fault(at_s, "replace_key", target, 0.0))
+    for target in range(2):
+        at_s = round(rng.uniform(FIRST_FAULT_S, LAST_FAULT_S), 2)
+        faults.append(Fault(at_s, "name_limit", target, MAX_DURATION_S))
     return sorted(faults, key=lambda fault: fault.at_s)
 
 
@@ -219,6 +222,10 @@
     )
 
 
+async def _name_limit(fleet, fault):
+    await _set_behaviour(_pick_target(fleet.runners, fault), "limits", ("3",), fault)
+
+
 async def _change_runner_behaviour(fleet, fault):
     name, value = _BEHAVIOURS[fault.target % len(_BEHAVIOURS)]
     await _set_behaviour(_pick_target(fleet.runners, fault), name, value, fault)
@@ -267,4 +274,5 @@
     "replace_key": _replace_key,
     "lose_answers": _lose_answers,
     "cut_streams": _cut_streams,
+    "name_limit": _name_limit,
 }
--- a/test/soak/scenario.py
+++ b/test/soak/scenario.py
@@ -28,6 +28,13 @@
 # Requests sent at most until the leaving server receives one; only its answer
 # can announce that it leaves.
 MAX_LEAVING_REQUESTS = 60
+# Requests per second that a server names as its limit, seconds until all hosts
+# keep to it, seconds in which its requests are counted, and seconds between
+# two requests meanwhile.
+SERVER_LIMIT_PER_S = 1.5
+LIMIT_PROPAGATION_S = 2.0
+LIMIT_WINDOW_S = 4.0
+LIMIT_CHECK_INTERVAL_S = 0.03
 # Tasks that send online requests.
 CALLERS = 6
 # Tasks that submit jobs.
@@ -105,6 +112,7 @@
     result.violations.extend(
         [line async for line in _check_configuration_change(fleet, clients)]
     )
+    result.violations.extend([line async for line in _check_limited_server(fleet)])
     result.violations.extend([line async for line in _check_leaving_server(fleet)])
     result.requests = len(clients.requests)
     result.served = sum(sent.status == 200 for sent in clients.requests)
@@ -192,6 +200,30 @@
         yield "a server that said that it leaves got new requests"
 
 
+async def _check_limited_server(fleet):
+    """Yield a line if a server gets more than the limit that it names."""
+    now = asyncio.get_running_loop().time
+    limited = fleet.runners_of("llm")[0]
+    limited.behaviour.limits = (str(SERVER_LIMIT_PER_S),)
+    began_at = now()
+    tasks = []
+    while now() < began_at + LIMIT_PROPAGATION_S + LIMIT_WINDOW_S:
+        host = fleet.processes[len(tasks) % len(fleet.processes)].number
+        path = f"/chat/limited-{len(tasks)}"
+        tasks.append(asyncio.create_task(_try_request(fleet, host, path)))
+        await asyncio.sleep(LIMIT_CHECK_INTERVAL_S)
+    await asyncio.gather(*tasks)
+    limited.behaviour.limits = ()
+    window_at = began_at + LIMIT_PROPAGATION_S
+    count = sum(
+        window_at <= request.received_at < window_at + LIMIT_WINDOW_S
+        for request in limited.requests
+    )
+    allowed = 1.5 * SERVER_LIMIT_PER_S * LIMIT_WINDOW_S + 5
+    if count > allowed:
+        yield f"a server that named {SERVER_LIMIT_PER_S} a second got {count} in 4 s"
+
+
 async def _find_serving_engine(fleet, host):
     """Send a request and return the engine that received it, or None."""
     engines = fleet.runners_of("llm")
