Answer reads that wait for results

Each read of results that may wait got 500 since the method it calls was renamed: the caller of an untyped attribute was missed, nothing logged the error, and callers simply read again half a second later.

--- a/galenascale/gateway/dispatch.py
+++ b/galenascale/gateway/dispatch.py
@@ -75,9 +75,12 @@
                 entry
                 for entry in context.servers.usable(service, now)
                 if not plan.excludes(entry.incarnation)
-                # Only the owner of their pool may let requests go there.
-                and context.limits.rate_of(entry) is None
             ]
+            if context.limits:
+                # Only the owner of their pool lets requests go to the others.
+                entries = [
+                    entry for entry in entries if context.limits.rate_of(entry) is None
+                ]
             if len(entries) > MAX_CANDIDATES:
                 entries = context.rng.sample(entries, MAX_CANDIDATES)
             candidates = [self.make_candidate(entry, now) for entry in entries]
--- a/galenascale/gateway/jobs/api.py
+++ b/galenascale/gateway/jobs/api.py
@@ -129,7 +129,7 @@
             if remaining_s <= 0:
                 return
             try:
-                await partition.wait(remaining_s)
+                await partition.poll(remaining_s)
             except STORE_ERRORS:
                 # The caller gets the results known so far.
                 return
--- a/galenascale/gateway/slots/pool_servers.py
+++ b/galenascale/gateway/slots/pool_servers.py
@@ -29,5 +29,5 @@
 
 
 def _pace(limits, entry, part):
-    rate = limits.rate_of(entry)
+    rate = limits.rate_of(entry) if limits else None
     return None if rate is None else Pace.from_limit(rate, part)
--- a/galenascale/gateway/slots/server_slots.py
+++ b/galenascale/gateway/slots/server_slots.py
@@ -101,7 +101,7 @@
         Servers without a limit go first, so that tokens are left for a time
         in which all slots are in use.
         """
-        bucket = self._buckets_by_key.get(key) if self._buckets_by_key else None
+        bucket = self._buckets_by_key.get(key)
         if bucket is None:
             return 1.0
         return bucket.fullness if bucket.tokens >= needed else 0.0
@@ -127,7 +127,7 @@
             free = self._free_on(server)
             if free <= 0 or server.key in avoid:
                 continue
-            fullness = self._fullness(server.key, needed)
+            fullness = self._fullness(server.key, needed) if self._limited else 1.0
             if not fullness:
                 continue
             if now < self._refused_until_by_key.get(server.key, now):
--- a/test/gateway/test_jobs.py
+++ b/test/gateway/test_jobs.py
@@ -452,3 +452,26 @@
         await until(lambda: runner.running <= 8, 0.1)
         for task in online:
             task.cancel()
+
+
+# Guards callers that wait for results against errors instead of answers.
+async def test_read_that_waits_gets_the_next_result():
+    """The read begins before there is a result, at both hosts."""
+    async with gateway_fleet(hosts=2) as fleet:
+        for runner in fleet.runners_of("llm"):
+            runner.behaviour.event_interval_s = 0.1
+        assert await submit(fleet, "job-1", items=1) == 202
+        replies = await asyncio.gather(
+            *(
+                fleet.request(
+                    "/lots/job-1?After=0",
+                    method="GET",
+                    host=host,
+                    headers={"X-Galenascale-Wait-Ms": "3000"},
+                )
+                for host in (1, 2)
+            )
+        )
+        for reply in replies:
+            assert reply.status == 200
+            assert orjson.loads(reply.body)["NextToken"] == 1
