--- a/test/gateway/test_limit_fleet.py
+++ b/test/gateway/test_limit_fleet.py
@@ -7,8 +7,8 @@
 
 LIMIT = 2.5
 LENGTH_S = 12.0
-# Long enough for many requests at a low limit.
-LONG_S = 24.0
+# Requests of each server at least, by which the use of a limit is measured.
+REQUESTS = 30
 # Far more than the servers' limits, less than all servers can take.
 LOAD_PER_S = 45.0
 ALL = 9
@@ -159,10 +159,11 @@
 @pytest.mark.parametrize("limit", [0.6, LIMIT, 9.0])
 def test_limits_are_used_under_steady_demand(limit, batch):
     """Pattern: more demand than all servers' limits together."""
+    length_s = max(LENGTH_S, REQUESTS / limit)
     fleet = make_fleet(ALL, limit)
-    fleet.load(1.3 * limit * ALL, LONG_S, batch=batch)
-    fleet.run(LONG_S)
-    assert fleet.used(STABLE_S, LONG_S) >= 0.9
+    fleet.load(1.3 * limit * ALL, length_s, batch=batch)
+    fleet.run(length_s)
+    assert fleet.used(STABLE_S, length_s) >= 0.9
     assert fleet.excess(STABLE_S) <= 0
 
 
