Let owners of full pools try fewer requests, and items limited servers first

No rule was broken, but from 9 s on hosts waited in vain for the owners of slots (36 to 169 times a second) and chose servers themselves. Requests queue while limits are in force, and an owner tried each of them at each message. Those behind one that may go anywhere and finds no place are skipped now, and whether another pool is sooner is looked at when a request arrives and each 50 ms. And in the calm items filled the servers without a limit, so that requests used the tokens of the limited ones, which were missing in the next burst. An item takes one token, and a slot for much longer than a request: items go to limited servers first now, requests to the others.

Reports about servers that a host does not know are ignored, so that the table of limits does not grow.

--- a/galenascale/gateway/limit_exchange.py
+++ b/galenascale/gateway/limit_exchange.py
@@ -68,9 +68,15 @@
     """Apply what another host's HostStatus tells of servers' limits."""
     for message in status.server_limits[:MAX_REPORTS]:
         report = _decode_report(message, now)
+        server = None
+        if not context.limits.knows(report.run_key):
+            server = _find_run(context, report.run_key)
+            if server is None:
+                # It has ended, or its entry has not been read yet.
+                continue
         change = context.limits.merge(report)
         if change is not None:
-            server = _find_run(context, report.run_key)
+            server = server or _find_run(context, report.run_key)
             age_s = now - report.said_at
             _log_change(context, server, change, peer=status.host_id, age_s=age_s)
 
--- a/galenascale/gateway/server_limits.py
+++ b/galenascale/gateway/server_limits.py
@@ -84,6 +84,10 @@
         """Return True if any server may be limited."""
         return bool(self._limits_by_run)
 
+    def knows(self, run_key):
+        """Return True if something was learned of a run of a server."""
+        return run_key in self._limits_by_run
+
     def rate_of(self, entry):
         """Return a server's requests per second, or None without a limit."""
         limit = self._limits_by_run.get(entry.run_key) if self else None
--- a/galenascale/gateway/slots/owner.py
+++ b/galenascale/gateway/slots/owner.py
@@ -199,7 +199,8 @@
 
     def _send_decisions(self, pool, decisions, now):
         for decision in decisions:
-            self._count_limited(decision)
+            if self._context.limits:
+                self._count_limited(decision)
             match decision:
                 case Forwarded():
                     self._forward(decision, now)
--- a/galenascale/gateway/slots/pool.py
+++ b/galenascale/gateway/slots/pool.py
@@ -81,12 +81,11 @@
 
     def add_forecast(self, free_slots):
         """Set the forecast wait in FreeSlots, as far as it is known."""
-        mean_run_s = self._known_mean_run_s()
-        starts_per_s = self._servers.starts_per_s(mean_run_s)
-        if math.isfinite(starts_per_s):
-            free_slots.starts_per_s = round(starts_per_s, 1)
+        forecast = self._servers.forecast(self._known_mean_run_s())
+        if math.isfinite(forecast.starts_per_s):
             ahead = len(self._online_queue) + 1
-            free_slots.wait_s = round(self._servers.wait_s(ahead, mean_run_s), 2)
+            free_slots.wait_s = round(forecast.wait_s(ahead), 2)
+            free_slots.starts_per_s = round(forecast.starts_per_s, 1)
 
     def _known_mean_run_s(self):
         """Return the mean run time in seconds, 0 after too few runs."""
@@ -121,24 +120,25 @@
         queue.add(request)
         decisions = self._schedule(now)
         if queue.contains(request):
-            decisions.append(self._queue_or_refuse(request, queue, now))
+            decisions += self._queue_or_refuse(request, queue, now)
         return decisions
 
     def _queue_or_refuse(self, request, queue, now):
-        wait_s = self._forecast_wait_s(request, queue, now)
+        forecast = self._servers.forecast(self._known_mean_run_s())
+        wait_s = forecast.wait_s(queue.count_ahead(request, now) + 1)
+        if forecast.has_limits and not request.batch:
+            decisions = self._siblings.forward_if_sooner(request, wait_s)
+            if decisions:
+                queue.remove(request.run_id)
+                return decisions
         limited = self._servers.all_limited
         starts_at = now + wait_s
         refusable = request.refusable and not request.returned
         is_late = refusable and starts_at > request.start_by
         if is_late or (limited and starts_at > request.give_up_at):
             queue.remove(request.run_id)
-            return Refused(request, wait_s, limited)
-        return Queued(request, wait_s, self._servers.is_held_back(request.avoid))
-
-    def _forecast_wait_s(self, request, queue, now):
-        """Return the forecast wait for a slot in seconds."""
-        ahead = queue.count_ahead(request, now) + 1
-        return self._servers.wait_s(ahead, self._known_mean_run_s())
+            return [Refused(request, wait_s, limited)]
+        return [Queued(request, wait_s, self._servers.is_held_back(request.avoid))]
 
     def record_run(self, run, now, *, new=True):
         """
@@ -189,7 +189,7 @@
             for run in self._runs
             if run.preempted_at is not None and now - run.preempted_at > PREEMPT_RETRY_S
         ]
-        return preemptions + self._schedule(now)
+        return preemptions + self._schedule(now) + self._forward_waiting(now)
 
     def reserve(self):
         """
@@ -202,25 +202,27 @@
     def _schedule(self, now):
         """Return the decisions on requests that need not wait any longer."""
         self._servers.refill(now)
+        avoids_all = self._servers.are_within
+        decisions = self._online_queue.place(self._place_online, avoids_all, now)
+        if not self._online_queue:
+            decisions += self._batch_queue.place(self._place_batch, avoids_all, now)
+        return decisions
+
+    def _forward_waiting(self, now):
+        """Forward requests that start sooner in another pool."""
+        if not self._servers.has_limits or not self._online_queue:
+            return []
         decisions = []
-        ahead = 0
+        forecast = self._servers.forecast(self._known_mean_run_s())
+        ahead = 1
         for request in self._online_queue.in_order(now):
-            ahead += 1
-            new_decisions = self._place_online(request, now)
-            if not new_decisions and self._servers.has_limits:
-                wait_s = self._servers.wait_s(ahead, self._known_mean_run_s())
-                new_decisions = self._siblings.forward_if_sooner(request, wait_s)
+            wait_s = forecast.wait_s(ahead)
+            new_decisions = self._siblings.forward_if_sooner(request, wait_s)
             if new_decisions:
-                ahead -= 1
                 self._online_queue.remove(request.run_id)
                 decisions += new_decisions
-        if self._online_queue:
-            return decisions
-        for request in self._batch_queue.in_order(now):
-            new_decisions = self._place_batch(request, now)
-            if new_decisions:
-                self._batch_queue.remove(request.run_id)
-                decisions += new_decisions
+            else:
+                ahead += 1
         return decisions
 
     def _place_online(self, request, now):
--- a/galenascale/gateway/slots/server_slots.py
+++ b/galenascale/gateway/slots/server_slots.py
@@ -2,6 +2,8 @@
 
 import math
 
+import attrs
+
 from galenascale.gateway.slots.pace import (
     BATCH_TOKENS,
     ONLINE_TOKENS,
@@ -11,10 +13,29 @@
 # Seconds for which a server that refused a run gets no other one: it has more
 # runs than the pool knows of.
 REFUSAL_PAUSE_S = 0.1
+# Weight for items of a server without a limit beside limited ones.
+UNLIMITED_BATCH_WEIGHT = 0.1
 # Weight of the random term that chooses between equally free servers.
 JITTER = 1e-3
 
 
+@attrs.frozen
+class Forecast:
+    """How soon requests start in a pool."""
+
+    # Infinite if nothing that is known bounds it.
+    starts_per_s: float
+    # Requests that may start at once, if all servers named limits.
+    tokens: float
+    has_limits: bool
+
+    def wait_s(self, ahead):
+        """Return the seconds until `ahead` more requests have started."""
+        if not self.starts_per_s:
+            return 0.0
+        return max(0.0, ahead - self.tokens) / self.starts_per_s
+
+
 class ServerSlots:
     """The servers that a pool may grant, beside the RunTable of its runs."""
 
@@ -89,22 +110,25 @@
         bucket = self._buckets_by_key.get(key)
         return math.inf if bucket is None else math.floor(bucket.tokens)
 
-    def has_tokens(self, key, needed=ONLINE_TOKENS):
-        """Return True unless a server's limit forbids a run now."""
+    def has_tokens(self, key):
+        """Return True unless a server's limit forbids a request now."""
         bucket = self._buckets_by_key.get(key)
-        return bucket is None or bucket.tokens >= needed
+        return bucket is None or bucket.tokens >= ONLINE_TOKENS
 
-    def _fullness(self, key, needed):
+    def _limit_weight(self, server, batch):
         """
-        Return the share of its tokens that a server has, 0 if too few.
+        Return the weight of a server beside limited ones, 0 without tokens.
 
-        Servers without a limit go first, so that tokens are left for a time
-        in which all slots are in use.
+        Requests go to servers without a limit first, so that tokens are left
+        for a time in which all slots are in use. Items go to limited servers
+        first: each takes one token, and a slot for much longer.
         """
-        bucket = self._buckets_by_key.get(key)
+        bucket = self._buckets_by_key.get(server.key)
         if bucket is None:
-            return 1.0
-        return bucket.fullness if bucket.tokens >= needed else 0.0
+            return UNLIMITED_BATCH_WEIGHT if batch else 1.0
+        if bucket.tokens < (BATCH_TOKENS if batch else ONLINE_TOKENS):
+            return 0.0
+        return 1.0 if batch else bucket.fullness
 
     def spend(self, key):
         """Count a run at a server; return True if it has a limit."""
@@ -120,19 +144,18 @@
 
     def best(self, avoid, now, *, batch=False):
         """Return the server with the best free share and quality, or None."""
-        needed = BATCH_TOKENS if batch else ONLINE_TOKENS
         best = None
         best_score = 0.0
         for server in self._servers_by_key.values():
             free = self._free_on(server)
             if free <= 0 or server.key in avoid:
                 continue
-            fullness = self._fullness(server.key, needed) if self._limited else 1.0
-            if not fullness:
+            weight = self._limit_weight(server, batch) if self._limited else 1.0
+            if not weight:
                 continue
             if now < self._refused_until_by_key.get(server.key, now):
                 continue
-            score = free / server.slots * server.quality * fullness
+            score = free / server.slots * server.quality * weight
             score += JITTER * self._rng.random()
             if score > best_score:
                 best, best_score = server, score
@@ -153,24 +176,19 @@
         """Return True if a server named a limit."""
         return bool(self._limited)
 
-    def wait_s(self, ahead, mean_run_s):
+    def forecast(self, mean_run_s):
         """
-        Return the forecast seconds until `ahead` more runs may start.
+        Return the Forecast of starts in this pool.
 
         `mean_run_s` is 0 if unknown; only limits tell of a wait then.
         """
-        starts_per_s = self.starts_per_s(mean_run_s)
-        if self.all_limited:
-            tokens = sum(bucket.tokens for bucket in self._buckets_by_key.values())
-            ahead = max(0.0, ahead - tokens)
-        return ahead / starts_per_s if starts_per_s else 0.0
-
-    def starts_per_s(self, mean_run_s):
-        """Return the most runs a second; infinite if nothing bounds them."""
-        runs_per_s = 0.0
+        starts_per_s = 0.0
         for server in self._servers_by_key.values():
             rate = server.slots / mean_run_s if mean_run_s else math.inf
             if server.pace is not None:
                 rate = min(rate, server.pace.requests_per_s)
-            runs_per_s += rate
-        return runs_per_s
+            starts_per_s += rate
+        tokens = 0.0
+        if self.all_limited:
+            tokens = sum(bucket.tokens for bucket in self._buckets_by_key.values())
+        return Forecast(starts_per_s, tokens, self.has_limits)
--- a/galenascale/gateway/slots/wait_queue.py
+++ b/galenascale/gateway/slots/wait_queue.py
@@ -78,6 +78,30 @@
             self._by_run_id.values(), key=lambda request: queue_order(request, now)
         )
 
+    def place(self, place, avoids_all, now):
+        """
+        Remove the requests for which there is a place; return the decisions.
+
+        `place` returns the decisions on a request, none without a place, and
+        `avoids_all` whether a request avoids all servers. A request that may
+        go to any server and finds no place shows that those behind it find
+        none either. Owners of full pools decide often, so these are skipped.
+        """
+        decisions = []
+        full = full_for_forwarded = False
+        for request in self.in_order(now):
+            is_full = full or (full_for_forwarded and request.forwarded)
+            if is_full and not avoids_all(request.avoid):
+                continue
+            new_decisions = place(request, now)
+            if new_decisions:
+                self.remove(request.run_id)
+                decisions += new_decisions
+            elif not request.avoid:
+                full_for_forwarded = True
+                full = full or not request.forwarded
+        return decisions
+
     def count_ahead(self, request, now):
         """Return how many requests are served before one."""
         key = queue_order(request, now)
--- a/test/gateway/test_server_limits.py
+++ b/test/gateway/test_server_limits.py
@@ -3,13 +3,20 @@
 import attrs
 import pytest
 
+from galenascale.gateway import limit_exchange
 from galenascale.gateway.server_limits import (
+    MAX_REPORTS,
     MAX_REQUESTS_PER_S,
+    OVER_TTL_S,
+    REPORT_DELAY_S,
+    REPORT_S,
     LimitChange,
+    LimitReport,
     NamedLimit,
     ServerLimits,
 )
 from galenascale.gateway.servers import ServerEntry
+from galenascale.generated.gateway_messages import HostStatus, ServerLimitReport
 from galenascale.platform.headers import parse_response_head
 from test.gateway.fleet import gateway_fleet, until
 
@@ -141,3 +148,63 @@
         runner.behaviour.limits = ()
         assert (await fleet.request(path, request_id="r2")).status == 200
         await until(lambda: context.limits.rate_of(entry) is None)
+
+
+@pytest.mark.parametrize(
+    ("reports", "rate"),
+    [
+        # Of reports about a limit in force the newest counts.
+        ([(2.0, 10.0), (3.0, 11.0)], 3.0),
+        ([(3.0, 11.0), (2.0, 10.0)], 3.0),
+        # A report that relays held up does not bring an ended limit back.
+        ([(2.0, 10.0), (None, 11.0), (2.0, 12.0)], None),
+        ([(2.0, 10.0), (None, 11.0), (2.0, 11.5 + REPORT_DELAY_S)], 2.0),
+        ([(2.0, 11.0), (None, 10.0)], 2.0),
+        ([(None, 10.0)], None),
+    ],
+)
+def test_reports_of_other_hosts_are_merged(reports, rate):
+    """Guards against late and repeated reports, in any order."""
+    limits = ServerLimits()
+    entry = make_entry()
+    for requests_per_s, said_at in reports:
+        limits.merge(LimitReport(entry.run_key, requests_per_s, said_at))
+    assert limits.rate_of(entry) == rate
+    # What others told is not told on.
+    assert limits.reports(12.0) == []
+
+
+def test_reports_end_and_are_bounded():
+    """Guards the size of messages, and hosts that are told for ever."""
+    limits = ServerLimits()
+    for number in range(MAX_REPORTS + 5):
+        entry = make_entry(f"s{number}")
+        limits.observe(entry, NamedLimit("2", 2.0), 0.0, float(number) / 100)
+    assert len(limits.reports(1.0)) == MAX_REPORTS
+    assert limits.reports(1.0 + REPORT_S) == []
+    limits.repeat(entry, 50.0)
+    (report,) = limits.reports(51.0)
+    assert report.run_key == entry.run_key
+    limits.observe(entry, None, 52.0, 53.0)
+    assert limits.reports(54.0)[0].requests_per_s is None
+    limits.reports(53.0 + OVER_TTL_S + 1.0)
+    assert not limits.knows(entry.run_key)
+
+
+async def test_report_about_an_unknown_server_is_ignored():
+    """Guards the memory of a host against servers that ended long ago."""
+    async with gateway_fleet(runners=1) as fleet:
+        context = fleet.hosts[0].context
+        (known,) = context.servers.usable("app", 0.0)
+        now = context.clock.monotonic()
+        status = HostStatus(
+            host_id="other",
+            server_limits=[
+                ServerLimitReport(make_entry("gone").run_key, 2000, 10),
+                ServerLimitReport(known.run_key, 2000, 10),
+                ServerLimitReport(known.run_key, -(1 << 31), 1 << 30),
+            ],
+        )
+        limit_exchange.apply_status(context, status, now)
+        assert not context.limits.knows(make_entry("gone").run_key)
+        assert context.limits.rate_of(known) == 2.0
--- a/test/gateway/test_slot_pool.py
+++ b/test/gateway/test_slot_pool.py
@@ -18,6 +18,7 @@
     Queued,
     Refused,
 )
+from galenascale.gateway.slots.pace import LimitPart, Pace
 from galenascale.gateway.slots.pool import (
     LEASE_S,
     MIN_RUNS_FOR_FORECAST,
@@ -92,6 +93,52 @@
     assert shares["items in time"] > 0.95
 
 
+def make_limited_pool(limit=2.0):
+    """Return a pool of server 1 without a limit and server 2 with one."""
+    pool = SlotPool(random.Random(7))
+    pace = Pace.from_limit(limit, LimitPart())
+    pool.set_servers([PoolServer(1, 4), PoolServer(2, 4, pace=pace)])
+    pool.tick(0.0)
+    pool.tick(10.0)
+    return pool
+
+
+def test_items_leave_the_servers_without_a_limit_to_requests():
+    """
+    Pattern: a calm between bursts while some servers are limited.
+
+    Items filled the other servers then, requests used the limited servers'
+    tokens up, and the next burst found neither slots nor tokens.
+    """
+    pool = make_limited_pool()
+    items = occupy(pool, 3, now=10.0, batch=True)
+    assert [grant.server_key for grant in items] == [2, 2, 2]
+    assert all(grant.paced for grant in items)
+    requests = occupy(pool, 4, now=10.0, first=200)
+    assert [grant.server_key for grant in requests] == [1, 1, 1, 1]
+
+
+def test_item_leaves_a_token_to_the_next_request():
+    """Guards requests against waiting for a token that an item took."""
+    pool = make_limited_pool()
+    pool.set_servers([pool._servers.get(2)])
+    assert len(occupy(pool, 9, now=10.0, batch=True)) < 4
+    (grant,) = occupy(pool, 1, now=10.0, first=200)
+    assert grant.paced
+
+
+def test_waiting_requests_start_in_order_once_slots_are_free():
+    """Guards requests behind one that finds no place, which are not tried."""
+    pool = make_pool(servers=2, slots=1)
+    occupy(pool, 2)
+    pool.submit(SlotRequest("b", 1, start_by=9.0), 0.0)
+    pool.submit(SlotRequest("b", 2, start_by=5.0), 0.0)
+    (grant,) = pool.end(("a", 100), 1.0)
+    assert grant.request.number == 2
+    (grant,) = pool.end(("a", 101), 1.0)
+    assert grant.request.number == 1
+
+
 def test_request_preempts_an_item():
     """Guards requests against queueing behind items; an item is preempted."""
     pool = make_pool(servers=1, slots=2)
