Let a returned slot tell of a limit at most twice a second

While owners run the former build, each slot that a host returns broadcast its status, up to ten times a second from each host. A report is repeated once the last one is half a second old. A method that nothing called goes.

--- a/galenascale/gateway/limit_exchange.py
+++ b/galenascale/gateway/limit_exchange.py
@@ -40,8 +40,8 @@
 def record_unpaced(context, server):
     """Tell the other hosts again of a limit that an owner did not count."""
     context.metrics.limited_requests.labels("returned").inc()
-    context.limits.repeat(server, context.clock.monotonic())
-    context.announcer.announce()
+    if context.limits.repeat(server, context.clock.monotonic()):
+        context.announcer.announce()
 
 
 def status_fields(limits, now):
--- a/galenascale/gateway/server_limits.py
+++ b/galenascale/gateway/server_limits.py
@@ -14,6 +14,8 @@
 MAX_REQUESTS_PER_S = 1e6
 # Seconds for which a host tells the others what an answer to it said.
 REPORT_S = 10.0
+# Seconds between two reports that an owner makes necessary.
+REPEAT_INTERVAL_S = 0.5
 # Longest time in seconds that a report takes through relays; it seems younger
 # by that.
 REPORT_DELAY_S = 2.0
@@ -93,11 +95,6 @@
         limit = self._limits_by_run.get(entry.run_key) if self else None
         return None if limit is None else limit.requests_per_s
 
-    def age_s(self, entry, now):
-        """Return the seconds since the last answer about a server's limit."""
-        limit = self._limits_by_run.get(entry.run_key)
-        return math.inf if limit is None else now - limit.said_at
-
     def observe(self, entry, named, sent_at, now):
         """
         Record what an answer to this host says; return the LimitChange.
@@ -137,11 +134,14 @@
         return None if rate == before else LimitChange(before, rate)
 
     def repeat(self, entry, now):
-        """Tell the others again what is known of a server."""
+        """Report what is known of a server again, unless it just was."""
         limit = self._limits_by_run.get(entry.run_key)
-        if limit is not None:
-            limit = attrs.evolve(limit, reported_until=now + REPORT_S)
-            self._limits_by_run[entry.run_key] = limit
+        reported_until = now + REPORT_S
+        if limit is None or reported_until - limit.reported_until < REPEAT_INTERVAL_S:
+            return False
+        limit = attrs.evolve(limit, reported_until=reported_until)
+        self._limits_by_run[entry.run_key] = limit
+        return True
 
     def reports(self, now):
         """Drop old ends of limits; return the newest LimitReports to tell."""
--- a/test/gateway/test_server_limits.py
+++ b/test/gateway/test_server_limits.py
@@ -182,7 +182,9 @@
         limits.observe(entry, NamedLimit("2", 2.0), 0.0, float(number) / 100)
     assert len(limits.reports(1.0)) == MAX_REPORTS
     assert limits.reports(1.0 + REPORT_S) == []
-    limits.repeat(entry, 50.0)
+    assert limits.repeat(entry, 50.0)
+    assert not limits.repeat(entry, 50.4)
+    assert limits.repeat(entry, 50.6)
     (report,) = limits.reports(51.0)
     assert report.run_key == entry.run_key
     limits.observe(entry, None, 52.0, 53.0)
