Look at the servers of an idle pool before granting one

Requests were refused at once, for as long as they came singly: the owner of a pool that was not in use kept the list of servers of when it last was, and granted one that drained since, or said that it had none after all had been out of reach for a moment. A host then chooses a server itself, which hid this for streams; it may not choose one that named a limit.

--- a/galenascale/gateway/slots/owner.py
+++ b/galenascale/gateway/slots/owner.py
@@ -82,8 +82,7 @@
 
     def receive(self, message, address, now):
         """Handle a host's message; ignore those for clients."""
-        handler = self._handlers_by_kind.get(message.kind)
-        if handler is None:
+        if (handler := self._handlers_by_kind.get(message.kind)) is None:
             return
         pool = self._pool_map.pool_by_key(message.pool)
         if pool is None:
@@ -92,6 +91,8 @@
         if self._redirect(pool, message, address, now):
             return
         owned = self._get_or_create(pool, now)
+        if not owned.is_active(now):
+            self._refresh(pool, owned, now)
         if message.kind == SlotMessageKind.SPARE:
             owned.peer_report_at = now
         elif message.stand_in or message.redirected:
--- a/test/gateway/test_limited_servers.py
+++ b/test/gateway/test_limited_servers.py
@@ -75,3 +75,43 @@
         allowed = OVERSHOOT * LIMIT * WINDOW_S + SLACK
         assert fullest_window(arrivals, began_at + STABLE_S) <= allowed
         assert len(other.requests) > len(limited.requests)
+
+
+# Guards servers that named a limit, then were out of reach, against idling.
+async def test_limited_server_is_used_again_after_it_was_out_of_reach():
+    """The pool was not in use while its only server came back."""
+    async with gateway_fleet(runners=1) as fleet:
+        (runner,) = fleet.runners_of("app")
+        context = fleet.hosts[0].context
+        (entry,) = context.servers.usable("app", 0.0)
+        runner.behaviour.limits = (str(LIMIT),)
+        assert (await fleet.request("/plain/a", request_id="r1")).status == 200
+        context.health.mark_unreachable(entry.incarnation, context.clock.monotonic())
+        assert (await fleet.request("/plain/a", request_id="r2")).status == 503
+        await until(lambda: not context.health.is_unreachable(entry.incarnation))
+        await asyncio.sleep(0.5)
+        runner.behaviour.limits = ()
+        statuses = []
+        for number in range(5):
+            reply = await fleet.request("/plain/a", request_id=f"later{number}")
+            statuses.append(reply.status)
+            await asyncio.sleep(0.3)
+        assert 200 in statuses
+        assert context.limits.rate_of(entry) is None
+
+
+# Guards callers against an owner that grants a server which left meanwhile.
+async def test_pool_that_was_idle_grants_no_draining_server():
+    """The other server is limited, so the host has no choice of its own."""
+    async with gateway_fleet() as fleet:
+        leaving, limited = fleet.runners_of("app")
+        servers = fleet.hosts[0].context.servers
+        limited.behaviour.limits = (str(LIMIT),)
+        for number in range(12):
+            await fleet.request("/plain/a", request_id=f"r{number}")
+        assert limited.requests
+        await asyncio.sleep(1.0)
+        fleet.register(leaving, "draining")
+        await until(lambda: len(servers.usable("app", 0.0)) == 1)
+        reply = await fleet.request("/plain/a", request_id="later")
+        assert reply.status == 200
