--- a/galenascale/gateway/dispatch.py
+++ b/galenascale/gateway/dispatch.py
@@ -132,13 +132,13 @@
             # The server announced that it leaves, or was removed, while the
             # body was read or the connection was opened.
             plan.record_unreachable(server.incarnation)
-            return _not_sent(server, "server is leaving", "server_left")
+            return _not_sent(server, "server is leaving", code="server_left")
         if context.limits.rate_of(server) is not None and not is_paced(lease, now):
             # The owner of the pool did not know of the limit, or the request
             # could not be sent soon enough.
             plan.record_limited(server.incarnation)
             limit_exchange.record_unpaced(context, server)
-            return _not_sent(server, "server named a limit", "server_limited")
+            return _not_sent(server, "server named a limit", code="server_limited")
         return None
 
     @contextlib.asynccontextmanager
@@ -199,7 +199,7 @@
                 connection.abort()
 
 
-def _not_sent(server, message, code):
+def _not_sent(server, message, *, code):
     return BackendError(
         message,
         code=code,
