Pass on only answers that name their request and are signed

Cause: on the first request of a connection a head without an id counted as the answer, and the signature was read nowhere, neither for plain answers nor for streams, resumed runs, long answers and runs of items.

Change: response_match.py decides from id, status and signature. A head that is no answer breaks the run (or is skipped, where it may be a late copy), and nothing that it says of limits, leaving or execution is read.

--- a/galenascale/gateway/backend_connection.py
+++ b/galenascale/gateway/backend_connection.py
@@ -13,6 +13,7 @@
 
 from galenascale.errors import BackendError, Execution
 from galenascale.gateway.response_limits import ResponseLimits
+from galenascale.gateway.response_match import ResponseMatch, match_response
 from galenascale.gateway.response_state import ResponseState
 from galenascale.gateway.sockets import enable_dead_peer_detection
 
@@ -144,7 +145,14 @@
             self._response.is_skipped = True
             return
         head = self._parse_head(status, tuple(self._response.headers))
-        if not self._matches_request(head):
+        match = match_response(head, self._request_id, first=self.requests == 1)
+        if match is ResponseMatch.SPOILED:
+            self._fail(
+                f"response with status {status} has no id or no signature",
+                code="spoiled_answer",
+            )
+            return
+        if match is ResponseMatch.OTHER:
             self._response.is_skipped = True
             self.reusable = False
             return
@@ -158,13 +166,6 @@
             self.reusable = self.reusable and self._method != "HEAD"
             self._finish()
 
-    def _matches_request(self, head):
-        if head.request_id:
-            return head.request_id == self._request_id
-        # Rejections may come without an id. On a reused connection such a
-        # response may be a late one to an earlier request.
-        return self.requests == 1 or not self._request_id
-
     def on_body(self, body):
         if self._request_id is None:
             return
@@ -200,14 +201,12 @@
         self._enqueue_body()
         self._enqueue(_END_OF_RESPONSE)
 
-    def _fail(self, message):
+    def _fail(self, message, *, code="connection_broken"):
         self.reusable = False
         if self._request_id is not None:
             self._request_id = None
             self._enqueue(
-                BackendError(
-                    message, code="connection_broken", execution=Execution.MAY_HAVE_RUN
-                )
+                BackendError(message, code=code, execution=Execution.MAY_HAVE_RUN)
             )
         self.abort()
 
--- a/galenascale/gateway/requests.py
+++ b/galenascale/gateway/requests.py
@@ -59,6 +59,8 @@
     headers: Headers
     # Id of the answered request; empty if the response has none.
     request_id: str = ""
+    # Whether the server signed the response. A success counts only with it.
+    signed: bool = False
     # Whether the server states that it did not run the request.
     not_run: bool = False
     # Whether another server than the addressed one has the address.
--- a/galenascale/platform/headers.py
+++ b/galenascale/platform/headers.py
@@ -18,6 +18,7 @@
 _PROMPT_PARTS = b"x-galenascale-prompt-prefix"
 _MAX_PROMPT_PARTS = 32
 _NOT_RUN = b"x-galenascale-not-executed"
+_SIGNATURE = b"x-galenascale-response-signature"
 _LEAVING = b"server-leaving"
 # Requests per second that the server takes from all hosts together.
 _LIMIT = b"server-limit"
@@ -219,6 +220,7 @@
         status=status,
         headers=strip_hop_by_hop_headers(headers),
         request_id=(find_header(headers, _REQUEST_ID) or b"").decode("latin-1"),
+        signed=bool(find_header(headers, _SIGNATURE)),
         not_run=find_header(headers, _NOT_RUN) is not None or status == _MISDIRECTED,
         misdirected=status == _MISDIRECTED,
         leaving=find_header(headers, _LEAVING) == b"1",
