Read event streams line by line, in linear time

Cause: the pattern for a block of lines matched the carriage return of each line in two ways, so a block that does not match took time exponential in its lines. The class: bytes of another program decide how long the only thread works.

Change: the parser takes each line once. The parser for engines searches only new bytes. Numbers from headers, queries and ids of events are parsed by one function that refuses thousands of digits and digits that int() refuses, which ended requests with status 500.

--- a/galenascale/gateway/event_stream.py
+++ b/galenascale/gateway/event_stream.py
@@ -5,17 +5,14 @@
 import attrs
 
 from galenascale.errors import BackendError
+from galenascale.whole_numbers import parse_whole_number
 
 # Also the limit of comments before an event.
 MAX_EVENT_BYTES = 1 << 17
-_BLANK_LINE = re.compile(rb"\r?\n\r?\n")
-# Lines of a block: comments, fields with a value, and the fields of the format
-# without one. Other bytes, such as the text of an error, are not an event.
-_BLOCK = re.compile(
-    rb"(?:(?::[^\n]*|[A-Za-z][\w-]*:[^\n]*|data|event|id|retry)?\r?\n)*"
-)
-# Length of the longest blank line minus one.
-_MAX_PARTIAL_BLANK_LINE_BYTES = 3
+# Start of a line with a field. Other bytes, such as the text of an error, are
+# not an event. No part of the pattern can match the same bytes in two ways.
+_FIELD_START = re.compile(rb"[A-Za-z][\w-]*:")
+_FIELDS_WITHOUT_VALUE = frozenset((b"data", b"event", b"id", b"retry"))
 
 
 @attrs.frozen
@@ -34,60 +31,98 @@
     Splits a byte stream, fed in pieces of any size, into complete events.
 
     Comments are buffered until the next event, so that a stream without any
-    events exceeds MAX_EVENT_BYTES and ends.
+    events exceeds MAX_EVENT_BYTES and ends. Each byte is looked at a fixed
+    number of times, however the stream is split into pieces.
     """
 
     def __init__(self):
-        self._pending = b""
-        # Leading pending bytes that are complete blocks without an event.
-        self._skippable_bytes = 0
+        # Bytes after the last complete event, in whole lines.
+        self._lines = bytearray()
+        # The last line, which is not complete yet.
+        self._partial = bytearray()
+        # Fields of the lines after the last blank one.
+        self._event_id = None
+        self._data = []
+        self._has_fields = False
 
     @property
     def pending(self):
         """Return the bytes after the last complete event."""
-        return self._pending
+        return bytes(self._lines + self._partial)
 
     @property
     def is_inside_event(self):
         """Return True if the pending bytes contain a part of an event."""
-        lines = self._pending[self._skippable_bytes :].splitlines()
-        return any(line and not line.startswith(b":") for line in lines)
+        partial = self._partial.rstrip(b"\r")
+        return self._has_fields or bool(partial and not partial.startswith(b":"))
 
     def feed(self, data):
         """
         Return the list of events that are completed by these bytes.
 
-        Raise BackendError if more than MAX_EVENT_BYTES are pending or if bytes
-        before a blank line are neither an event nor comments.
+        Raise BackendError if more than MAX_EVENT_BYTES are pending or if a
+        line is neither a field of an event nor a comment.
         """
-        # A blank line may have started in the pending bytes.
-        search_from = max(
-            self._skippable_bytes, len(self._pending) - _MAX_PARTIAL_BLANK_LINE_BYTES
-        )
-        data = self._pending + data
         events = []
         start = 0
-        whole = self._skippable_bytes
-        while found := _BLANK_LINE.search(data, search_from):
-            search_from = found.end()
-            block = data[whole:search_from]
-            if not _BLOCK.fullmatch(block):
-                raise BackendError("bytes are not an event", code="not_an_event")
-            event_id, event_data = _parse(block)
-            whole = search_from
-            # Blocks of comments and blank lines are kept for the next event.
-            if event_id is not None or event_data:
-                events.append(Event(data[start:whole], event_id, event_data))
-                start = whole
-        self._pending = data[start:]
-        self._skippable_bytes = whole - start
-        if len(self._pending) > MAX_EVENT_BYTES:
+        while end := data.find(b"\n", start) + 1:
+            self._partial += data[start:end]
+            start = end
+            event = self._take_line()
+            if event is not None:
+                events.append(event)
+        self._partial += data[start:]
+        if len(self._lines) + len(self._partial) > MAX_EVENT_BYTES:
             raise BackendError(
                 f"event with comments has more than {MAX_EVENT_BYTES} bytes",
                 code="event_too_large",
             )
         return events
 
+    def _take_line(self):
+        """Take the last line, which is complete; return the Event it ends."""
+        raw = bytes(self._partial)
+        self._partial.clear()
+        self._lines += raw
+        line = raw[:-1].removesuffix(b"\r")
+        if not line:
+            return self._end_block()
+        if not line.startswith(b":"):
+            self._add_field(line)
+        return None
+
+    def _add_field(self, line):
+        if not (_FIELD_START.match(line) or line in _FIELDS_WITHOUT_VALUE):
+            raise BackendError("bytes are not an event", code="not_an_event")
+        self._has_fields = True
+        # A lone carriage return ends a line, too.
+        for part in line.splitlines():
+            name, _, value = part.partition(b":")
+            value = value.removeprefix(b" ")
+            if name == b"data":
+                self._data.append(value)
+            elif name == b"id":
+                self._event_id = _parse_id(value, self._event_id)
+
+    def _end_block(self):
+        """Return the Event that a blank line ends, or None."""
+        event_id, data = self._event_id, b"\n".join(self._data)
+        self._event_id = None
+        self._data = []
+        self._has_fields = False
+        if event_id is None and not data:
+            # Comments and blank lines are kept for the next event.
+            return None
+        event = Event(bytes(self._lines), event_id, data)
+        self._lines.clear()
+        return event
+
+
+def _parse_id(value, previous):
+    """Return the numeric id in a field; `previous` if it is not numeric."""
+    event_id = parse_whole_number(value)
+    return previous if event_id is None else event_id
+
 
 class EventSequence:
     """The events that a caller got, over all runs of its request."""
@@ -127,17 +162,3 @@
             )
         self.last_id = event.event_id
         return True
-
-
-def _parse(raw):
-    """Return (id or None, data) of a block of lines."""
-    event_id = None
-    data = []
-    for line in raw.splitlines():
-        name, _, value = line.partition(b":")
-        value = value.removeprefix(b" ")
-        if name == b"data":
-            data.append(value)
-        elif name == b"id" and value.strip().isdigit():
-            event_id = int(value)
-    return event_id, b"\n".join(data)
--- a/galenascale/platform/headers.py
+++ b/galenascale/platform/headers.py
@@ -5,6 +5,7 @@
 from galenascale.errors import UserError
 from galenascale.gateway.requests import CallerRequest, ResponseHead
 from galenascale.gateway.server_limits import NamedLimit
+from galenascale.whole_numbers import parse_whole_number
 
 _REQUEST_ID = b"x-galenascale-attempt-id"
 _DEADLINE_MS = b"x-galenascale-deadline-ms"
@@ -148,18 +149,19 @@
     value = find_header(headers, name)
     if value is None:
         return None
-    if not value.strip().isdigit():
+    number = parse_whole_number(value)
+    if number is None:
         raise UserError(
             f"header {name.decode()} must be a whole number of at least 0",
             step="read_request",
         )
-    return int(value)
+    return number
 
 
 def _parse_token_count(parts, index):
     # A malformed count is not rejected, as only an estimate depends on it.
-    if index < len(parts) and parts[index].strip().isdigit():
-        return int(parts[index])
+    if index < len(parts):
+        return parse_whole_number(parts[index]) or 0
     return 0
 
 
@@ -226,5 +228,5 @@
         leaving=find_header(headers, _LEAVING) == b"1",
         limit=parse_limit(headers),
         keep_alive_s=float(keep_alive[1]) if keep_alive else None,
-        length=int(length) if length and length.isdigit() else None,
+        length=None if length is None else parse_whole_number(length),
     )
--- a/galenascale/platform/jobs.py
+++ b/galenascale/platform/jobs.py
@@ -14,6 +14,7 @@
 )
 from galenascale.platform.fields import get_field, parse_json_object
 from galenascale.platform.headers import parse_wait_s
+from galenascale.whole_numbers import parse_whole_number
 
 _RESULTS_PREFIX = "/lots/"
 _ITEMS_PREFIX = "/items/"
@@ -33,8 +34,8 @@
             return JobCall(JobCallKind.END, job_id)
         if method == "GET":
             # Number of results to skip; the response names it NextToken.
-            position = query.get("After", "0")
-            if not position.isdigit():
+            position = parse_whole_number(query.get("After", "0"))
+            if position is None:
                 raise UserError(
                     "query parameter After must be a whole number of at least 0",
                     step="read_job_call",
@@ -42,7 +43,7 @@
             return JobCall(
                 JobCallKind.RESULTS,
                 job_id,
-                position=int(position),
+                position=position,
                 wait_s=parse_wait_s(headers),
             )
     if path.startswith(_ITEMS_PREFIX) and method == "GET":
--- a/galenascale/sse.py
+++ b/galenascale/sse.py
@@ -13,7 +13,8 @@
 
     def __init__(self, max_event_bytes=MAX_EVENT_BYTES):
         self._max_event_bytes = max_event_bytes
-        self._pending = b""
+        # Holds no end of an event.
+        self._pending = bytearray()
         self._skip_newline = False
 
     def feed(self, data):
@@ -36,8 +37,13 @@
             return [data[6:-2]]
         if self._skip_newline or b"\r" in data:
             data = self._normalise(data)
-        blocks = (self._pending + data).split(b"\n\n")
-        self._pending = blocks.pop()
+        # A blank line may have begun in the pending bytes.
+        search_from = max(0, len(self._pending) - 1)
+        self._pending += data
+        blocks = []
+        if self._pending.find(b"\n\n", search_from) >= 0:
+            blocks = bytes(self._pending).split(b"\n\n")
+            self._pending = bytearray(blocks.pop())
         if len(self._pending) > self._max_event_bytes:
             raise DecodeError("server-sent event is too large", step="parse_event")
         return [
