Promise "not run" only where it is known

Cause: the status of an answer was passed on as it came once no attempt was left, but 408, 421, 429 and 503 promise that the request never runs, which only the server's mark states.

Change: execution.py decides. Such a status without the mark is a failure: another attempt, or 502 "may have run". A marked refusal is one whatever becomes of its body. The host's own errors keep these statuses only if they are known not to have run.

--- a/galenascale/gateway/dispatch.py
+++ b/galenascale/gateway/dispatch.py
@@ -1,5 +1,6 @@
 """Chooses a backend server and sends a request to it."""
 
+import asyncio
 import contextlib
 
 import attrs
@@ -12,6 +13,9 @@
 # Maximum number of servers compared for one request. Of a larger pool a random
 # sample is compared, whose best servers are nearly as free.
 MAX_CANDIDATES = 64
+# Seconds within which the body of a refusal must arrive for its connection to
+# be used again.
+REFUSAL_BODY_TIMEOUT_S = 0.1
 
 
 @attrs.define(eq=False)
@@ -59,6 +63,22 @@
         return b"".join(pieces)
 
 
+async def read_refusal(context, attempt, limit):
+    """
+    Return the body of a refusal; empty if it is cut off or late.
+
+    Its connection is then closed. `limit` is in bytes.
+    """
+    try:
+        async with asyncio.timeout(REFUSAL_BODY_TIMEOUT_S):
+            return await attempt.read_body(limit)
+    except (TimeoutError, BackendError) as error:
+        context.log.write(
+            "refusal_cut_off", server=attempt.server.server_id, reason=repr(error)
+        )
+        return b""
+
+
 class Dispatcher:
     """Chooses servers, sends requests and records the results."""
 
--- a/galenascale/gateway/forwarding.py
+++ b/galenascale/gateway/forwarding.py
@@ -8,8 +8,9 @@
 from galenascale.gateway.attempts import MIN_REMAINING_S, AttemptPlan, RequestFailed
 from galenascale.gateway.configuration import RequestKind
 from galenascale.gateway.crashes import InterruptedRun, block_reason
-from galenascale.gateway.dispatch import Dispatcher
+from galenascale.gateway.dispatch import Dispatcher, read_refusal
 from galenascale.gateway.event_stream import EventSequence, EventStreamParser
+from galenascale.gateway.execution import is_failure, is_unfounded_promise
 from galenascale.gateway.requests import BufferedResponse
 from galenascale.gateway.server_selection import (
     ServerSelector,
@@ -89,7 +90,7 @@
                 await self._record_broken_run(selected, error)
                 self._raise_if_not_resumable()
                 continue
-            self._log_attempt(selected, "answered" if served else "refused", response)
+            self._log_attempt(selected, _attempt_outcome(response, served), response)
             if served:
                 return response
 
@@ -200,8 +201,9 @@
         """
         head = await attempt.read_head()
         if head.not_run:
-            body = await attempt.read_body(self._max_buffer_bytes)
+            # The head says it, whatever becomes of the body.
             self._plan.record_refusal(attempt.server.incarnation)
+            body = await read_refusal(self._context, attempt, self._max_buffer_bytes)
             return BufferedResponse(head, body), False
         if self._route.kind is RequestKind.STREAMING and head.status == 200:
             await self._relay_events(attempt, head)
@@ -217,7 +219,7 @@
         )
         context = self._context
         incarnation = attempt.server.incarnation
-        if head.status < 500:
+        if not is_failure(head):
             context.health.record_success(incarnation, self._now())
             self._raise_if_started(response.head)
             if head.status < 400:
@@ -225,12 +227,15 @@
             return response, True
         context.health.record_failure(incarnation, self._now())
         self._raise_if_started(response.head)
+        if is_unfounded_promise(head):
+            # The caller gets another server's answer or the plan's error.
+            return response, False
         # Another server may succeed.
         self._last_error_response = response
         return response, not self._plan.may_run()
 
     def _exceeds_buffer(self, head):
-        if head.status >= 500 or self._request.method == "HEAD":
+        if is_failure(head) or self._request.method == "HEAD":
             return False
         return head.length is not None and head.length > self._max_buffer_bytes
 
@@ -286,3 +291,10 @@
             await self._caller.start(head)
         if data:
             await self._caller.send(data)
+
+
+def _attempt_outcome(response, served):
+    """Return how an attempt that got a whole response ended, for the log."""
+    if served:
+        return "answered"
+    return "refused" if response.head.not_run else "failed"
--- a/galenascale/gateway/jobs/item_runs.py
+++ b/galenascale/gateway/jobs/item_runs.py
@@ -8,6 +8,7 @@
 from galenascale.errors import BackendError
 from galenascale.gateway.attempts import AttemptPlan
 from galenascale.gateway.crashes import InterruptedRun
+from galenascale.gateway.dispatch import read_refusal
 from galenascale.gateway.event_stream import EventStreamParser
 from galenascale.gateway.requests import CallerRequest
 from galenascale.gateway.suspect_exchange import record_start
@@ -232,10 +233,12 @@
             item, attempt, lambda: record_start(context, part_keys)
         )
         return RunResult("completed", events_s=events_s)
-    async with _progress_timeout(now()):
-        await attempt.read_body(context.settings.held_answer_bytes)
+    limit = context.settings.held_answer_bytes
     if head.not_run:
+        await read_refusal(context, attempt, limit)
         return RunResult("refused", f"status {head.status}")
+    async with _progress_timeout(now()):
+        await attempt.read_body(limit)
     if head.status == STATUS_UNPROCESSABLE:
         return RunResult("cannot_be_done")
     context.health.record_failure(attempt.server.incarnation, context.clock.monotonic())
--- a/galenascale/gateway/request_handler.py
+++ b/galenascale/gateway/request_handler.py
@@ -9,6 +9,7 @@
 from galenascale.gateway import responses
 from galenascale.gateway.attempts import not_run_error
 from galenascale.gateway.configuration import CallerLimits, RequestKind
+from galenascale.gateway.execution import caller_status
 
 # Retry-After in seconds while the host has no configuration.
 NO_CONFIGURATION_RETRY_S = 0.5
@@ -233,7 +234,7 @@
         self.finish(
             error.code,
             reason=error.message,
-            status=error.http_status,
+            status=caller_status(error),
             execution=str(error.execution),
         )
         return responses.error_response(error)
--- a/galenascale/gateway/responses.py
+++ b/galenascale/gateway/responses.py
@@ -6,6 +6,7 @@
 import orjson
 from aiohttp import web
 
+from galenascale.gateway.execution import caller_status
 from galenascale.gateway.sockets import enable_dead_peer_detection
 
 # Headers that the HTTP library sets itself.
@@ -26,7 +27,7 @@
         }
     }
     return web.Response(
-        status=error.http_status,
+        status=caller_status(error),
         headers=headers,
         body=orjson.dumps(body),
         content_type="application/json",
