Give items up by the attempts of their own route

Cause: the queue of a service kept one route, that of the last open item, and handed it to every item. The class: a value of a route under the key of a service.

Change: each item carries its route, which is looked up again when its slot is granted. Run lengths are estimated by route. Items of a split route follow its weights and keep their service.

--- a/galenascale/gateway/jobs/item_order.py
+++ b/galenascale/gateway/jobs/item_order.py
@@ -31,6 +31,17 @@
         return min(MAX_PROGRESS, item.events / self._events)
 
 
+class RunLengthEstimates:
+    """The RunLengthEstimate of each route."""
+
+    def __init__(self):
+        self._by_route_name = {}
+
+    def of_route(self, name):
+        """Return the estimate of a route, which later runs change."""
+        return self._by_route_name.setdefault(name, RunLengthEstimate())
+
+
 def start_order(item, now_ms, estimate):
     """
     Return the sort key of a waiting item; the lowest starts first.
--- a/galenascale/gateway/jobs/item_runs.py
+++ b/galenascale/gateway/jobs/item_runs.py
@@ -40,6 +40,8 @@
 
     state: object
     index: int
+    # The present Route of the item; None if there is none.
+    route: object = None
     # Data of the events received so far, and the id of the last one.
     event_data: list = attrs.field(factory=list)
     last_event_id: int | None = None
--- a/galenascale/gateway/jobs/runner.py
+++ b/galenascale/gateway/jobs/runner.py
@@ -14,6 +14,7 @@
 from galenascale.gateway.jobs.partitions import retry_until
 from galenascale.gateway.jobs.progress import record_all
 from galenascale.gateway.jobs.scheduler import ItemScheduler
+from galenascale.gateway.jobs.service_choice import allows, choose_service
 from galenascale.gateway.jobs.takeover import Takeover
 from galenascale.gateway.load import hash_key as job_key
 from galenascale.generated.gateway_messages import SlotOutcome
@@ -139,19 +140,22 @@
         if self.stopping:
             return
         now = self._context.clock.monotonic()
-        routes_by_service = {}
         waiting_by_service = {}
         for item in self._items_by_key.values():
             if item.finished:
                 continue
-            route = self._route_of(item)
-            if self._result_handler.give_up_if_expired(item, route) or route is None:
+            item.route = self._route_of(item)
+            if self._result_handler.give_up_if_expired(item, item.route):
                 continue
-            service = max(route.splits, key=lambda split: split.weight).service
-            routes_by_service[service] = route
-            if self._scheduler.may_start(item, now):
+            service = item.route and choose_service(
+                item.route, item.key, lambda name: self._has_servers(name, now)
+            )
+            if service is not None and self._scheduler.may_start(item, now):
                 waiting_by_service.setdefault(service, []).append(item)
-        self._scheduler.update(waiting_by_service, routes_by_service)
+        self._scheduler.update(waiting_by_service)
+
+    def _has_servers(self, service, now):
+        return bool(self._context.servers.usable(service, now))
 
     def _route_of(self, item):
         table = self._context.configuration.table
@@ -173,8 +177,11 @@
             due_in_s=(item.due_at_ms - self._context.clock.wall_ms()) / 1000,
         )
 
-    def _start(self, item, server, route, lease):
-        if self._group is None or self.stopping:
+    def _start(self, item, server, lease):
+        """Start an item in a granted slot, if its route still allows it."""
+        # The configuration may be newer than the request for the slot.
+        route = self._route_of(item)
+        if self._group is None or self.stopping or not allows(route, server.service):
             self._context.slots.client.release(lease, SlotOutcome.UNUSED)
             return
         item.server = server
@@ -233,7 +240,8 @@
             item.back_off(self._context.clock.monotonic(), FAILED_BACKOFF_S, 3)
         else:
             if result.outcome == "completed" and not resumed:
-                self._scheduler.estimate.add_run(result.events_s * 1000, item.events)
+                estimate = self._scheduler.estimates.of_route(route.name)
+                estimate.add_run(result.events_s * 1000, item.events)
             self._result_handler.handle(item, server, route, result)
             return SLOT_OUTCOMES.get(result.outcome, SlotOutcome.SERVED)
         return SlotOutcome.UNUSED
--- a/galenascale/gateway/jobs/scheduler.py
+++ b/galenascale/gateway/jobs/scheduler.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from galenascale.gateway.jobs.item_order import RunLengthEstimate, start_order
+from galenascale.gateway.jobs.item_order import RunLengthEstimates, start_order
 from galenascale.gateway.servers import find_by_key
 
 # Largest number of pending slot requests for each service. A granted slot goes
@@ -12,9 +12,13 @@
 
 @attrs.define
 class _ServiceQueue:
-    """Waiting items of one service, and its pending slot requests."""
+    """
+    Waiting items of one service, and its pending slot requests.
+
+    Items of all routes to the service wait together; what a route says is
+    asked for each item.
+    """
 
-    route: object
     waiting: list = attrs.field(factory=list)
     pending_requests: list = attrs.field(factory=list)
 
@@ -24,10 +28,10 @@
 
     def __init__(self, context, on_start):
         self._context = context
-        # Called with (item, server, route, lease).
+        # Called with (item, server, lease).
         self._on_start = on_start
         self._queues_by_service = {}
-        self.estimate = RunLengthEstimate()
+        self.estimates = RunLengthEstimates()
 
     def may_start(self, item, now):
         """
@@ -37,11 +41,10 @@
         """
         return item.task is None and item.not_before <= now
 
-    def update(self, waiting_by_service, routes_by_service):
+    def update(self, waiting_by_service):
         """Set the waiting items and adjust the slot requests to them."""
-        for service, route in routes_by_service.items():
-            queue = self._queues_by_service.setdefault(service, _ServiceQueue(route))
-            queue.route = route
+        for service in waiting_by_service:
+            self._queues_by_service.setdefault(service, _ServiceQueue())
         for service, queue in self._queues_by_service.items():
             queue.waiting = sorted(
                 waiting_by_service.get(service, ()), key=self._sort_key()
@@ -73,7 +76,8 @@
     def _start_by(self, item):
         """Return the latest monotonic time for a start that is in time."""
         clock = self._context.clock
-        slack_ms = item.slack_ms(clock.wall_ms(), self.estimate)
+        estimate = self.estimates.of_route(item.route.name)
+        slack_ms = item.slack_ms(clock.wall_ms(), estimate)
         return clock.monotonic() + slack_ms / 1000
 
     def _on_slot_result(self, queue, lease):
@@ -92,7 +96,7 @@
             client.release(lease)
             return
         queue.waiting.remove(item)
-        self._on_start(item, server, queue.route, lease)
+        self._on_start(item, server, lease)
 
     def _first_item(self, queue, server, now):
         for item in queue.waiting:
@@ -102,4 +106,6 @@
 
     def _sort_key(self):
         now_ms = self._context.clock.wall_ms()
-        return lambda item: start_order(item, now_ms, self.estimate)
+        return lambda item: start_order(
+            item, now_ms, self.estimates.of_route(item.route.name)
+        )
--- a/test/gateway/test_item_order.py
+++ b/test/gateway/test_item_order.py
@@ -83,7 +83,8 @@
         (runner,) = fleet.runners_of("llm")
         runner.behaviour.processing_time_s = 0.8
         lengths = []
-        estimate = fleet.hosts[0].runner._scheduler.estimate
+        scheduler = fleet.hosts[0].runner._scheduler
+        estimate = scheduler.estimates.of_route("jobs")
         estimate.add_run = lambda run_ms, events: lengths.append((run_ms, events))
         assert await submit(fleet, "job-1", items=1) == 202
         await wait_for_results(fleet, "job-1", 1)
--- a/test/gateway/test_jobs.py
+++ b/test/gateway/test_jobs.py
@@ -380,8 +380,8 @@
         start = runner._start
         preempted = []
 
-        def start_and_preempt(item, server, route, lease):
-            start(item, server, route, lease)
+        def start_and_preempt(item, server, lease):
+            start(item, server, lease)
             if not preempted:
                 preempted.append(item)
                 lease.on_preempt(lease)
