Count only answers of 500 as failed runs of an item

Cause: every status but 200, 422 and refusals counted, so three answers of 404, 502 or an unmarked 503 gave an accepted item up, which the users' rules allow only after answers of 500 or one of 422.

Change: other statuses count as broken runs, after which the item runs again.

--- a/galenascale/gateway/jobs/item_runs.py
+++ b/galenascale/gateway/jobs/item_runs.py
@@ -22,8 +22,10 @@
 PROGRESS_TIMEOUT_S = 4.0
 # Seconds for which an item avoids a server that made no progress on it.
 AVOID_SERVER_S = 10.0
-# Status with which a server states that the item cannot be processed.
+# Status with which a server states that the item cannot be processed, and the
+# one that counts as a failed run.
 STATUS_UNPROCESSABLE = 422
+STATUS_FAILED = 500
 # Largest difference in milliseconds between the clocks of two hosts.
 MAX_CLOCK_SKEW_MS = 5000
 # Back-off in seconds before the next run of an item: after a refusal, and
@@ -152,9 +154,9 @@
 
     - completed: all output was received;
     - cannot_be_done: the server states that the item cannot be processed;
-    - failed: the server answered with another error status;
+    - failed: the server ran the item and failed;
     - refused: the server did not run the item;
-    - broken: the connection broke;
+    - broken: the connection broke, or the answer is none to an item;
     - silent: no event came for PROGRESS_TIMEOUT_S.
     """
 
@@ -244,7 +246,8 @@
     if head.status == STATUS_UNPROCESSABLE:
         return RunResult("cannot_be_done")
     context.health.record_failure(attempt.server.incarnation, context.clock.monotonic())
-    return RunResult("failed", f"status {head.status}")
+    outcome = "failed" if head.status == STATUS_FAILED else "broken"
+    return RunResult(outcome, f"status {head.status}")
 
 
 async def _read_events(item, attempt, on_first_event):
--- a/test/gateway/test_jobs.py
+++ b/test/gateway/test_jobs.py
@@ -122,6 +122,23 @@
         )
 
 
+@pytest.mark.parametrize("status", [206, 400, 404, 408, 429, 502, 503, 504])
+async def test_item_is_given_up_only_by_failed_runs(status):
+    """
+    Guards items against answers that are neither a failed run nor an end.
+
+    More servers than the route has attempts answer with the status.
+    """
+    async with gateway_fleet(runners=1) as fleet:
+        (runner,) = fleet.runners_of("llm")
+        runner.behaviour.status = status
+        assert await submit(fleet, "job-1", items=1) == 202
+        await until(lambda: len(runner.requests) > 3)
+        runner.behaviour.status = 200
+        (result,) = await wait_for_results(fleet, "job-1", 1)
+        assert (result["State"], result["Text"]) == ("completed", output_of(5))
+
+
 async def test_item_leaves_a_server_that_hangs():
     """
     Guards items against servers that accept them and never answer.
