--- a/galenascale/gateway/jobs/held_output.py
+++ b/galenascale/gateway/jobs/held_output.py
@@ -34,6 +34,8 @@
     These are the runs that have added most.
     """
     held = sum(item.held_bytes for item in items)
+    if held <= limit:
+        return []
     excess = []
     for item in sorted(items, key=lambda item: item.run_bytes, reverse=True):
         if held <= limit or not item.run_bytes:
