Sign the sound answers of the test of cut heads

Cause: the answers that come before the cut ones had no signature.

Change: these answers are signed, as those of sound servers are; the checks are the same. docs/platform.md names the two modules that decide.

--- a/test/gateway/test_cut_heads.py
+++ b/test/gateway/test_cut_heads.py
@@ -10,9 +10,16 @@
 from galenascale.platform.headers import parse_response_head
 from test.gateway.fleet import gateway_fleet
 
-FIRST = b"HTTP/1.1 204 No Content\r\nX-Galenascale-Attempt-Id: r1\r\n\r\n"
+FIRST = (
+    b"HTTP/1.1 204 No Content\r\n"
+    b"X-Galenascale-Attempt-Id: r1\r\n"
+    b"X-Galenascale-Response-Signature: s\r\n\r\n"
+)
 FIRST_WITH_LENGTH = (
-    b"HTTP/1.1 200 OK\r\nX-Galenascale-Attempt-Id: r1\r\nContent-Length: 2\r\n\r\nok"
+    b"HTTP/1.1 200 OK\r\n"
+    b"X-Galenascale-Attempt-Id: r1\r\n"
+    b"X-Galenascale-Response-Signature: s\r\n"
+    b"Content-Length: 2\r\n\r\nok"
 )
 HEAD = (
     b"HTTP/1.1 200 OK\r\n"
