Divide the slots of a service fairly among tenants while there are too few

Change: while requests wait, the owner of a pool serves those within their tenants' max-min fair share first, in the former order, then the others; those beyond a share are refused first. Reports of free slots name the eight tenants that hold most, so that shares hold over pools. Weights by the setting tenant_weights. Without tenants the order stays. Code of preemption, run times and outcomes moves to modules of its own.

--- a/bench/limit_fleet.py
+++ b/bench/limit_fleet.py
@@ -18,6 +18,7 @@
 import attrs
 
 from galenascale.gateway import limit_exchange
+from galenascale.gateway.configuration import ConfigurationState
 from galenascale.gateway.health import ServerHealth
 from galenascale.gateway.load import FleetLoad
 from galenascale.gateway.metrics import GatewayMetrics
@@ -79,6 +80,7 @@
 class _Settings:
     host_id: str
     failure_domain: str
+    tenant_weights: dict = attrs.field(factory=dict)
 
 
 @attrs.define(eq=False)
@@ -104,6 +106,7 @@
     ownership: Ownership
     table: PeerTable
     announcer: object = None
+    configuration: ConfigurationState = attrs.field(factory=ConfigurationState)
     slots: _Slots = attrs.field(factory=_Slots)
     log: _Log = attrs.field(factory=_Log)
     health: ServerHealth = attrs.field(factory=ServerHealth)
--- a/bench/slot_pools.py
+++ b/bench/slot_pools.py
@@ -207,16 +207,19 @@
             or task.done_at is not None
         ):
             return
+        request = self._make_request(task)
+        self._send(self._decide, task.host % self.pattern.domains, request)
+        if task.batch:
+            self.schedule(REQUEST_REPEAT_S, self._send_request, task, attempt)
+
+    def _make_request(self, task):
         due_s = self.pattern.due_s - task.remaining_s
         start_by = task.submitted_at + (
             due_s if task.batch else self.pattern.max_wait_s
         )
-        request = SlotRequest(
+        return SlotRequest(
             f"h{task.host}", self._request_number(task), task.batch, start_by
         )
-        self._send(self._decide, task.host % self.pattern.domains, request)
-        if task.batch:
-            self.schedule(REQUEST_REPEAT_S, self._send_request, task, attempt)
 
     def _request_number(self, task):
         return task.number * 1000 + task.attempt
@@ -251,10 +254,13 @@
                     number,
                 )
             elif isinstance(decision, Refused):
-                raise AssertionError("nothing is refusable here")
+                self._send(self._on_refused, decision.request.number)
             else:
                 self._send(self.answered.add, decision.request.number)
 
+    def _on_refused(self, request_number):
+        raise AssertionError("nothing is refusable here")
+
     def _tick(self):
         self.schedule(TICK_S, self._tick)
         for number, pool in enumerate(self.pools):
@@ -281,6 +287,7 @@
             0.0,
             self.now,
             self.now,
+            tenant=self._make_request(task).tenant,
         )
         self._send(self._record_run, number, run)
 
--- a/galenascale/gateway/forwarded_request.py
+++ b/galenascale/gateway/forwarded_request.py
@@ -20,6 +20,7 @@
     slot_outcome,
 )
 from galenascale.gateway.slots.leases import SlotRefused
+from galenascale.gateway.slots.tenant_shares import tenant_key
 from galenascale.gateway.suspect_exchange import record_start
 
 
@@ -116,7 +117,11 @@
             self._raise_if_blocked(now)
             try:
                 selected = await self._selector.select(
-                    self._route, plan, self._services, self._content_key
+                    self._route,
+                    plan,
+                    self._services,
+                    self._content_key,
+                    tenant_key(self._request.tenant),
                 )
             except SlotRefused as error:
                 raise self._record_refusal(error) from error
@@ -144,6 +149,8 @@
             # The owner knows when there is room.
             retry_after_s = refused.wait_s
         context.load.mark_changed()
+        if refused.beyond_share:
+            context.metrics.count_rejection(self._request.tenant, "beyond_share")
         reason = f"queues are too long, {refused}"
         return self._plan.make_error(reason, now, retry_after_s)
 
--- a/galenascale/gateway/jobs/scheduler.py
+++ b/galenascale/gateway/jobs/scheduler.py
@@ -1,9 +1,12 @@
 """Requests slots for the items of this host and assigns them to items."""
 
+import collections
+
 import attrs
 
 from galenascale.gateway.jobs.item_order import RunLengthEstimates, start_order
 from galenascale.gateway.servers import find_by_key
+from galenascale.gateway.slots.tenant_shares import NO_TENANT, tenant_key
 
 # Largest number of pending slot requests for each service. A granted slot goes
 # to the item that is first in the queue at that moment.
@@ -52,21 +55,45 @@
             self._request_slots(service, queue)
 
     def _request_slots(self, service, queue):
-        wanted = queue.waiting[:MAX_SLOT_REQUESTS]
+        wanted = self._first_of_tenants(queue.waiting)
         while len(queue.pending_requests) > len(wanted):
             self._context.slots.client.cancel(queue.pending_requests.pop())
         for pending, item in zip(queue.pending_requests, wanted, strict=False):
             pending.request.start_by = self._start_by(item)
+            pending.request.tenant = self._tenant_key(item)
         for item in wanted[len(queue.pending_requests) :]:
             pending = self._context.slots.client.submit(
                 service,
                 lambda lease, queue=queue: self._on_slot_result(queue, lease),
                 batch=True,
                 start_by=self._start_by(item),
+                tenant=self._tenant_key(item),
             )
             if pending is not None:
                 queue.pending_requests.append(pending)
 
+    def _first_of_tenants(self, waiting):
+        """
+        Return the MAX_SLOT_REQUESTS items for which slots are requested.
+
+        If there are more, each tenant's first item comes before any tenant's
+        second one, so that one with many items does not use all requests.
+        """
+        if len(waiting) <= MAX_SLOT_REQUESTS:
+            return waiting
+        rank_by_tenant = collections.Counter()
+        ranked = []
+        for item in waiting:
+            rank_by_tenant[item.state.job.tenant] += 1
+            ranked.append((rank_by_tenant[item.state.job.tenant], item))
+        ranked.sort(key=lambda pair: pair[0])
+        return [item for _, item in ranked[:MAX_SLOT_REQUESTS]]
+
+    def _tenant_key(self, item):
+        if self._context.configuration.tenants is None:
+            return NO_TENANT
+        return tenant_key(item.state.job.tenant)
+
     def cancel_all(self):
         """Cancel all slot requests."""
         for queue in self._queues_by_service.values():
@@ -91,18 +118,23 @@
         now = self._context.clock.monotonic()
         entries = self._context.servers.usable(lease.pool.service, now)
         server = find_by_key(entries, lease.server_key)
-        item = server and self._first_item(queue, server, now)
+        item = server and self._first_item(queue, server, lease.tenant, now)
         if item is None:
             client.release(lease)
             return
+        lease.tenant = self._tenant_key(item)
         queue.waiting.remove(item)
         self._on_start(item, server, lease)
 
-    def _first_item(self, queue, server, now):
-        for item in queue.waiting:
-            if self.may_start(item, now) and not item.avoids(server, now):
-                return item
-        return None
+    def _first_item(self, queue, server, tenant, now):
+        """Return the first item that may run, of the tenant if it has one."""
+        startable = [
+            item
+            for item in queue.waiting
+            if self.may_start(item, now) and not item.avoids(server, now)
+        ]
+        of_tenant = (item for item in startable if self._tenant_key(item) == tenant)
+        return next(of_tenant, startable[0] if startable else None)
 
     def _sort_key(self):
         now_ms = self._context.clock.wall_ms()
--- a/galenascale/gateway/metrics.py
+++ b/galenascale/gateway/metrics.py
@@ -50,6 +50,11 @@
             "Requests and items that limits of servers affected, by how.",
             ("effect",),
         )
+        self.beyond_share = self._counter(
+            "beyond_share",
+            "Requests and items beyond their tenants' shares of slots, by effect.",
+            ("effect",),
+        )
         self._tenant_labels = set()
         self.items = self._counter("items", "Runs of items by outcome.", ("outcome",))
         self.first_part_seconds = self._histogram(
--- a/galenascale/gateway/settings.py
+++ b/galenascale/gateway/settings.py
@@ -5,6 +5,7 @@
 
 from galenascale.errors import UserError
 from galenascale.gateway.json_log import LEVELS
+from galenascale.gateway.slots.tenant_shares import WEIGHT_RANGE
 from galenascale.generated.gateway_messages import GatewaySettings
 from galenascale.settings_files import load_json_settings
 
@@ -12,6 +13,15 @@
 # Seconds between two checks of the settings file, which may change without a
 # signal.
 WATCH_INTERVAL_S = 2.0
+# Settings whose change is logged at a reload.
+RELOADED_OR_REPORTED = (
+    "seeds",
+    "bounds",
+    "tenant_weights",
+    "log_level",
+    "store",
+    "caller_listen",
+)
 _ADDRESSES = ("caller_listen", "ready_listen", "peer_listen", "store.address")
 
 
@@ -52,6 +62,10 @@
             "store.retention_s",
             "must be greater than bounds.job_retention_s, or results would be lost",
         )
+    lowest, highest = WEIGHT_RANGE
+    for name, weight in settings.tenant_weights.items():
+        if not lowest <= weight <= highest:
+            yield f"tenant_weights.{name}", f"must be from {lowest} to {highest}"
     if settings.log_level not in LEVELS:
         yield "log_level", f"must be one of {', '.join(LEVELS)}"
 
@@ -96,11 +110,12 @@
             return
         changed = [
             name
-            for name in ("seeds", "bounds", "log_level", "store", "caller_listen")
+            for name in RELOADED_OR_REPORTED
             if getattr(loaded, name) != getattr(self._settings, name)
         ]
         self._settings = loaded
         self._host.context.settings.bounds = loaded.bounds
+        self._host.context.settings.tenant_weights = loaded.tenant_weights
         self._host.discovery.add_seeds(loaded.seeds)
         log.set_level(loaded.log_level)
         log.write("reload", changed=changed)
--- a/galenascale/gateway/slots/client.py
+++ b/galenascale/gateway/slots/client.py
@@ -120,7 +120,7 @@
         self._context.log.write("slot_owner_silent", owner=owner, reason=reason)
         self._context.metrics.slots.labels("silent").inc()
 
-    def lease_without_grant(self, entry, start_by):
+    def lease_without_grant(self, entry, start_by, tenant):
         """Return a Lease for a server chosen without its owner, or None."""
         pool = self._pool_map.pool_of_server(entry)
         if pool is None:
@@ -128,7 +128,7 @@
         number = next(self._numbers)
         key = hash_key(entry.server_id)
         now = self._now()
-        lease = Lease(number, pool, key, False, start_by, confirmed_at=now)
+        lease = Lease(number, pool, key, False, start_by, now, tenant)
         self._leases_by_number[number] = lease
         self._renew_lease(lease, now)
         return lease
@@ -189,6 +189,7 @@
             request.batch,
             request.start_by,
             confirmed_at=now,
+            tenant=request.tenant,
             owner=address,
             paced_at=now if message.paced else None,
         )
@@ -218,7 +219,9 @@
     def _on_refused(self, message, pool, address, now):
         pending = self._complete(message, pool, address, now)
         if pending is not None:
-            pending.on_result(SlotRefused(message.wait_ms / 1000, message.paced))
+            pending.on_result(
+                SlotRefused(message.wait_ms / 1000, message.paced, message.beyond_share)
+            )
 
     def _on_unknown_pool(self, message, pool, address, now):
         pending = self._complete(message, pool, address, now)
--- a/galenascale/gateway/slots/decisions.py
+++ b/galenascale/gateway/slots/decisions.py
@@ -35,6 +35,9 @@
     starts_per_s: float = 0.0
     # Monotonic time in seconds at which the report arrived.
     received_at: float = 0.0
+    # Slots of the tenants that hold most of them for requests, by key. They
+    # change all the time, and alone are no reason for a new report.
+    slots_by_tenant: dict = attrs.field(factory=dict, eq=False)
 
 
 @attrs.frozen
@@ -58,6 +61,8 @@
     wait_s: float
     # Whether a limit keeps free slots idle.
     limited: bool = False
+    # Whether its tenant uses more than its share of the slots.
+    beyond_share: bool = False
 
 
 @attrs.frozen
@@ -69,6 +74,8 @@
     wait_s: float
     # Whether all servers named limits.
     limited: bool = False
+    # Whether its tenant uses more than its share of the slots.
+    beyond_share: bool = False
 
 
 @attrs.frozen
@@ -80,6 +87,12 @@
     batch: int
     waiting_online: int
     waiting_batch: int
+    # Waiting requests beyond the shares of their tenants.
+    beyond_share: int
+    # Key of the tenant that holds most slots for requests, and their number;
+    # 0 if there are no tenants.
+    largest_tenant: int
+    largest_tenant_slots: int
 
 
 @attrs.frozen
@@ -108,3 +121,13 @@
         case Refused(limited=True):
             return "refused"
     return None
+
+
+def beyond_share_effect(decision):
+    """Return how its tenant's share of slots affected a request, or None."""
+    match decision:
+        case Queued(beyond_share=True):
+            return "waited"
+        case Refused(beyond_share=True):
+            return "refused"
+    return None
--- a/galenascale/gateway/slots/leases.py
+++ b/galenascale/gateway/slots/leases.py
@@ -20,14 +20,18 @@
     """
     The owner refused, as it forecasts a wait of `wait_s` seconds.
 
-    `limited` says that the limits of all servers are the reason.
+    `limited` says that the limits of all servers are the reason, and
+    `beyond_share` that the tenant uses more than its share of the slots.
     """
 
-    def __init__(self, wait_s, limited=False):
+    def __init__(self, wait_s, limited=False, beyond_share=False):
         cause = " as all servers named limits" if limited else ""
+        if beyond_share:
+            cause += " as the tenant uses more than its share"
         super().__init__(f"wait of {wait_s:.3f} s for a slot{cause}")
         self.wait_s = wait_s
         self.limited = limited
+        self.beyond_share = beyond_share
 
 
 @attrs.define(eq=False)
@@ -42,6 +46,8 @@
     # owner's last message about the slot.
     start_by: float
     confirmed_at: float
+    # Key of the tenant; 0 if there are no tenants.
+    tenant: int = 0
     # Address of the host that counts the slot as used; None if unknown.
     owner: str | None = None
     # Monotonic time in seconds at which the grant that the owner counted
--- a/galenascale/gateway/slots/messages.py
+++ b/galenascale/gateway/slots/messages.py
@@ -3,7 +3,11 @@
 import math
 
 from galenascale.gateway.slots.decisions import Grant, Refused
-from galenascale.generated.gateway_messages import SlotMessage, SlotMessageKind
+from galenascale.generated.gateway_messages import (
+    SlotMessage,
+    SlotMessageKind,
+    TenantSlots,
+)
 
 # Longest time in a message, in milliseconds; 11 days stand for no limit and
 # fit a 32-bit integer.
@@ -29,6 +33,7 @@
         refusable=request.refusable,
         forwarded=request.forwarded,
         give_up_ms=_give_up_ms(request, now),
+        tenant=request.tenant,
     )
 
 
@@ -47,6 +52,7 @@
         server=lease.server_key,
         batch=lease.batch,
         wait_ms=to_milliseconds(lease.start_by - now),
+        tenant=lease.tenant,
     )
 
 
@@ -86,6 +92,7 @@
         run=run,
         wait_ms=to_milliseconds(decision.wait_s),
         paced=refused and decision.limited,
+        beyond_share=refused and decision.beyond_share,
     )
 
 
@@ -100,4 +107,8 @@
         batch_runs=free_slots.preemptible,
         wait_ms=to_milliseconds(free_slots.wait_s),
         millistarts_per_s=to_milliseconds(free_slots.starts_per_s),
+        tenants=[
+            TenantSlots(tenant, slots)
+            for tenant, slots in free_slots.slots_by_tenant.items()
+        ],
     )
--- a/galenascale/gateway/slots/owner.py
+++ b/galenascale/gateway/slots/owner.py
@@ -4,7 +4,6 @@
 
 import attrs
 
-from galenascale.gateway.servers import find_by_key
 from galenascale.gateway.slots.decisions import (
     Forwarded,
     FreeSlots,
@@ -12,7 +11,6 @@
     Preempted,
     Queued,
     Refused,
-    limit_effect,
 )
 from galenascale.gateway.slots.messages import (
     make_answer,
@@ -20,10 +18,12 @@
     make_free_slots,
     make_hold_ack,
 )
+from galenascale.gateway.slots.outcomes import count_effects, record_outcome
 from galenascale.gateway.slots.pace import LimitPart
 from galenascale.gateway.slots.pool import LEASE_S, SlotPool
 from galenascale.gateway.slots.pool_servers import grantable_servers
 from galenascale.gateway.slots.runs import Run
+from galenascale.gateway.slots.tenant_shares import tenant_name, weights_by_key
 from galenascale.gateway.slots.wait_queue import SlotRequest
 from galenascale.generated.gateway_messages import (
     SlotMessage,
@@ -142,6 +142,7 @@
             refusable=message.refusable,
             forwarded=message.forwarded,
             give_up_at=now + (message.give_up_ms / 1000 or math.inf),
+            tenant=message.tenant,
         )
         return slots.submit(request, now)
 
@@ -155,6 +156,7 @@
             slack_s=message.wait_ms / 1000,
             started_at=now,
             seen_at=now,
+            tenant=message.tenant,
         )
         # Confirms to the host that this owner counts the run.
         self._send(host, make_hold_ack(message))
@@ -168,25 +170,10 @@
     def _on_ended(self, message, address, slots, now):
         host = message.host or address
         if host != self._pool_map.own_address:
-            self._record_outcome(message, now)
+            record_outcome(self._context, message, now)
         refused = message.outcome == SlotOutcome.REFUSED
         return slots.end((host, message.run), now, refused=refused)
 
-    def _record_outcome(self, message, now):
-        """Record the outcome of another host's run in the server's health."""
-        entry = find_by_key(self._context.servers.all_entries(), message.server)
-        if entry is None:
-            return
-        health = self._context.health
-        if message.outcome == SlotOutcome.SERVED:
-            health.record_success(entry.incarnation, now)
-        elif message.outcome == SlotOutcome.FAILED:
-            health.record_failure(entry.incarnation, now)
-        elif message.outcome == SlotOutcome.UNREACHABLE:
-            health.mark_suspected(entry.incarnation, now)
-        elif message.outcome == SlotOutcome.GONE:
-            health.mark_gone(entry.incarnation, now)
-
     def _on_spare(self, message, address, slots, now):
         self._reporters_by_pool[message.from_pool] = (address, now)
         free_slots = FreeSlots(
@@ -195,13 +182,13 @@
             message.batch_runs,
             message.wait_ms / 1000,
             message.millistarts_per_s / 1000,
+            slots_by_tenant={item.tenant: item.slots for item in message.tenants},
         )
         return slots.update_free_slots(message.from_pool, free_slots, now)
 
     def _send_decisions(self, pool, decisions, now):
         for decision in decisions:
-            if self._context.limits:
-                self._count_limited(decision)
+            count_effects(self._context, decision)
             match decision:
                 case Forwarded():
                     self._forward(decision, now)
@@ -215,11 +202,6 @@
                 case Grant() | Queued() | Refused():
                     self._send(decision.request.host, make_answer(pool, decision))
 
-    def _count_limited(self, decision):
-        effect = limit_effect(decision)
-        if effect is not None:
-            self._context.metrics.limited_requests.labels(effect).inc()
-
     def _forward(self, decision, now):
         pool = self._pool_map.pool_by_key(decision.pool_key)
         if pool is None:
@@ -263,17 +245,21 @@
         if pressure is None or now - owned.logged_at < PRESSURE_INTERVAL_S:
             return
         owned.logged_at = now
+        fields = attrs.asdict(pressure)
+        key = fields.pop("largest_tenant")
+        fields["largest_tenant"] = tenant_name(self._context.configuration, key)
         self._context.log.write(
             "pool_full",
             service=pool.service,
             failure_domain=pool.failure_domain,
-            **attrs.asdict(pressure),
+            **fields,
         )
 
     def _refresh(self, pool, owned, now):
         context = self._context
         part = self._own_part(pool, owned) if context.limits else LimitPart()
         learning = now < owned.learning_until
+        owned.slots.shares.set_weights(weights_by_key(context.settings.tenant_weights))
         owned.slots.set_servers(
             grantable_servers(context, pool, part, now, learning=learning)
         )
--- a/galenascale/gateway/slots/pool.py
+++ b/galenascale/gateway/slots/pool.py
@@ -13,25 +13,30 @@
 from galenascale.gateway.slots.decisions import (
     FreeSlots,
     Grant,
-    Preempted,
     Pressure,
     Queued,
     Refused,
 )
+from galenascale.gateway.slots.preemption import (
+    item_to_preempt,
+    preempt,
+    preempt_excess_items,
+    repeat_preemptions,
+)
+from galenascale.gateway.slots.run_times import RunTimes
 from galenascale.gateway.slots.runs import Run, RunTable
 from galenascale.gateway.slots.server_slots import ServerSlots
 from galenascale.gateway.slots.sibling_pools import SiblingPools
+from galenascale.gateway.slots.tenant_shares import (
+    NO_TENANT,
+    TenantShares,
+    largest_users,
+)
 from galenascale.gateway.slots.wait_queue import WaitQueue
 
 # Seconds after which a run or a request is dropped unless its host renews it;
 # hosts send several renewals within this time.
 LEASE_S = 2.5
-# Seconds after which the preemption of an item that still runs is repeated.
-PREEMPT_RETRY_S = 0.1
-# Weight of the newest run in the moving average of the run time, and number of
-# runs before which no wait is forecast.
-RUN_TIME_WEIGHT = 0.05
-MIN_RUNS_FOR_FORECAST = 20
 
 
 class SlotPool:
@@ -40,16 +45,31 @@
     def __init__(self, rng):
         self._runs = RunTable()
         self._servers = ServerSlots(rng, self._runs)
-        self._online_queue = WaitQueue()
-        self._batch_queue = WaitQueue()
+        self._online_queue = WaitQueue(self._online_excess)
+        self._batch_queue = WaitQueue(self._batch_excess)
         self._siblings = SiblingPools()
-        self._mean_run_s = 0.0
-        self._completed = 0
+        self.shares = TenantShares()
+        self._run_times = RunTimes()
 
     def set_servers(self, servers):
         """Set the PoolServers that may be granted."""
         self._servers.set(servers)
 
+    def _online_excess(self, requests):
+        """Return the requests beyond their tenants' shares of the service."""
+        if not any(request.tenant for request in requests):
+            return {}
+        held = self._runs.online_by_tenant()
+        slots = self._servers.slots + self._siblings.add_slots_by_tenant(held)
+        return self.shares.excess_by_run(requests, held, slots)
+
+    def _batch_excess(self, requests):
+        """Return the items beyond their tenants' shares of the pool."""
+        if not any(request.tenant for request in requests):
+            return {}
+        held = self._runs.total_by_tenant()
+        return self.shares.excess_by_run(requests, held, self._servers.slots)
+
     @property
     def has_servers(self):
         """Return True if there is a server to grant."""
@@ -77,30 +97,32 @@
                 self._servers.has_tokens(run.server_key)
                 for run in self._runs.preemptible()
             ),
+            slots_by_tenant=largest_users(self._runs.online_by_tenant()),
         )
 
     def add_forecast(self, free_slots):
         """Set the forecast wait in FreeSlots, as far as it is known."""
-        forecast = self._servers.forecast(self._known_mean_run_s())
+        forecast = self._servers.forecast(self._run_times.known_mean_s)
         if math.isfinite(forecast.starts_per_s):
             ahead = len(self._online_queue) + 1
             free_slots.wait_s = round(forecast.wait_s(ahead), 2)
             free_slots.starts_per_s = round(forecast.starts_per_s, 1)
 
-    def _known_mean_run_s(self):
-        """Return the mean run time in seconds, 0 after too few runs."""
-        return self._mean_run_s if self._completed >= MIN_RUNS_FOR_FORECAST else 0.0
-
     def pressure(self):
         """Return the Pressure while a request waits, else None."""
         if not (self._online_queue or self._batch_queue):
             return None
+        held = largest_users(self._runs.online_by_tenant())
+        tenant, tenant_slots = next(iter(held.items()), (NO_TENANT, 0))
         return Pressure(
             slots=self._servers.slots,
             online=self._runs.online,
             batch=self._runs.batch,
             waiting_online=len(self._online_queue),
             waiting_batch=len(self._batch_queue),
+            beyond_share=len(self._online_excess(list(self._online_queue))),
+            largest_tenant=tenant,
+            largest_tenant_slots=tenant_slots,
         )
 
     def update_free_slots(self, pool_key, free_slots, now):
@@ -124,8 +146,9 @@
         return decisions
 
     def _queue_or_refuse(self, request, queue, now):
-        forecast = self._servers.forecast(self._known_mean_run_s())
-        wait_s = forecast.wait_s(queue.count_ahead(request, now) + 1)
+        forecast = self._servers.forecast(self._run_times.known_mean_s)
+        requests, excess = queue.ranked(now)
+        wait_s = forecast.wait_s(requests.index(request) + 1)
         if forecast.has_limits and not request.batch:
             decisions = self._siblings.forward_if_sooner(request, wait_s)
             if decisions:
@@ -133,12 +156,19 @@
                 return decisions
         limited = self._servers.all_limited
         starts_at = now + wait_s
-        refusable = request.refusable and not request.returned
-        is_late = refusable and starts_at > request.start_by
+        beyond_share = request.run_id in excess
+        is_late = request.should_return(starts_at)
         if is_late or (limited and starts_at > request.give_up_at):
             queue.remove(request.run_id)
-            return [Refused(request, wait_s, limited)]
-        return [Queued(request, wait_s, self._servers.is_held_back(request.avoid))]
+            return [Refused(request, wait_s, limited, beyond_share)]
+        held_back = self._servers.is_held_back(request.avoid)
+        decisions = [Queued(request, wait_s, held_back, beyond_share)]
+        if not request.batch:
+            displaced = queue.take_displaced(requests, excess, forecast, now)
+            decisions += [
+                Refused(other, wait, beyond_share=True) for other, wait in displaced
+            ]
+        return decisions
 
     def record_run(self, run, now, *, new=True):
         """
@@ -157,7 +187,7 @@
                 self._servers.spend(run.server_key)
         else:
             known.seen_at = now
-        return self._preempt_excess_items(run.server_key, now)
+        return preempt_excess_items(self._runs, self._servers, run.server_key, now)
 
     def end(self, run_id, now, *, refused=False):
         """End a run or withdraw a request; return the decisions."""
@@ -169,26 +199,16 @@
         if refused:
             self._servers.pause(run.server_key, now)
         elif not run.batch:
-            self._record_run_time(now - run.started_at)
+            self._run_times.record(now - run.started_at)
         return self._schedule(now)
 
-    def _record_run_time(self, elapsed_s):
-        if not self._completed:
-            self._mean_run_s = elapsed_s
-        self._completed += 1
-        self._mean_run_s += RUN_TIME_WEIGHT * (elapsed_s - self._mean_run_s)
-
     def tick(self, now):
         """Drop what hosts no longer renew; return the decisions."""
         self._runs.expire(now - LEASE_S)
         self._online_queue.expire(now - LEASE_S)
         self._batch_queue.expire(now - LEASE_S)
         self._siblings.expire(now)
-        preemptions = [
-            self._preempt(run, now)
-            for run in self._runs
-            if run.preempted_at is not None and now - run.preempted_at > PREEMPT_RETRY_S
-        ]
+        preemptions = repeat_preemptions(self._runs, now)
         return preemptions + self._schedule(now) + self._forward_waiting(now)
 
     def reserve(self):
@@ -213,7 +233,7 @@
         if not self._servers.has_limits or not self._online_queue:
             return []
         decisions = []
-        forecast = self._servers.forecast(self._known_mean_run_s())
+        forecast = self._servers.forecast(self._run_times.known_mean_s)
         ahead = 1
         for request in self._online_queue.in_order(now):
             wait_s = forecast.wait_s(ahead)
@@ -232,10 +252,10 @@
         forwarded = self._siblings.forward(request, lambda free_slots: free_slots.free)
         if forwarded:
             return forwarded
-        item = self._item_to_preempt(request.avoid)
+        item = item_to_preempt(self._runs, self._servers, request.avoid)
         if item is not None:
             return [
-                self._preempt(item, now),
+                preempt(item, now),
                 self._grant(request, item.server_key, now),
             ]
         if self._servers.are_within(request.avoid):
@@ -264,31 +284,7 @@
             started_at=now,
             seen_at=now,
             paced=self._servers.spend(server_key),
+            tenant=request.tenant,
         )
         self._runs.add(run)
         return Grant(request, server_key, run.paced, passed_over)
-
-    def _item_to_preempt(self, avoid):
-        for run in self._runs.preemptible():
-            key = run.server_key
-            if self._servers.get(key) is None or key in avoid:
-                continue
-            if self._servers.has_tokens(key):
-                return run
-        return None
-
-    def _preempt_excess_items(self, server_key, now):
-        """Preempt items at a server that has more runs than slots."""
-        server = self._servers.get(server_key)
-        count = self._runs.counts_at(server_key)
-        if server is None or not count.batch or count.total <= server.slots:
-            return []
-        excess = count.total - server.slots - self._runs.preempted_count(server_key)
-        items = [
-            run for run in self._runs.preemptible() if run.server_key == server_key
-        ]
-        return [self._preempt(run, now) for run in items[: max(0, excess)]]
-
-    def _preempt(self, run, now):
-        run.preempted_at = now
-        return Preempted(run.host, run.number)
--- a/galenascale/gateway/slots/runs.py
+++ b/galenascale/gateway/slots/runs.py
@@ -20,6 +20,8 @@
     preempted_at: float | None = None
     # Whether it was counted against the limit of its server.
     paced: bool = False
+    # Key of the tenant; 0 if there are no tenants.
+    tenant: int = 0
 
     @property
     def run_id(self):
@@ -29,7 +31,7 @@
 
 @attrs.define
 class RunCount:
-    """Numbers of online and batch runs at one server."""
+    """Numbers of online and batch runs, at one server or of one tenant."""
 
     online: int = 0
     batch: int = 0
@@ -40,6 +42,17 @@
         return self.online + self.batch
 
 
+def _add_to(counts_by_key, key, batch, change):
+    """Change the RunCount of a key, and drop it if it is empty."""
+    count = counts_by_key.setdefault(key, RunCount())
+    if batch:
+        count.batch += change
+    else:
+        count.online += change
+    if not count.total:
+        del counts_by_key[key]
+
+
 def preemption_order(run):
     """
     Return the sort key of items for preemption; the first is preempted.
@@ -56,6 +69,7 @@
     def __init__(self):
         self._by_id = {}
         self._counts_by_server = {}
+        self._counts_by_tenant = {}
 
     def __len__(self):
         return len(self._by_id)
@@ -78,18 +92,25 @@
         self._add_to_count(run, -1)
 
     def _add_to_count(self, run, change):
-        count = self._counts_by_server.setdefault(run.server_key, RunCount())
-        if run.batch:
-            count.batch += change
-        else:
-            count.online += change
-        if not count.total:
-            del self._counts_by_server[run.server_key]
+        _add_to(self._counts_by_server, run.server_key, run.batch, change)
+        _add_to(self._counts_by_tenant, run.tenant, run.batch, change)
 
     def counts_at(self, server_key):
         """Return the RunCount of a server."""
         return self._counts_by_server.get(server_key) or RunCount()
 
+    def online_by_tenant(self):
+        """Return the slots that tenants hold for online requests, by key."""
+        return {
+            tenant: count.online
+            for tenant, count in self._counts_by_tenant.items()
+            if count.online
+        }
+
+    def total_by_tenant(self):
+        """Return the slots that tenants hold, by key."""
+        return {tenant: count.total for tenant, count in self._counts_by_tenant.items()}
+
     @property
     def online(self):
         """Return the number of online requests."""
--- a/galenascale/gateway/slots/sibling_pools.py
+++ b/galenascale/gateway/slots/sibling_pools.py
@@ -19,6 +19,15 @@
         free_slots.received_at = now
         self._free_slots_by_pool[pool_key] = free_slots
 
+    def add_slots_by_tenant(self, held_by_tenant):
+        """Add the reported slots of tenants; return the number of these."""
+        added = 0
+        for free_slots in self._free_slots_by_pool.values():
+            for tenant, slots in free_slots.slots_by_tenant.items():
+                held_by_tenant[tenant] = held_by_tenant.get(tenant, 0) + slots
+                added += slots
+        return added
+
     def expire(self, now):
         """Drop old reports."""
         for pool_key, free_slots in list(self._free_slots_by_pool.items()):
--- a/galenascale/gateway/slots/wait_queue.py
+++ b/galenascale/gateway/slots/wait_queue.py
@@ -25,22 +25,31 @@
     give_up_at: float = float("inf")
     # Monotonic time in seconds of the host's last message about the request.
     seen_at: float = 0.0
+    # Key of the tenant; 0 if there are no tenants.
+    tenant: int = 0
 
     @property
     def run_id(self):
         """Return the key of the run that needs the slot."""
         return (self.host, self.number)
 
+    def should_return(self, starts_at):
+        """Return True if it may be refused and would start too late."""
+        refusable = self.refusable and not self.returned
+        return refusable and starts_at > self.start_by
 
-def queue_order(request, now):
+
+def queue_order(request, now, excess=0.0):
     """
     Return the sort key of a request among those of its kind.
 
-    Requests that can still start in time precede those that are late anyway.
-    Within both groups retries of refused requests come first, and then the
-    earliest `start_by`.
+    Requests within the share of their tenant, whose `excess` is 0, precede the
+    others. Then those that can still start in time precede those that are late
+    anyway, and within both groups come retries of refused requests first and
+    then the earliest `start_by`.
     """
     return (
+        excess,
         request.start_by < now,
         not request.returned,
         request.start_by,
@@ -49,10 +58,16 @@
 
 
 class WaitQueue:
-    """Waiting requests of one kind, either online or batch."""
+    """
+    Waiting requests of one kind, either online or batch.
+
+    `find_excess` returns how far requests exceed their tenants' shares, by run
+    id, for a list of them.
+    """
 
-    def __init__(self):
+    def __init__(self, find_excess):
         self._by_run_id = {}
+        self._find_excess = find_excess
 
     def __len__(self):
         return len(self._by_run_id)
@@ -74,9 +89,26 @@
 
     def in_order(self, now):
         """Return all requests in the order in which they are served."""
-        return sorted(
+        return self.ranked(now)[0]
+
+    def ranked(self, now):
+        """
+        Return the requests in order, and how far some exceed their shares.
+
+        The latter has the requests beyond the shares of their tenants, by run
+        id.
+        """
+        requests = sorted(
             self._by_run_id.values(), key=lambda request: queue_order(request, now)
         )
+        excess = self._find_excess(requests)
+        if excess:
+            requests.sort(
+                key=lambda request: queue_order(
+                    request, now, excess.get(request.run_id, 0.0)
+                )
+            )
+        return requests, excess
 
     def place(self, place, avoids_all, now):
         """
@@ -102,10 +134,23 @@
                 full = full or not request.forwarded
         return decisions
 
-    def count_ahead(self, request, now):
-        """Return how many requests are served before one."""
-        key = queue_order(request, now)
-        return sum(queue_order(other, now) < key for other in self._by_run_id.values())
+    def take_displaced(self, requests, excess, forecast, now):
+        """
+        Remove the requests beyond shares that others make late.
+
+        `requests` and `excess` are those of `ranked`. Return pairs of a
+        request and its forecast wait in seconds.
+        """
+        displaced = []
+        ahead = 1
+        for request in requests if excess else ():
+            wait_s = forecast.wait_s(ahead)
+            if request.run_id in excess and request.should_return(now + wait_s):
+                self.remove(request.run_id)
+                displaced.append((request, wait_s))
+            else:
+                ahead += 1
+        return displaced
 
     def expire(self, unseen_since):
         """Drop requests that their hosts have not renewed since a time."""
--- a/schema/gateway.thrift
+++ b/schema/gateway.thrift
@@ -256,6 +256,13 @@
   GONE = 5,
 }
 
+/** Slots that a tenant holds in a pool. */
+struct TenantSlots {
+  /** Hash of the name of the tenant. */
+  1: i32 tenant = 0,
+  2: i32 slots = 0,
+}
+
 struct SlotMessage {
   1: i32 kind = 0,
   /** Hash of the pool's name. */
@@ -300,6 +307,12 @@
   /** SPARE: thousandths of requests that start in the pool each second; 0 if
    * unknown. */
   21: i32 millistarts_per_s = 0,
+  /** ASK, HOLD: hash of the name of the tenant; 0 if there are no tenants. */
+  22: i32 tenant = 0,
+  /** REFUSED: the tenant uses more than its share of the slots. */
+  23: bool beyond_share = 0,
+  /** SPARE: the tenants that hold most slots for requests in the pool. */
+  24: list<TenantSlots> tenants,
 }
 
 /** Kinds of messages between hosts about the request rates of tenants. */
@@ -478,4 +491,7 @@
   /** Failure domains of all hosts; those that a host has not heard of count in
    * the division of quotas. */
   14: list<string> failure_domains,
+  /** Weights of tenants, by name, in the division of slots while there are too
+   * few; 1 for those that are not named. */
+  15: map<string, double> tenant_weights,
 }
--- a/test/gateway/test_slot_hosts.py
+++ b/test/gateway/test_slot_hosts.py
@@ -7,6 +7,7 @@
 import attrs
 import pytest
 
+from galenascale.gateway.configuration import ConfigurationState
 from galenascale.gateway.health import ServerHealth
 from galenascale.gateway.load import FleetLoad, hash_key
 from galenascale.gateway.metrics import GatewayMetrics
@@ -15,8 +16,8 @@
 from galenascale.gateway.servers import ServerEntry, ServerList
 from galenascale.gateway.slots import acquisition, pool_map
 from galenascale.gateway.slots.leases import SlotRefused
-from galenascale.gateway.slots.pool import MIN_RUNS_FOR_FORECAST
 from galenascale.gateway.slots.pool_map import build_pools
+from galenascale.gateway.slots.run_times import MIN_RUNS_FOR_FORECAST
 from galenascale.gateway.slots.service import SlotService
 from galenascale.generated.gateway_messages import (
     SlotMessage,
@@ -66,6 +67,7 @@
 
     host_id: str
     failure_domain: str
+    tenant_weights: dict = attrs.field(factory=dict)
 
 
 @attrs.define(eq=False)
@@ -81,6 +83,7 @@
     rng: random.Random
     metrics: GatewayMetrics
     ownership: Ownership
+    configuration: ConfigurationState = attrs.field(factory=ConfigurationState)
     limits: ServerLimits = attrs.field(factory=ServerLimits)
     slots: SlotService = None
     task: object = None
--- a/test/gateway/test_slot_pool.py
+++ b/test/gateway/test_slot_pool.py
@@ -19,11 +19,8 @@
     Refused,
 )
 from galenascale.gateway.slots.pace import LimitPart, Pace
-from galenascale.gateway.slots.pool import (
-    LEASE_S,
-    MIN_RUNS_FOR_FORECAST,
-    SlotPool,
-)
+from galenascale.gateway.slots.pool import LEASE_S, SlotPool
+from galenascale.gateway.slots.run_times import MIN_RUNS_FOR_FORECAST
 from galenascale.gateway.slots.runs import Run
 from galenascale.gateway.slots.server_slots import REFUSAL_PAUSE_S
 from galenascale.gateway.slots.wait_queue import SlotRequest
