Prefer the faster servers of a pool, as learned from the ends of runs

Cause: slots were granted by the share of free ones alone, so servers that take 1.6 times the mean got as much as those that take 0.6. Change: the owner of a pool keeps a moving average of the time of runs at each server, by token where requests name tokens, and weighs free shares and forecasts by it; within a fifth all count as equal, and what is known fades within 10 s. A log line names the slowest; the setting server_speeds switches it off.

--- a/bench/limit_fleet.py
+++ b/bench/limit_fleet.py
@@ -81,6 +81,7 @@
     host_id: str
     failure_domain: str
     tenant_weights: dict = attrs.field(factory=dict)
+    server_speeds: bool = True
 
 
 @attrs.define(eq=False)
--- a/bench/slot_pools.py
+++ b/bench/slot_pools.py
@@ -328,7 +328,11 @@
             waited_s = self.now - task.submitted_at
             self.totals.late += waited_s > self.pattern.max_wait_s
         task.started_at = self.now
-        self.schedule(task.remaining_s, self._finish, task, task.attempt)
+        self.schedule(self._duration_s(task), self._finish, task, task.attempt)
+
+    def _duration_s(self, task):
+        """Return the seconds that the rest of a task takes at its server."""
+        return task.remaining_s
 
     def _finish(self, task, attempt):
         if task.attempt != attempt or task.done_at is not None:
@@ -346,13 +350,14 @@
         server = task.server
         self.running[server] -= 1
         pool = server % self.pattern.domains
-        self._send(self._end, pool, self._request_number(task), task.host)
+        served = task.done_at is not None
+        self._send(self._end, pool, self._request_number(task), task.host, served)
         if self.queues[server] and self.running[server] < self.pattern.slots:
             self._start(self.queues[server].pop(0))
 
-    def _end(self, pool, request_number, host):
+    def _end(self, pool, request_number, host, served=False):
         run_id = (f"h{host}", request_number)
-        self._apply(pool, self.pools[pool].end(run_id, self.now))
+        self._apply(pool, self.pools[pool].end(run_id, self.now, served=served))
 
     def _preempt(self, request_number, pool):
         number, attempt = divmod(request_number, 1000)
--- a/galenascale/gateway/forwarded_request.py
+++ b/galenascale/gateway/forwarded_request.py
@@ -121,7 +121,11 @@
                     plan,
                     self._services,
                     self._content_key,
-                    tenant_key(self._request.tenant),
+                    tenant=tenant_key(self._request.tenant),
+                    # A run that goes on elsewhere generates only the rest.
+                    tokens=0
+                    if self._sequence.last_id
+                    else self._request.max_output_tokens,
                 )
             except SlotRefused as error:
                 raise self._record_refusal(error) from error
--- a/galenascale/gateway/server_selection.py
+++ b/galenascale/gateway/server_selection.py
@@ -62,12 +62,12 @@
         self._context = context
         self._dispatcher = dispatcher
 
-    async def select(self, route, plan, services, content_key, tenant):
+    async def select(self, route, plan, services, content_key, **fields):
         """
         Return the SelectedServer for the next attempt.
 
-        Return None if no server may be tried now. `tenant` is the key of the
-        tenant in the division of slots.
+        Return None if no server may be tried now. `fields` are those of the
+        SlotRequest that tell of the request: its tenant and tokens.
 
         Raise SlotRefused if the caller should retry later.
         """
@@ -75,7 +75,7 @@
             limited = self._has_limited_server(service, plan)
             if route.kind is RequestKind.STREAMING or limited:
                 selected = await self._acquire_slot(
-                    service, plan, content_key, tenant, limited
+                    service, plan, content_key, fields, limited
                 )
                 if selected is not None:
                     return selected
@@ -86,7 +86,7 @@
         if route.kind is RequestKind.STREAMING:
             start_by = self._context.admission.start_by(plan, candidate.server.service)
             lease = self._context.slots.client.lease_without_grant(
-                candidate.server, start_by, tenant
+                candidate.server, start_by, fields["tenant"]
             )
             self._context.metrics.slots.labels("own_choice").inc()
         return SelectedServer(candidate, self._context.clock.monotonic(), lease)
@@ -102,7 +102,7 @@
             for entry in self._context.servers.usable(service, now)
         )
 
-    async def _acquire_slot(self, service, plan, content_key, tenant, limited):
+    async def _acquire_slot(self, service, plan, content_key, fields, limited):
         """
         Return a SelectedServer with a granted slot, or None.
 
@@ -125,7 +125,7 @@
                 avoid=self._excluded_server_keys(entries, plan),
                 returned=admission.was_refused(content_key, now),
                 refusable=not plan.runs if limited else admission.may_refuse(plan, now),
-                tenant=tenant,
+                **fields,
             )
             if lease is not None or context.clock.monotonic() >= give_up_at:
                 break
--- a/galenascale/gateway/settings.py
+++ b/galenascale/gateway/settings.py
@@ -18,6 +18,7 @@
     "seeds",
     "bounds",
     "tenant_weights",
+    "server_speeds",
     "log_level",
     "store",
     "caller_listen",
@@ -116,6 +117,7 @@
         self._settings = loaded
         self._host.context.settings.bounds = loaded.bounds
         self._host.context.settings.tenant_weights = loaded.tenant_weights
+        self._host.context.settings.server_speeds = loaded.server_speeds
         self._host.discovery.add_seeds(loaded.seeds)
         log.set_level(loaded.log_level)
         log.write("reload", changed=changed)
--- a/galenascale/gateway/slots/messages.py
+++ b/galenascale/gateway/slots/messages.py
@@ -12,6 +12,8 @@
 # Longest time in a message, in milliseconds; 11 days stand for no limit and
 # fit a 32-bit integer.
 MAX_MS = 1e9
+# Most tokens in a message; any 32-bit number would do.
+MAX_TOKENS = 1 << 30
 
 
 def to_milliseconds(seconds):
@@ -34,6 +36,7 @@
         forwarded=request.forwarded,
         give_up_ms=_give_up_ms(request, now),
         tenant=request.tenant,
+        tokens=min(request.tokens, MAX_TOKENS),
     )
 
 
--- a/galenascale/gateway/slots/owner.py
+++ b/galenascale/gateway/slots/owner.py
@@ -18,12 +18,17 @@
     make_free_slots,
     make_hold_ack,
 )
-from galenascale.gateway.slots.outcomes import count_effects, record_outcome
+from galenascale.gateway.slots.owner_records import (
+    count_effects,
+    log_pressure,
+    log_speeds,
+    record_outcome,
+)
 from galenascale.gateway.slots.pace import LimitPart
 from galenascale.gateway.slots.pool import LEASE_S, SlotPool
 from galenascale.gateway.slots.pool_servers import grantable_servers
 from galenascale.gateway.slots.runs import Run
-from galenascale.gateway.slots.tenant_shares import tenant_name, weights_by_key
+from galenascale.gateway.slots.tenant_shares import weights_by_key
 from galenascale.gateway.slots.wait_queue import SlotRequest
 from galenascale.generated.gateway_messages import (
     SlotMessage,
@@ -41,6 +46,8 @@
 PEER_REPORT_MAX_AGE_S = 1.0
 # Seconds between two log lines about a pool in which requests wait.
 PRESSURE_INTERVAL_S = 0.5
+# Seconds between two log lines about servers that differ in speed.
+SPEEDS_INTERVAL_S = 10.0
 
 
 class _OwnedPool:
@@ -52,6 +59,7 @@
         self.reported_free_slots = None
         self.reported_at = float("-inf")
         self.logged_at = float("-inf")
+        self.speeds_logged_at = now
         # When a host last treated this one as a substitute owner.
         self.substitute_at = float("-inf")
         # When another pool of the service last reported its free slots.
@@ -143,6 +151,7 @@
             forwarded=message.forwarded,
             give_up_at=now + (message.give_up_ms / 1000 or math.inf),
             tenant=message.tenant,
+            tokens=message.tokens,
         )
         return slots.submit(request, now)
 
@@ -171,8 +180,12 @@
         host = message.host or address
         if host != self._pool_map.own_address:
             record_outcome(self._context, message, now)
-        refused = message.outcome == SlotOutcome.REFUSED
-        return slots.end((host, message.run), now, refused=refused)
+        return slots.end(
+            (host, message.run),
+            now,
+            refused=message.outcome == SlotOutcome.REFUSED,
+            served=message.outcome == SlotOutcome.SERVED,
+        )
 
     def _on_spare(self, message, address, slots, now):
         self._reporters_by_pool[message.from_pool] = (address, now)
@@ -237,6 +250,7 @@
             self._refresh(pool, owned, now)
             self._send_decisions(pool, owned.slots.tick(now), now)
             self._log_pressure(pool, owned, now)
+            self._log_speeds(pool, owned, now)
             if self._pool_map.is_own(pool, now):
                 self._report_free_slots(pool, owned, now)
 
@@ -245,15 +259,16 @@
         if pressure is None or now - owned.logged_at < PRESSURE_INTERVAL_S:
             return
         owned.logged_at = now
-        fields = attrs.asdict(pressure)
-        key = fields.pop("largest_tenant")
-        fields["largest_tenant"] = tenant_name(self._context.configuration, key)
-        self._context.log.write(
-            "pool_full",
-            service=pool.service,
-            failure_domain=pool.failure_domain,
-            **fields,
-        )
+        log_pressure(self._context, pool, pressure)
+
+    def _log_speeds(self, pool, owned, now):
+        if now - owned.speeds_logged_at < SPEEDS_INTERVAL_S:
+            return
+        owned.speeds_logged_at = now
+        slowness_by_key = owned.slots.slowest_servers(now)
+        if slowness_by_key:
+            entries = self._context.servers.all_entries()
+            log_speeds(self._context.log, pool, slowness_by_key, entries)
 
     def _refresh(self, pool, owned, now):
         context = self._context
@@ -261,7 +276,8 @@
         learning = now < owned.learning_until
         owned.slots.shares.set_weights(weights_by_key(context.settings.tenant_weights))
         owned.slots.set_servers(
-            grantable_servers(context, pool, part, now, learning=learning)
+            grantable_servers(context, pool, part, now, learning=learning),
+            by_speed=context.settings.server_speeds,
         )
 
     def _own_part(self, pool, owned):
@@ -272,7 +288,7 @@
     def _report_free_slots(self, pool, owned, now):
         free_slots = owned.slots.free_slots()
         if self._context.limits:
-            owned.slots.add_forecast(free_slots)
+            owned.slots.add_forecast(free_slots, now)
         if (
             free_slots == owned.reported_free_slots
             and now - owned.reported_at < FREE_SLOTS_REPEAT_S
--- a/galenascale/gateway/slots/outcomes.py
+++ b/galenascale/gateway/slots/owner_records.py
@@ -1,7 +1,10 @@
-"""What a pool's owner records of its decisions and of the ends of runs."""
+"""What the owner of a pool records of its decisions and of the runs."""
+
+import attrs
 
 from galenascale.gateway.servers import find_by_key
 from galenascale.gateway.slots.decisions import beyond_share_effect, limit_effect
+from galenascale.gateway.slots.tenant_shares import tenant_name
 from galenascale.generated.gateway_messages import SlotOutcome
 
 
@@ -21,6 +24,34 @@
         health.mark_gone(entry.incarnation, now)
 
 
+def log_pressure(context, pool, pressure):
+    """Log the Pressure of a pool in which requests wait."""
+    fields = attrs.asdict(pressure)
+    key = fields.pop("largest_tenant")
+    fields["largest_tenant"] = tenant_name(context.configuration, key)
+    context.log.write(
+        "pool_full",
+        service=pool.service,
+        failure_domain=pool.failure_domain,
+        **fields,
+    )
+
+
+def log_speeds(log, pool, slowness_by_key, entries):
+    """Log how much longer runs take at the slowest servers of a pool."""
+    slowness_by_id = {
+        entry.server_id: round(slowness, 2)
+        for key, slowness in slowness_by_key.items()
+        if (entry := find_by_key(entries, key)) is not None
+    }
+    log.write(
+        "servers_differ",
+        service=pool.service,
+        failure_domain=pool.failure_domain,
+        slowness=slowness_by_id,
+    )
+
+
 def count_effects(context, decision):
     """Count how limits of servers and shares of tenants affect a request."""
     effect = limit_effect(decision) if context.limits else None
--- a/galenascale/gateway/slots/pool.py
+++ b/galenascale/gateway/slots/pool.py
@@ -51,9 +51,9 @@
         self.shares = TenantShares()
         self._run_times = RunTimes()
 
-    def set_servers(self, servers):
-        """Set the PoolServers that may be granted."""
-        self._servers.set(servers)
+    def set_servers(self, servers, *, by_speed=True):
+        """Set the PoolServers that may be granted; faster ones `by_speed`."""
+        self._servers.set(servers, by_speed)
 
     def _online_excess(self, requests):
         """Return the requests beyond their tenants' shares of the service."""
@@ -75,6 +75,10 @@
         """Return True if there is a server to grant."""
         return bool(self._servers)
 
+    def slowest_servers(self, now):
+        """Return the slowness of the slowest servers, by key."""
+        return self._servers.slowest(now)
+
     @property
     def in_use(self):
         """Return True if the pool has runs or waiting requests."""
@@ -100,9 +104,9 @@
             slots_by_tenant=largest_users(self._runs.online_by_tenant()),
         )
 
-    def add_forecast(self, free_slots):
+    def add_forecast(self, free_slots, now):
         """Set the forecast wait in FreeSlots, as far as it is known."""
-        forecast = self._servers.forecast(self._run_times.known_mean_s)
+        forecast = self._servers.forecast(self._run_times.known_mean_s, now)
         if math.isfinite(forecast.starts_per_s):
             ahead = len(self._online_queue) + 1
             free_slots.wait_s = round(forecast.wait_s(ahead), 2)
@@ -146,7 +150,7 @@
         return decisions
 
     def _queue_or_refuse(self, request, queue, now):
-        forecast = self._servers.forecast(self._run_times.known_mean_s)
+        forecast = self._servers.forecast(self._run_times.known_mean_s, now)
         requests, excess = queue.ranked(now)
         wait_s = forecast.wait_s(requests.index(request) + 1)
         if forecast.has_limits and not request.batch:
@@ -189,7 +193,7 @@
             known.seen_at = now
         return preempt_excess_items(self._runs, self._servers, run.server_key, now)
 
-    def end(self, run_id, now, *, refused=False):
+    def end(self, run_id, now, *, refused=False, served=False):
         """End a run or withdraw a request; return the decisions."""
         queued = self._online_queue.remove(run_id) or self._batch_queue.remove(run_id)
         run = self._runs.get(run_id)
@@ -200,6 +204,8 @@
             self._servers.pause(run.server_key, now)
         elif not run.batch:
             self._run_times.record(now - run.started_at)
+            if served:
+                self._servers.record_run(run, now)
         return self._schedule(now)
 
     def tick(self, now):
@@ -233,7 +239,7 @@
         if not self._servers.has_limits or not self._online_queue:
             return []
         decisions = []
-        forecast = self._servers.forecast(self._run_times.known_mean_s)
+        forecast = self._servers.forecast(self._run_times.known_mean_s, now)
         ahead = 1
         for request in self._online_queue.in_order(now):
             wait_s = forecast.wait_s(ahead)
@@ -285,6 +291,8 @@
             seen_at=now,
             paced=self._servers.spend(server_key),
             tenant=request.tenant,
+            tokens=request.tokens,
+            start_seen=True,
         )
         self._runs.add(run)
         return Grant(request, server_key, run.paced, passed_over)
--- a/galenascale/gateway/slots/runs.py
+++ b/galenascale/gateway/slots/runs.py
@@ -22,6 +22,10 @@
     paced: bool = False
     # Key of the tenant; 0 if there are no tenants.
     tenant: int = 0
+    # Tokens that it is to generate; 0 if unknown.
+    tokens: int = 0
+    # Whether its start was seen, so that its time is known.
+    start_seen: bool = False
 
     @property
     def run_id(self):
--- a/galenascale/gateway/slots/server_slots.py
+++ b/galenascale/gateway/slots/server_slots.py
@@ -1,5 +1,6 @@
 """Slots and pace of the servers of a pool, and the choice of a server."""
 
+import heapq
 import math
 
 import attrs
@@ -9,6 +10,7 @@
     ONLINE_TOKENS,
     PaceBucket,
 )
+from galenascale.gateway.slots.server_speeds import ServerSpeeds
 
 # Seconds for which a server that refused a run gets no other one: it has more
 # runs than the pool knows of.
@@ -17,6 +19,8 @@
 UNLIMITED_BATCH_WEIGHT = 0.1
 # Weight of the random term that chooses between equally free servers.
 JITTER = 1e-3
+# Servers that a report of differences names.
+MAX_SLOWEST = 8
 
 
 @attrs.frozen
@@ -47,11 +51,15 @@
         self._limited = []
         self._buckets_by_key = {}
         self._refused_until_by_key = {}
+        self._speeds = ServerSpeeds()
+        self._by_speed = True
 
-    def set(self, servers):
-        """Set the PoolServers that may be granted."""
+    def set(self, servers, by_speed=True):
+        """Set the PoolServers that may be granted; faster ones `by_speed`."""
+        self._by_speed = by_speed
         self._servers_by_key = {server.key: server for server in servers}
         self._limited = [server for server in servers if server.pace is not None]
+        self._speeds.keep(self._servers_by_key.keys())
 
     def __bool__(self):
         """Return True if there is a server to grant."""
@@ -143,9 +151,14 @@
         self._refused_until_by_key[key] = now + REFUSAL_PAUSE_S
 
     def best(self, avoid, now, *, batch=False):
-        """Return the server with the best free share and quality, or None."""
+        """
+        Return the best server with a free slot, or None.
+
+        Its free share is weighed by its quality and its speed.
+        """
         best = None
         best_score = 0.0
+        slowness_by_key = self._slowness_by_key(now)
         for server in self._servers_by_key.values():
             free = self._free_on(server)
             if free <= 0 or server.key in avoid:
@@ -156,11 +169,28 @@
             if now < self._refused_until_by_key.get(server.key, now):
                 continue
             score = free / server.slots * server.quality * weight
+            score /= slowness_by_key.get(server.key, 1.0)
             score += JITTER * self._rng.random()
             if score > best_score:
                 best, best_score = server, score
         return best
 
+    def record_run(self, run, now):
+        """Learn how fast a server is from a run that has reached its end."""
+        if run.start_seen:
+            elapsed_s = now - run.started_at
+            self._speeds.record(run.server_key, elapsed_s, run.tokens, now)
+
+    def slowest(self, now):
+        """Return the slowness of the MAX_SLOWEST slowest servers, by key."""
+        slowness_by_key = self._slowness_by_key(now)
+        slowest = heapq.nlargest(MAX_SLOWEST, slowness_by_key, slowness_by_key.get)
+        return {key: slowness_by_key[key] for key in slowest}
+
+    def _slowness_by_key(self, now):
+        """Return the slowness of the servers that differ from the others."""
+        return self._speeds.unlike_by_key(now) if self._by_speed else {}
+
     def is_held_back(self, avoid):
         """Return True if a limit alone keeps free slots of a server idle."""
         return any(
@@ -176,15 +206,17 @@
         """Return True if a server named a limit."""
         return bool(self._limited)
 
-    def forecast(self, mean_run_s):
+    def forecast(self, mean_run_s, now):
         """
         Return the Forecast of starts in this pool.
 
         `mean_run_s` is 0 if unknown; only limits tell of a wait then.
         """
         starts_per_s = 0.0
+        slowness_by_key = self._slowness_by_key(now)
         for server in self._servers_by_key.values():
             rate = server.slots / mean_run_s if mean_run_s else math.inf
+            rate /= slowness_by_key.get(server.key, 1.0)
             if server.pace is not None:
                 rate = min(rate, server.pace.requests_per_s)
             starts_per_s += rate
--- a/galenascale/gateway/slots/wait_queue.py
+++ b/galenascale/gateway/slots/wait_queue.py
@@ -27,6 +27,8 @@
     seen_at: float = 0.0
     # Key of the tenant; 0 if there are no tenants.
     tenant: int = 0
+    # Tokens that the run is to generate; 0 if unknown.
+    tokens: int = 0
 
     @property
     def run_id(self):
--- a/schema/gateway.thrift
+++ b/schema/gateway.thrift
@@ -313,6 +313,8 @@
   23: bool beyond_share = 0,
   /** SPARE: the tenants that hold most slots for requests in the pool. */
   24: list<TenantSlots> tenants,
+  /** ASK: tokens that the run is to generate; 0 if unknown. */
+  25: i32 tokens = 0,
 }
 
 /** Kinds of messages between hosts about the request rates of tenants. */
@@ -494,4 +496,6 @@
   /** Weights of tenants, by name, in the division of slots while there are too
    * few; 1 for those that are not named. */
   15: map<string, double> tenant_weights,
+  /** Prefer backend servers whose runs take less time than those of others. */
+  16: bool server_speeds = 1,
 }
--- a/test/gateway/test_slot_hosts.py
+++ b/test/gateway/test_slot_hosts.py
@@ -68,6 +68,7 @@
     host_id: str
     failure_domain: str
     tenant_weights: dict = attrs.field(factory=dict)
+    server_speeds: bool = True
 
 
 @attrs.define(eq=False)
--- a/test/test_layering.py
+++ b/test/test_layering.py
@@ -37,6 +37,7 @@
     "galenascale.gateway.slots.preemption",
     "galenascale.gateway.slots.run_times",
     "galenascale.gateway.slots.runs",
+    "galenascale.gateway.slots.server_speeds",
     "galenascale.gateway.slots.tenant_shares",
     "galenascale.gateway.slots.wait_queue",
     "galenascale.gateway.jobs.item_order",
