--- a/galenascale/gateway/slots/owner.py
+++ b/galenascale/gateway/slots/owner.py
@@ -265,10 +265,7 @@
         if now - owned.speeds_logged_at < SPEEDS_INTERVAL_S:
             return
         owned.speeds_logged_at = now
-        slowness_by_key = owned.slots.slowest_servers(now)
-        if slowness_by_key:
-            entries = self._context.servers.all_entries()
-            log_speeds(self._context.log, pool, slowness_by_key, entries)
+        log_speeds(self._context, pool, owned.slots.slowest_servers(now))
 
     def _refresh(self, pool, owned, now):
         context = self._context
--- a/galenascale/gateway/slots/owner_records.py
+++ b/galenascale/gateway/slots/owner_records.py
@@ -37,14 +37,17 @@
     )
 
 
-def log_speeds(log, pool, slowness_by_key, entries):
-    """Log how much longer runs take at the slowest servers of a pool."""
+def log_speeds(context, pool, slowness_by_key):
+    """Log how much longer runs take at the slowest servers, if any do."""
+    if not slowness_by_key:
+        return
+    entries = context.servers.all_entries()
     slowness_by_id = {
         entry.server_id: round(slowness, 2)
         for key, slowness in slowness_by_key.items()
         if (entry := find_by_key(entries, key)) is not None
     }
-    log.write(
+    context.log.write(
         "servers_differ",
         service=pool.service,
         failure_domain=pool.failure_domain,
