Count the memory of engines beside their slots

Cause: kv_tokens of a service was read and used nowhere, so long prompts on one engine could overrun its memory, and it put runs back in the middle of their streams while others had room. Change: requests and items name the tokens that they may need; a pool grants a server only if they fit, holds one for the oldest request that lacks memory, and a host refuses at once what no engine can hold.

--- a/bench/ablation.py
+++ b/bench/ablation.py
@@ -18,6 +18,7 @@
 from galenascale.gateway.jobs.runner import JobRunner
 from galenascale.gateway.slot_shares import SlotShares
 from galenascale.gateway.slots import (
+    owner,
     pool,
     runs,
     server_slots,
@@ -25,7 +26,6 @@
     wait_queue,
 )
 from galenascale.gateway.slots.client import SlotClient
-from galenascale.gateway.slots.owner import PoolOwner
 from galenascale.gateway.stopping import GracefulStop
 
 DEPLOY_FILE = "deploy/system.toml"
@@ -93,8 +93,8 @@
 
 
 def _disable_preemption():
-    _replace_attribute(pool.SlotPool, "_item_to_preempt", lambda *args: None)
-    _replace_attribute(pool.SlotPool, "_preempt_excess_items", lambda *args: [])
+    _replace_attribute(pool, "item_to_preempt", lambda *args: None)
+    _replace_attribute(pool, "preempt_excess_items", lambda *args: [])
 
 
 def _preempt_in_run_id_order():
@@ -102,13 +102,16 @@
 
 
 def _queue_in_run_id_order():
-    _replace_attribute(wait_queue, "queue_order", lambda request, now: request.run_id)
+    def run_id_order(request, now, excess=0.0):
+        return request.run_id
+
+    _replace_attribute(wait_queue, "queue_order", run_id_order)
 
 
 def _pick_first_free_server():
-    def first_server(slots, avoid, now, batch=False):
+    def first_server(slots, request, now):
         for server in slots._servers_by_key.values():
-            if slots._free_on(server) > 0 and server.key not in avoid:
+            if slots._free_on(server) > 0 and server.key not in request.avoid:
                 return server
         return None
 
@@ -116,7 +119,7 @@
 
 
 def _ignore_failures_on_other_hosts():
-    _replace_attribute(PoolOwner, "_record_outcome", lambda *args: None)
+    _replace_attribute(owner, "record_outcome", lambda *args: None)
 
 
 def _start_items_in_due_order():
--- a/galenascale/gateway/forwarded_request.py
+++ b/galenascale/gateway/forwarded_request.py
@@ -17,10 +17,11 @@
 from galenascale.gateway.server_selection import (
     ServerSelector,
     service_order,
+    slot_fields,
     slot_outcome,
 )
 from galenascale.gateway.slots.leases import SlotRefused
-from galenascale.gateway.slots.tenant_shares import tenant_key
+from galenascale.gateway.slots.pool_servers import size_reason
 from galenascale.gateway.suspect_exchange import record_start
 
 
@@ -121,11 +122,7 @@
                     plan,
                     self._services,
                     self._content_key,
-                    tenant=tenant_key(self._request.tenant),
-                    # A run that goes on elsewhere generates only the rest.
-                    tokens=0
-                    if self._sequence.last_id
-                    else self._request.max_output_tokens,
+                    **slot_fields(self._request, resumes=bool(self._sequence.last_id)),
                 )
             except SlotRefused as error:
                 raise self._record_refusal(error) from error
@@ -139,8 +136,12 @@
             await asyncio.sleep(backoff_s)
 
     def _raise_if_blocked(self, now):
-        """Raise RequestFailed if the request is known to crash servers."""
-        reason = block_reason(self._context, self._content_key, self._part_keys, now)
+        """Raise RequestFailed for what crashes servers or fits no engine."""
+        context = self._context
+        reason = block_reason(context, self._content_key, self._part_keys, now)
+        if reason is None:
+            needed = self._request.memory_tokens
+            reason = size_reason(context.configuration, self._services, needed)
         if reason is not None:
             raise self._plan.make_error(reason, now)
 
--- a/galenascale/gateway/jobs/open_items.py
+++ b/galenascale/gateway/jobs/open_items.py
@@ -70,6 +70,11 @@
             item.recorded_event_id = progress.last_event_id
         return item
 
+    @property
+    def memory_tokens(self):
+        """Return the tokens of an engine's memory that it may need."""
+        return self.state.job.items[self.index].tokens
+
     @property
     def key(self):
         """Return (job id, index)."""
--- a/galenascale/gateway/jobs/runner.py
+++ b/galenascale/gateway/jobs/runner.py
@@ -18,6 +18,7 @@
 from galenascale.gateway.jobs.service_choice import allows, choose_service
 from galenascale.gateway.jobs.takeover import Takeover
 from galenascale.gateway.load import hash_key as job_key
+from galenascale.gateway.slots.pool_servers import fits_engines
 from galenascale.generated.gateway_messages import SlotOutcome
 from galenascale.store import STORE_ERRORS
 
@@ -152,7 +153,11 @@
             service = item.route and choose_service(
                 item.route, item.key, lambda name: self._has_servers(name, now)
             )
-            if service is not None and self._scheduler.may_start(item, now):
+            if service is None or not self._scheduler.may_start(item, now):
+                continue
+            if fits_engines(
+                self._context.configuration, (service,), item.memory_tokens
+            ):
                 waiting_by_service.setdefault(service, []).append(item)
         self._scheduler.update(waiting_by_service)
 
--- a/galenascale/gateway/jobs/scheduler.py
+++ b/galenascale/gateway/jobs/scheduler.py
@@ -61,6 +61,7 @@
         for pending, item in zip(queue.pending_requests, wanted, strict=False):
             pending.request.start_by = self._start_by(item)
             pending.request.tenant = self._tenant_key(item)
+            pending.request.memory_tokens = item.memory_tokens
         for item in wanted[len(queue.pending_requests) :]:
             pending = self._context.slots.client.submit(
                 service,
@@ -68,6 +69,7 @@
                 batch=True,
                 start_by=self._start_by(item),
                 tenant=self._tenant_key(item),
+                memory_tokens=item.memory_tokens,
             )
             if pending is not None:
                 queue.pending_requests.append(pending)
@@ -118,7 +120,7 @@
         now = self._context.clock.monotonic()
         entries = self._context.servers.usable(lease.pool.service, now)
         server = find_by_key(entries, lease.server_key)
-        item = server and self._first_item(queue, server, lease.tenant, now)
+        item = server and self._first_item(queue, server, lease, now)
         if item is None:
             client.release(lease)
             return
@@ -126,14 +128,18 @@
         queue.waiting.remove(item)
         self._on_start(item, server, lease)
 
-    def _first_item(self, queue, server, tenant, now):
+    def _first_item(self, queue, server, lease, now):
         """Return the first item that may run, of the tenant if it has one."""
         startable = [
             item
             for item in queue.waiting
-            if self.may_start(item, now) and not item.avoids(server, now)
+            if self.may_start(item, now)
+            and not item.avoids(server, now)
+            and item.memory_tokens <= lease.memory_tokens
         ]
-        of_tenant = (item for item in startable if self._tenant_key(item) == tenant)
+        of_tenant = (
+            item for item in startable if self._tenant_key(item) == lease.tenant
+        )
         return next(of_tenant, startable[0] if startable else None)
 
     def _sort_key(self):
--- a/galenascale/gateway/requests.py
+++ b/galenascale/gateway/requests.py
@@ -40,6 +40,11 @@
     # Ids of the parts of the prompt that other requests may share.
     shared_parts: tuple[str, ...] = ()
 
+    @property
+    def memory_tokens(self):
+        """Return the tokens of an engine's memory that it may need."""
+        return self.prompt_tokens + self.max_output_tokens
+
     @property
     def path(self):
         """Return the target without its query string."""
--- a/galenascale/gateway/server_selection.py
+++ b/galenascale/gateway/server_selection.py
@@ -13,6 +13,7 @@
 from galenascale.gateway.configuration import RequestKind
 from galenascale.gateway.load import hash_key
 from galenascale.gateway.servers import find_by_key
+from galenascale.gateway.slots.tenant_shares import tenant_key
 from galenascale.generated.gateway_messages import SlotOutcome
 
 # Fraction of the remaining time for which a request waits for a slot. After
@@ -66,8 +67,8 @@
         """
         Return the SelectedServer for the next attempt.
 
-        Return None if no server may be tried now. `fields` are those of the
-        SlotRequest that tell of the request: its tenant and tokens.
+        Return None if no server may be tried now. `fields` are those of
+        `slot_fields`.
 
         Raise SlotRefused if the caller should retry later.
         """
@@ -86,7 +87,10 @@
         if route.kind is RequestKind.STREAMING:
             start_by = self._context.admission.start_by(plan, candidate.server.service)
             lease = self._context.slots.client.lease_without_grant(
-                candidate.server, start_by, fields["tenant"]
+                candidate.server,
+                start_by,
+                fields["tenant"],
+                fields["memory_tokens"],
             )
             self._context.metrics.slots.labels("own_choice").inc()
         return SelectedServer(candidate, self._context.clock.monotonic(), lease)
@@ -183,6 +187,20 @@
     return [drawn.service, *others]
 
 
+def slot_fields(request, *, resumes):
+    """
+    Return the fields of a SlotRequest that tell of a request.
+
+    `resumes` says that the run goes on after events of an earlier one.
+    """
+    return {
+        "tenant": tenant_key(request.tenant),
+        # It generates only the rest.
+        "tokens": 0 if resumes else request.max_output_tokens,
+        "memory_tokens": request.memory_tokens,
+    }
+
+
 def slot_outcome(response, served):
     """
     Return what a response tells the owner of the slot about the server.
--- a/galenascale/gateway/slots/client.py
+++ b/galenascale/gateway/slots/client.py
@@ -120,7 +120,7 @@
         self._context.log.write("slot_owner_silent", owner=owner, reason=reason)
         self._context.metrics.slots.labels("silent").inc()
 
-    def lease_without_grant(self, entry, start_by, tenant):
+    def lease_without_grant(self, entry, start_by, tenant, memory_tokens):
         """Return a Lease for a server chosen without its owner, or None."""
         pool = self._pool_map.pool_of_server(entry)
         if pool is None:
@@ -128,7 +128,7 @@
         number = next(self._numbers)
         key = hash_key(entry.server_id)
         now = self._now()
-        lease = Lease(number, pool, key, False, start_by, now, tenant)
+        lease = Lease(number, pool, key, False, start_by, now, tenant, memory_tokens)
         self._leases_by_number[number] = lease
         self._renew_lease(lease, now)
         return lease
@@ -190,6 +190,7 @@
             request.start_by,
             confirmed_at=now,
             tenant=request.tenant,
+            memory_tokens=request.memory_tokens,
             owner=address,
             paced_at=now if message.paced else None,
         )
--- a/galenascale/gateway/slots/decisions.py
+++ b/galenascale/gateway/slots/decisions.py
@@ -18,6 +18,8 @@
     reported_runs: int = 0
     # Pace at which this host may grant it; None unless it named a limit.
     pace: Pace | None = None
+    # Tokens that its memory holds; 0 if unknown.
+    memory_tokens: int = 0
 
 
 @attrs.define
--- a/galenascale/gateway/slots/leases.py
+++ b/galenascale/gateway/slots/leases.py
@@ -48,6 +48,8 @@
     confirmed_at: float
     # Key of the tenant; 0 if there are no tenants.
     tenant: int = 0
+    # Tokens of an engine's memory that the run may need; 0 if unknown.
+    memory_tokens: int = 0
     # Address of the host that counts the slot as used; None if unknown.
     owner: str | None = None
     # Monotonic time in seconds at which the grant that the owner counted
--- a/galenascale/gateway/slots/messages.py
+++ b/galenascale/gateway/slots/messages.py
@@ -37,6 +37,7 @@
         give_up_ms=_give_up_ms(request, now),
         tenant=request.tenant,
         tokens=min(request.tokens, MAX_TOKENS),
+        memory_tokens=min(request.memory_tokens, MAX_TOKENS),
     )
 
 
@@ -56,6 +57,7 @@
         batch=lease.batch,
         wait_ms=to_milliseconds(lease.start_by - now),
         tenant=lease.tenant,
+        memory_tokens=min(lease.memory_tokens, MAX_TOKENS),
     )
 
 
--- a/galenascale/gateway/slots/owner.py
+++ b/galenascale/gateway/slots/owner.py
@@ -152,6 +152,7 @@
             give_up_at=now + (message.give_up_ms / 1000 or math.inf),
             tenant=message.tenant,
             tokens=message.tokens,
+            memory_tokens=message.memory_tokens,
         )
         return slots.submit(request, now)
 
@@ -166,6 +167,7 @@
             started_at=now,
             seen_at=now,
             tenant=message.tenant,
+            memory_tokens=message.memory_tokens,
         )
         # Confirms to the host that this owner counts the run.
         self._send(host, make_hold_ack(message))
--- a/galenascale/gateway/slots/pool.py
+++ b/galenascale/gateway/slots/pool.py
@@ -228,10 +228,11 @@
     def _schedule(self, now):
         """Return the decisions on requests that need not wait any longer."""
         self._servers.refill(now)
-        avoids_all = self._servers.are_within
-        decisions = self._online_queue.place(self._place_online, avoids_all, now)
+        queues = (self._online_queue, self._batch_queue)
+        self._servers.release_hold(queues)
+        decisions = self._online_queue.place(self._place_online, self._servers, now)
         if not self._online_queue:
-            decisions += self._batch_queue.place(self._place_batch, avoids_all, now)
+            decisions += self._batch_queue.place(self._place_batch, self._servers, now)
         return decisions
 
     def _forward_waiting(self, now):
@@ -252,13 +253,13 @@
         return decisions
 
     def _place_online(self, request, now):
-        server = self._servers.best(request.avoid, now)
+        server = self._servers.best(request, now)
         if server is not None:
             return [self._grant(request, server.key, now)]
         forwarded = self._siblings.forward(request, lambda free_slots: free_slots.free)
         if forwarded:
             return forwarded
-        item = item_to_preempt(self._runs, self._servers, request.avoid)
+        item = item_to_preempt(self._runs, self._servers, request)
         if item is not None:
             return [
                 preempt(item, now),
@@ -272,7 +273,7 @@
 
     def _place_batch(self, request, now):
         if self._servers.free_count() > self.reserve():
-            server = self._servers.best(request.avoid, now, batch=True)
+            server = self._servers.best(request, now)
             if server is not None:
                 return [self._grant(request, server.key, now)]
         return self._siblings.forward(
@@ -292,6 +293,7 @@
             paced=self._servers.spend(server_key),
             tenant=request.tenant,
             tokens=request.tokens,
+            memory_tokens=request.memory_tokens,
             start_seen=True,
         )
         self._runs.add(run)
--- a/galenascale/gateway/slots/preemption.py
+++ b/galenascale/gateway/slots/preemption.py
@@ -21,11 +21,13 @@
     ]
 
 
-def item_to_preempt(runs, servers, avoid):
+def item_to_preempt(runs, servers, request):
     """Return an item at a server that a request may use, or None."""
     for run in runs.preemptible():
         key = run.server_key
-        if servers.get(key) is None or key in avoid:
+        if servers.get(key) is None or key in request.avoid:
+            continue
+        if not servers.has_memory(key, request, freed_tokens=run.memory_tokens):
             continue
         if servers.has_tokens(key):
             return run
--- a/galenascale/gateway/slots/runs.py
+++ b/galenascale/gateway/slots/runs.py
@@ -24,6 +24,8 @@
     tenant: int = 0
     # Tokens that it is to generate; 0 if unknown.
     tokens: int = 0
+    # Tokens of an engine's memory that it may need; 0 if unknown.
+    memory_tokens: int = 0
     # Whether its start was seen, so that its time is known.
     start_seen: bool = False
 
@@ -39,6 +41,8 @@
 
     online: int = 0
     batch: int = 0
+    # Tokens of memory that they may need.
+    memory_tokens: int = 0
 
     @property
     def total(self):
@@ -46,10 +50,11 @@
         return self.online + self.batch
 
 
-def _add_to(counts_by_key, key, batch, change):
-    """Change the RunCount of a key, and drop it if it is empty."""
+def _add_to(counts_by_key, key, run, change):
+    """Add or remove a run in the RunCount of a key; drop it if it is empty."""
     count = counts_by_key.setdefault(key, RunCount())
-    if batch:
+    count.memory_tokens += change * run.memory_tokens
+    if run.batch:
         count.batch += change
     else:
         count.online += change
@@ -96,8 +101,8 @@
         self._add_to_count(run, -1)
 
     def _add_to_count(self, run, change):
-        _add_to(self._counts_by_server, run.server_key, run.batch, change)
-        _add_to(self._counts_by_tenant, run.tenant, run.batch, change)
+        _add_to(self._counts_by_server, run.server_key, run, change)
+        _add_to(self._counts_by_tenant, run.tenant, run, change)
 
     def counts_at(self, server_key):
         """Return the RunCount of a server."""
--- a/galenascale/gateway/slots/server_slots.py
+++ b/galenascale/gateway/slots/server_slots.py
@@ -53,6 +53,9 @@
         self._refused_until_by_key = {}
         self._speeds = ServerSpeeds()
         self._by_speed = True
+        # Request for which a server is held until it fits, and its key.
+        self._held_for = None
+        self._held_key = None
 
     def set(self, servers, by_speed=True):
         """Set the PoolServers that may be granted; faster ones `by_speed`."""
@@ -150,9 +153,62 @@
         """Grant no run at a server for a moment, as it refused one."""
         self._refused_until_by_key[key] = now + REFUSAL_PAUSE_S
 
-    def best(self, avoid, now, *, batch=False):
+    def has_memory(self, key, request, *, freed_tokens=0):
         """
-        Return the best server with a free slot, or None.
+        Return True if a server's memory has room for a request.
+
+        `freed_tokens` are those of a run that is about to end.
+        """
+        server = self._servers_by_key[key]
+        if not server.memory_tokens or not request.memory_tokens:
+            return True
+        used = self._runs.counts_at(key).memory_tokens - freed_tokens
+        return used + request.memory_tokens <= server.memory_tokens
+
+    def lacks_memory(self, request):
+        """Return True if memory, not slots, keeps a request from a server."""
+        return request.memory_tokens > 0 and any(
+            self._free_on(server) > 0
+            and key not in request.avoid
+            and not self.has_memory(key, request)
+            for key, server in self._servers_by_key.items()
+        )
+
+    def hold_memory(self, request):
+        """Leave the server with the most free memory to a request."""
+        held = self._held_for
+        if held is None or held.run_id != request.run_id:
+            self._held_for = request
+            self._held_key = self._roomiest(request)
+
+    def _roomiest(self, request):
+        """Return the key of the server with the most free memory, or None."""
+        free_by_key = {
+            key: server.memory_tokens - self._runs.counts_at(key).memory_tokens
+            for key, server in self._servers_by_key.items()
+            if key not in request.avoid
+            and request.memory_tokens <= server.memory_tokens
+        }
+        return max(free_by_key, key=free_by_key.get, default=None)
+
+    def release_hold(self, queues):
+        """Leave the held server to all once its request is in no queue."""
+        held = self._held_for
+        if held is not None and not any(held.run_id in queue for queue in queues):
+            self._held_for = None
+            self._held_key = None
+
+    def _is_held(self, key, request):
+        """Return True if a server is held for another request."""
+        held = self._held_for
+        if held is None or key != self._held_key or held.run_id == request.run_id:
+            return False
+        # No request waits for an item.
+        return request.batch or not held.batch
+
+    def best(self, request, now):
+        """
+        Return the best server with a free slot and memory, or None.
 
         Its free share is weighed by its quality and its speed.
         """
@@ -161,9 +217,13 @@
         slowness_by_key = self._slowness_by_key(now)
         for server in self._servers_by_key.values():
             free = self._free_on(server)
-            if free <= 0 or server.key in avoid:
+            if free <= 0 or server.key in request.avoid:
+                continue
+            if not self.has_memory(server.key, request):
+                continue
+            if self._is_held(server.key, request):
                 continue
-            weight = self._limit_weight(server, batch) if self._limited else 1.0
+            weight = self._limit_weight(server, request.batch) if self._limited else 1.0
             if not weight:
                 continue
             if now < self._refused_until_by_key.get(server.key, now):
--- a/galenascale/gateway/slots/wait_queue.py
+++ b/galenascale/gateway/slots/wait_queue.py
@@ -29,6 +29,8 @@
     tenant: int = 0
     # Tokens that the run is to generate; 0 if unknown.
     tokens: int = 0
+    # Tokens of an engine's memory that the run may need; 0 if unknown.
+    memory_tokens: int = 0
 
     @property
     def run_id(self):
@@ -77,6 +79,10 @@
     def __iter__(self):
         return iter(self._by_run_id.values())
 
+    def __contains__(self, run_id):
+        """Return True if the request of a run waits."""
+        return run_id in self._by_run_id
+
     def contains(self, request):
         """Return True if this request object is in the queue."""
         return self._by_run_id.get(request.run_id) is request
@@ -112,28 +118,34 @@
             )
         return requests, excess
 
-    def place(self, place, avoids_all, now):
+    def place(self, place, servers, now):
         """
         Remove the requests for which there is a place; return the decisions.
 
         `place` returns the decisions on a request, none without a place, and
-        `avoids_all` whether a request avoids all servers. A request that may
-        go to any server and finds no place shows that those behind it find
-        none either. Owners of full pools decide often, so these are skipped.
+        `servers` are the ServerSlots. A request that may go to any server and
+        finds no place shows that those behind it find none either, unless it
+        lacks memory alone. Owners of full pools decide often, so these are
+        skipped. A server is held for the oldest of those that lack memory.
         """
         decisions = []
+        lacking = []
         full = full_for_forwarded = False
         for request in self.in_order(now):
             is_full = full or (full_for_forwarded and request.forwarded)
-            if is_full and not avoids_all(request.avoid):
+            if is_full and not servers.are_within(request.avoid):
                 continue
             new_decisions = place(request, now)
             if new_decisions:
                 self.remove(request.run_id)
                 decisions += new_decisions
+            elif servers.lacks_memory(request):
+                lacking.append(request)
             elif not request.avoid:
                 full_for_forwarded = True
                 full = full or not request.forwarded
+        if lacking:
+            servers.hold_memory(min(lacking, key=lambda request: request.start_by))
         return decisions
 
     def take_displaced(self, requests, excess, forecast, now):
--- a/schema/gateway.thrift
+++ b/schema/gateway.thrift
@@ -315,6 +315,9 @@
   24: list<TenantSlots> tenants,
   /** ASK: tokens that the run is to generate; 0 if unknown. */
   25: i32 tokens = 0,
+  /** ASK, HOLD: tokens of an engine's memory that the run may need; 0 if
+   * unknown. */
+  26: i32 memory_tokens = 0,
 }
 
 /** Kinds of messages between hosts about the request rates of tenants. */
