Let requests that wait leave their failure domain when it pays

Cause: a request left its domain for a free slot only, and waited in a long queue beside a short one; what the crossing costs was unknown. Change: owners report the forecast wait with the free slots, and learn the round trip between them by stamps in these reports. A request that waits, within its tenant's share, goes where it waits 0.05 s less, the crossing counted; each one sent counts once for each other pool until the next report. Counter by reason; the setting leave_domain. Two tests of the pool name the reason of a forward as well.

--- a/bench/limit_fleet.py
+++ b/bench/limit_fleet.py
@@ -82,6 +82,7 @@
     failure_domain: str
     tenant_weights: dict = attrs.field(factory=dict)
     server_speeds: bool = True
+    leave_domain: bool = True
 
 
 @attrs.define(eq=False)
--- a/bench/slot_pools.py
+++ b/bench/slot_pools.py
@@ -267,9 +267,9 @@
             self._apply(number, pool.tick(self.now))
             for other in range(len(self.pools)):
                 if other != number:
-                    self._send(
-                        self._update_free_slots, other, number, pool.free_slots()
-                    )
+                    free_slots = pool.free_slots()
+                    pool.add_forecast(free_slots, self.now)
+                    self._send(self._update_free_slots, other, number, free_slots)
         if self.now >= self.renew_at:
             self.renew_at = self.now + RENEWAL_INTERVAL_S
             for task in self.tasks.values():
--- a/galenascale/gateway/metrics.py
+++ b/galenascale/gateway/metrics.py
@@ -55,6 +55,11 @@
             "Requests and items beyond their tenants' shares of slots, by effect.",
             ("effect",),
         )
+        self.left_domain = self._counter(
+            "left_domain",
+            "Requests passed on to another failure domain, by reason.",
+            ("reason",),
+        )
         self._tenant_labels = set()
         self.items = self._counter("items", "Runs of items by outcome.", ("outcome",))
         self.first_part_seconds = self._histogram(
--- a/galenascale/gateway/settings.py
+++ b/galenascale/gateway/settings.py
@@ -19,6 +19,7 @@
     "bounds",
     "tenant_weights",
     "server_speeds",
+    "leave_domain",
     "log_level",
     "store",
     "caller_listen",
@@ -118,6 +119,7 @@
         self._host.context.settings.bounds = loaded.bounds
         self._host.context.settings.tenant_weights = loaded.tenant_weights
         self._host.context.settings.server_speeds = loaded.server_speeds
+        self._host.context.settings.leave_domain = loaded.leave_domain
         self._host.discovery.add_seeds(loaded.seeds)
         log.set_level(loaded.log_level)
         log.write("reload", changed=changed)
--- a/galenascale/gateway/slots/decisions.py
+++ b/galenascale/gateway/slots/decisions.py
@@ -34,13 +34,20 @@
     # Forecast seconds until one more online request starts, and how many start
     # a second; the rate is 0 if unknown.
     wait_s: float = 0.0
-    starts_per_s: float = 0.0
+    starts_per_s: float = attrs.field(default=0.0, eq=False)
+    # Seconds that a request loses by going there.
+    crossing_s: float = attrs.field(default=0.0, eq=False)
     # Monotonic time in seconds at which the report arrived.
     received_at: float = 0.0
     # Slots of the tenants that hold most of them for requests, by key. They
     # change all the time, and alone are no reason for a new report.
     slots_by_tenant: dict = attrs.field(factory=dict, eq=False)
 
+    @property
+    def total_wait_s(self):
+        """Return the seconds until a request of another pool starts there."""
+        return self.wait_s + self.crossing_s
+
 
 @attrs.frozen
 class Grant:
@@ -103,6 +110,8 @@
 
     request: SlotRequest
     pool_key: int
+    # Why: "free_slot" or "shorter_wait" there.
+    reason: str
 
 
 @attrs.frozen
--- a/galenascale/gateway/slots/messages.py
+++ b/galenascale/gateway/slots/messages.py
@@ -2,7 +2,7 @@
 
 import math
 
-from galenascale.gateway.slots.decisions import Grant, Refused
+from galenascale.gateway.slots.decisions import FreeSlots, Grant, Refused
 from galenascale.generated.gateway_messages import (
     SlotMessage,
     SlotMessageKind,
@@ -101,8 +101,12 @@
     )
 
 
-def make_free_slots(receiver, pool, free_slots):
-    """Return the message that reports a pool's free slots to another pool."""
+def make_free_slots(receiver, pool, free_slots, stamp_us, echo_us):
+    """
+    Return the message that reports a pool's free slots to another pool.
+
+    The stamps are those of CrossingTimes.
+    """
     return SlotMessage(
         kind=SlotMessageKind.SPARE,
         pool=receiver.key,
@@ -112,8 +116,23 @@
         batch_runs=free_slots.preemptible,
         wait_ms=to_milliseconds(free_slots.wait_s),
         millistarts_per_s=to_milliseconds(free_slots.starts_per_s),
+        stamp_us=stamp_us,
+        echo_us=echo_us,
         tenants=[
             TenantSlots(tenant, slots)
             for tenant, slots in free_slots.slots_by_tenant.items()
         ],
     )
+
+
+def read_free_slots(message, crossing_s):
+    """Return the FreeSlots that another pool reports in a message."""
+    return FreeSlots(
+        message.free,
+        message.free_for_batch,
+        message.batch_runs,
+        message.wait_ms / 1000,
+        message.millistarts_per_s / 1000,
+        crossing_s,
+        slots_by_tenant={item.tenant: item.slots for item in message.tenants},
+    )
--- a/galenascale/gateway/slots/owner.py
+++ b/galenascale/gateway/slots/owner.py
@@ -4,9 +4,9 @@
 
 import attrs
 
+from galenascale.gateway.slots.crossing import CrossingTimes, to_stamp
 from galenascale.gateway.slots.decisions import (
     Forwarded,
-    FreeSlots,
     Grant,
     Preempted,
     Queued,
@@ -17,6 +17,7 @@
     make_ask,
     make_free_slots,
     make_hold_ack,
+    read_free_slots,
 )
 from galenascale.gateway.slots.owner_records import (
     count_effects,
@@ -81,6 +82,7 @@
         # For each other pool: the address that last reported its free slots,
         # which is a live owner, and when.
         self._reporters_by_pool = {}
+        self._crossings = CrossingTimes()
         self._handlers_by_kind = {
             SlotMessageKind.ASK: self._on_ask,
             SlotMessageKind.HOLD: self._on_hold,
@@ -191,14 +193,9 @@
 
     def _on_spare(self, message, address, slots, now):
         self._reporters_by_pool[message.from_pool] = (address, now)
-        free_slots = FreeSlots(
-            message.free,
-            message.free_for_batch,
-            message.batch_runs,
-            message.wait_ms / 1000,
-            message.millistarts_per_s / 1000,
-            slots_by_tenant={item.tenant: item.slots for item in message.tenants},
-        )
+        pool_key = message.from_pool
+        self._crossings.record(pool_key, message.stamp_us, message.echo_us, now)
+        free_slots = read_free_slots(message, self._crossings.crossing_s(pool_key))
         return slots.update_free_slots(message.from_pool, free_slots, now)
 
     def _send_decisions(self, pool, decisions, now):
@@ -273,6 +270,7 @@
         context = self._context
         part = self._own_part(pool, owned) if context.limits else LimitPart()
         learning = now < owned.learning_until
+        owned.slots.leave_domain = context.settings.leave_domain
         owned.slots.shares.set_weights(weights_by_key(context.settings.tenant_weights))
         owned.slots.set_servers(
             grantable_servers(context, pool, part, now, learning=learning),
@@ -286,7 +284,7 @@
 
     def _report_free_slots(self, pool, owned, now):
         free_slots = owned.slots.free_slots()
-        if self._context.limits:
+        if self._context.limits or self._context.settings.leave_domain:
             owned.slots.add_forecast(free_slots, now)
         if (
             free_slots == owned.reported_free_slots
@@ -296,5 +294,6 @@
         owned.reported_free_slots = free_slots
         owned.reported_at = now
         for other in self._pool_map.sibling_pools(pool):
-            message = make_free_slots(other, pool, free_slots)
+            echo_us = self._crossings.echo_us(other.key, now)
+            message = make_free_slots(other, pool, free_slots, to_stamp(now), echo_us)
             self._send(self._owner_address(other, now), message)
--- a/galenascale/gateway/slots/owner_records.py
+++ b/galenascale/gateway/slots/owner_records.py
@@ -3,7 +3,11 @@
 import attrs
 
 from galenascale.gateway.servers import find_by_key
-from galenascale.gateway.slots.decisions import beyond_share_effect, limit_effect
+from galenascale.gateway.slots.decisions import (
+    Forwarded,
+    beyond_share_effect,
+    limit_effect,
+)
 from galenascale.gateway.slots.tenant_shares import tenant_name
 from galenascale.generated.gateway_messages import SlotOutcome
 
@@ -56,10 +60,12 @@
 
 
 def count_effects(context, decision):
-    """Count how limits of servers and shares of tenants affect a request."""
+    """Count requests by what limits, shares and other domains do to them."""
     effect = limit_effect(decision) if context.limits else None
     if effect is not None:
         context.metrics.limited_requests.labels(effect).inc()
+    if isinstance(decision, Forwarded):
+        context.metrics.left_domain.labels(decision.reason).inc()
     effect = beyond_share_effect(decision)
     if effect is not None:
         context.metrics.beyond_share.labels(effect).inc()
--- a/galenascale/gateway/slots/pool.py
+++ b/galenascale/gateway/slots/pool.py
@@ -37,6 +37,8 @@
 # Seconds after which a run or a request is dropped unless its host renews it;
 # hosts send several renewals within this time.
 LEASE_S = 2.5
+# Step in seconds of the reported wait; smaller changes are not reported.
+WAIT_STEP_S = 0.05
 
 
 class SlotPool:
@@ -49,6 +51,8 @@
         self._batch_queue = WaitQueue(self._batch_excess)
         self._siblings = SiblingPools()
         self.shares = TenantShares()
+        # Whether requests that wait may leave without limits of servers.
+        self.leave_domain = True
         self._run_times = RunTimes()
 
     def set_servers(self, servers, *, by_speed=True):
@@ -108,8 +112,10 @@
         """Set the forecast wait in FreeSlots, as far as it is known."""
         forecast = self._servers.forecast(self._run_times.known_mean_s, now)
         if math.isfinite(forecast.starts_per_s):
-            ahead = len(self._online_queue) + 1
-            free_slots.wait_s = round(forecast.wait_s(ahead), 2)
+            # Only requests within their tenants' shares go to other pools.
+            requests, excess = self._online_queue.ranked(now)
+            wait_s = forecast.wait_s(len(requests) - len(excess) + 1)
+            free_slots.wait_s = round(wait_s / WAIT_STEP_S) * WAIT_STEP_S
             free_slots.starts_per_s = round(forecast.starts_per_s, 1)
 
     def pressure(self):
@@ -153,8 +159,9 @@
         forecast = self._servers.forecast(self._run_times.known_mean_s, now)
         requests, excess = queue.ranked(now)
         wait_s = forecast.wait_s(requests.index(request) + 1)
-        if forecast.has_limits and not request.batch:
-            decisions = self._siblings.forward_if_sooner(request, wait_s)
+        may_leave = self._may_leave(forecast) and request.run_id not in excess
+        if may_leave and not request.batch:
+            decisions = self._siblings.forward_if_sooner(request, wait_s, now)
             if decisions:
                 queue.remove(request.run_id)
                 return decisions
@@ -228,29 +235,22 @@
     def _schedule(self, now):
         """Return the decisions on requests that need not wait any longer."""
         self._servers.refill(now)
-        queues = (self._online_queue, self._batch_queue)
-        self._servers.release_hold(queues)
+        self._servers.release_hold((self._online_queue, self._batch_queue))
         decisions = self._online_queue.place(self._place_online, self._servers, now)
         if not self._online_queue:
             decisions += self._batch_queue.place(self._place_batch, self._servers, now)
         return decisions
 
+    def _may_leave(self, forecast):
+        """Return True if requests that wait may go to another pool."""
+        return forecast.has_limits or self.leave_domain
+
     def _forward_waiting(self, now):
         """Forward requests that start sooner in another pool."""
-        if not self._servers.has_limits or not self._online_queue:
-            return []
-        decisions = []
         forecast = self._servers.forecast(self._run_times.known_mean_s, now)
-        ahead = 1
-        for request in self._online_queue.in_order(now):
-            wait_s = forecast.wait_s(ahead)
-            new_decisions = self._siblings.forward_if_sooner(request, wait_s)
-            if new_decisions:
-                self._online_queue.remove(request.run_id)
-                decisions += new_decisions
-            else:
-                ahead += 1
-        return decisions
+        if not self._online_queue or not self._may_leave(forecast):
+            return []
+        return self._siblings.forward_waiting(self._online_queue, forecast, now)
 
     def _place_online(self, request, now):
         server = self._servers.best(request, now)
--- a/galenascale/gateway/slots/sibling_pools.py
+++ b/galenascale/gateway/slots/sibling_pools.py
@@ -48,10 +48,15 @@
             free_slots.free_for_batch -= 1
         else:
             free_slots.preemptible -= 1
-        return [Queued(request, 0.0), Forwarded(request, key)]
+        return [Queued(request, 0.0), Forwarded(request, key, "free_slot")]
 
-    def forward_if_sooner(self, request, own_wait_s):
-        """Forward a request to a pool in which it starts much sooner."""
+    def forward_if_sooner(self, request, own_wait_s, now):
+        """
+        Forward a request to a pool in which it starts much sooner.
+
+        Until the next report its place there counts once for each other pool
+        of the service: their owners may decide alike at the same moment.
+        """
         forecasts = {
             key: free_slots
             for key, free_slots in self._free_slots_by_pool.items()
@@ -59,10 +64,31 @@
         }
         if request.forwarded or not forecasts:
             return []
-        key = min(forecasts, key=lambda key: forecasts[key].wait_s)
+        key = min(forecasts, key=lambda key: forecasts[key].total_wait_s)
         forecast = forecasts[key]
-        if own_wait_s - forecast.wait_s < MIN_WAIT_SAVED_S:
+        if own_wait_s - forecast.total_wait_s < MIN_WAIT_SAVED_S:
+            return []
+        if request.should_return(now + forecast.total_wait_s):
             return []
-        decisions = [Queued(request, forecast.wait_s), Forwarded(request, key)]
-        forecast.wait_s += 1.0 / forecast.starts_per_s
+        decisions = [
+            Queued(request, forecast.wait_s),
+            Forwarded(request, key, "shorter_wait"),
+        ]
+        forecast.wait_s += len(self._free_slots_by_pool) / forecast.starts_per_s
+        return decisions
+
+    def forward_waiting(self, queue, forecast, now):
+        """Forward the requests of a WaitQueue that start sooner elsewhere."""
+        decisions = []
+        ahead = 1
+        requests, excess = queue.ranked(now)
+        # Those beyond their tenants' shares would come last there as well.
+        for request in requests[: len(requests) - len(excess)]:
+            wait_s = forecast.wait_s(ahead)
+            new_decisions = self.forward_if_sooner(request, wait_s, now)
+            if new_decisions:
+                queue.remove(request.run_id)
+                decisions += new_decisions
+            else:
+                ahead += 1
         return decisions
--- a/schema/gateway.thrift
+++ b/schema/gateway.thrift
@@ -318,6 +318,10 @@
   /** ASK, HOLD: tokens of an engine's memory that the run may need; 0 if
    * unknown. */
   26: i32 memory_tokens = 0,
+  /** SPARE: monotonic time in microseconds at which it was sent, and the last
+   * one received from the owner to which it goes, plus the time since. */
+  27: i64 stamp_us = 0,
+  28: i64 echo_us = 0,
 }
 
 /** Kinds of messages between hosts about the request rates of tenants. */
@@ -501,4 +505,7 @@
   15: map<string, double> tenant_weights,
   /** Prefer backend servers whose runs take less time than those of others. */
   16: bool server_speeds = 1,
+  /** Pass requests that wait in a failure domain on to one in which they wait
+   * less. */
+  17: bool leave_domain = 1,
 }
--- a/test/gateway/test_slot_hosts.py
+++ b/test/gateway/test_slot_hosts.py
@@ -69,6 +69,7 @@
     failure_domain: str
     tenant_weights: dict = attrs.field(factory=dict)
     server_speeds: bool = True
+    leave_domain: bool = True
 
 
 @attrs.define(eq=False)
--- a/test/gateway/test_slot_pool.py
+++ b/test/gateway/test_slot_pool.py
@@ -222,7 +222,10 @@
     occupy(pool, 1, first=200)
     pool.update_free_slots(7, FreeSlots(free=1, free_for_batch=0, preemptible=0), 0.0)
     request = SlotRequest("b", 1, start_by=1.0)
-    assert pool.submit(request, 0.0) == [Queued(request, 0.0), Forwarded(request, 7)]
+    assert pool.submit(request, 0.0) == [
+        Queued(request, 0.0),
+        Forwarded(request, 7, "free_slot"),
+    ]
     # The other pool has no further slot.
     assert isinstance(pool.submit(SlotRequest("b", 2, start_by=1.0), 0.0)[0], Preempted)
     # A request that was forwarded before is not forwarded again.
@@ -236,7 +239,10 @@
     pool = make_pool(servers=2, slots=1)
     pool.update_free_slots(7, FreeSlots(free=0, free_for_batch=0, preemptible=0), 0.0)
     request = SlotRequest("b", 1, start_by=1.0, avoid=frozenset((1, 2)))
-    assert pool.submit(request, 0.0) == [Queued(request, 0.0), Forwarded(request, 7)]
+    assert pool.submit(request, 0.0) == [
+        Queued(request, 0.0),
+        Forwarded(request, 7, "free_slot"),
+    ]
 
 
 @pytest.mark.parametrize("batch", [False, True])
--- a/test/test_layering.py
+++ b/test/test_layering.py
@@ -31,6 +31,7 @@
     "galenascale.gateway.load",
     "galenascale.gateway.ownership",
     "galenascale.gateway.servers",
+    "galenascale.gateway.slots.crossing",
     "galenascale.gateway.slots.decisions",
     "galenascale.gateway.slots.pool",
     "galenascale.gateway.slots.pool_map",
