Bound the memory that callers take on a host

Cause: nothing bounded the bodies of all requests together, a body that stops short was held for 10 s, jobs of very many empty parts were parsed whole, and the parser kept all requests sent ahead on a connection. Change: one budget for the bodies of a host's callers, by its memory; if it is used up, the body with the least progress gives way (503, not run). Bodies with a stated length over the limit are refused unread, jobs of more than 50,000 parts before parsing, connections with more than 32 requests ahead are closed. Counters and a line of limits each.

--- a/galenascale/gateway/context.py
+++ b/galenascale/gateway/context.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from galenascale.gateway.caller_memory import CallerMemory
 from galenascale.gateway.output_limits import MAX_HELD_ANSWER_BYTES, HeldBytes
 
 
@@ -46,5 +47,9 @@
     slots: object = None
     # HeldBytes of the answers that are buffered.
     held_answers: object = attrs.field(factory=lambda: HeldBytes(MAX_HELD_ANSWER_BYTES))
+    # Memory for the bodies of callers' requests.
+    caller_memory: CallerMemory = attrs.Factory(
+        lambda context: CallerMemory.from_config(context.settings), takes_self=True
+    )
     # Limits on the request rates of tenants.
     rates: object = None
--- a/galenascale/gateway/jobs/api.py
+++ b/galenascale/gateway/jobs/api.py
@@ -22,6 +22,10 @@
 MAX_STATE_AGE_S = 0.4
 # Seconds for which a call retries operations of the store.
 STORE_TIMEOUT_S = 1.2
+# Bytes of a job, in JSON, that each begin or end a part; text may hold them as
+# well. A job of 200 items has some 8,000.
+PART_MARKS = (b",", b"[", b"{")
+MAX_JOB_PARTS = 50_000
 # Seconds in the Retry-After header while the store does not answer.
 RETRY_AFTER_S = 0.5
 
@@ -39,6 +43,7 @@
     async def submit(self, exchange, route):
         """Store a submitted job, start to run it and return the response."""
         request = exchange.request
+        self._refuse_too_many_parts(request.body)
         submission = self._context.dialect.parse_submission(request)
         submission = attrs.evolve(
             submission, job_id=scoped_job_id(request.tenant, submission.job_id)
@@ -54,6 +59,17 @@
         exchange.finish("job_accepted", items=len(submission.items), offset=offset)
         return web.Response(status=202, body=b"{}", content_type="application/json")
 
+    def _refuse_too_many_parts(self, body):
+        """Raise UserError for a body whose parsing would take much memory."""
+        parts = sum(map(body.count, PART_MARKS))
+        if parts > MAX_JOB_PARTS:
+            self._context.metrics.caller_limits.labels("job_parts").inc()
+            raise UserError(
+                f"job has {parts} parts, more than {MAX_JOB_PARTS}",
+                step="read_body",
+                http_status=413,
+            )
+
     async def answer_call(self, call, exchange):
         """Return the response to a call about a job; raise RequestFailed."""
         handler = {
--- a/galenascale/gateway/listeners.py
+++ b/galenascale/gateway/listeners.py
@@ -12,6 +12,12 @@
 BACKLOG = 1024
 # Most headers of a request; CallerLimits bounds their size.
 MAX_HEADERS = 256
+# Requests of one connection that may wait for their turn. Callers that send
+# more ahead, without waiting for answers, are disconnected.
+MAX_REQUESTS_AHEAD = 32
+# Bytes of a body that are buffered before reading pauses, at most twice as
+# many; also bounds the chunks of a body that nobody has taken yet.
+READ_BUFFER_BYTES = 8 << 10
 
 # aiohttp's log lines about malformed requests do not identify the caller.
 _MUTED_LOGGER = logging.getLogger("galenascale.gateway.http")
@@ -51,6 +57,9 @@
             self._is_idle = False
             self._close_after(self._header_timeout_s)
         super().data_received(data)
+        if len(self._messages) > MAX_REQUESTS_AHEAD:
+            self._messages.clear()
+            self.force_close()
 
     def request_started(self):
         """Stop the timer, as the headers of a request are complete."""
@@ -98,6 +107,7 @@
             max_field_size=limits.header_bytes,
             max_headers=MAX_HEADERS,
             auto_decompress=False,
+            read_bufsize=READ_BUFFER_BYTES,
             access_log=None,
             logger=_MUTED_LOGGER,
         )
--- a/galenascale/gateway/metrics.py
+++ b/galenascale/gateway/metrics.py
@@ -60,6 +60,14 @@
             "Requests passed on to another failure domain, by reason.",
             ("reason",),
         )
+        self.caller_limits = self._counter(
+            "caller_limits",
+            "Requests refused or closed by a limit on callers, by limit.",
+            ("limit",),
+        )
+        self.caller_body_bytes = self._gauge(
+            "caller_body_bytes", "Memory held by the bodies of callers."
+        )
         self._tenant_labels = set()
         self.items = self._counter("items", "Runs of items by outcome.", ("outcome",))
         self.first_part_seconds = self._histogram(
--- a/galenascale/gateway/request_handler.py
+++ b/galenascale/gateway/request_handler.py
@@ -3,11 +3,11 @@
 import asyncio
 
 import attrs
-from aiohttp import web
 
 from galenascale.errors import GalenascaleError, UserError
 from galenascale.gateway import responses
 from galenascale.gateway.attempts import not_run_error
+from galenascale.gateway.caller_body import CallerBody
 from galenascale.gateway.configuration import CallerLimits, RequestKind
 from galenascale.gateway.execution import caller_status
 
@@ -15,12 +15,10 @@
 NO_CONFIGURATION_RETRY_S = 0.5
 # The same while it stops; the next attempt meets another host.
 STOPPING_RETRY_S = 0.1
-# Seconds within which a caller must send the body of a request.
-BODY_TIMEOUT_S = 10.0
 # Errors after which the connection closes: a body that was not read whole, and
 # a host that the caller should leave.
 CLOSING_STEPS = frozenset(("read_body",))
-CLOSING_CODES = frozenset(("configuration_unproven",))
+CLOSING_CODES = frozenset(("configuration_unproven", "caller_memory_full"))
 
 
 class RequestHandler:
@@ -86,33 +84,6 @@
         response.force_close()
         return response
 
-    async def _read_body(self, request):
-        if not request.body_exists:
-            return b""
-        if request.headers.get("Expect", "").lower() == "100-continue":
-            request.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
-        limit = self._limits().body_bytes
-        body = bytearray()
-        try:
-            async with asyncio.timeout(BODY_TIMEOUT_S):
-                async for piece in request.content.iter_any():
-                    if len(body) + len(piece) > limit:
-                        raise UserError(
-                            f"body has more than {limit} bytes",
-                            step="read_body",
-                            http_status=413,
-                        )
-                    body += piece
-        except TimeoutError as error:
-            raise UserError(
-                f"body did not arrive within {BODY_TIMEOUT_S} s",
-                step="read_body",
-                http_status=408,
-            ) from error
-        except web.PayloadError as error:
-            raise UserError(f"body is malformed: {error}", step="read_body") from error
-        return bytes(body)
-
     def _limits(self):
         current = self._context.configuration.current
         return current.limits if current else CallerLimits()
@@ -143,10 +114,13 @@
         exchange.route = route
         self._authenticator.identify(request, route)
         await self._limit_rate(request, route)
-        request.body = await self._read_body(exchange.http_request)
-        if route.kind is RequestKind.BATCH:
-            return await self._jobs.submit(exchange, route)
-        return await self._forward(exchange, route)
+        body = CallerBody(context, exchange.http_request, self._limits().body_bytes)
+        with body.hold():
+            request.body = await body.read()
+            if route.kind is RequestKind.BATCH:
+                body.reserve_for_job()
+                return await self._jobs.submit(exchange, route)
+            return await self._forward(exchange, route)
 
     async def _limit_rate(self, request, route):
         """Raise RequestFailed (429) if the tenant sends too many requests."""
@@ -234,5 +208,6 @@
             reason=error.message,
             status=caller_status(error),
             execution=str(error.execution),
+            caller=self.http_request.remote,
         )
         return responses.error_response(error)
--- a/galenascale/gateway/settings.py
+++ b/galenascale/gateway/settings.py
@@ -64,6 +64,9 @@
             "store.retention_s",
             "must be greater than bounds.job_retention_s, or results would be lost",
         )
+    for name in ("host_memory_mb", "caller_memory_mb"):
+        if getattr(settings, name) < 0:
+            yield name, "must not be negative"
     lowest, highest = WEIGHT_RANGE
     for name, weight in settings.tenant_weights.items():
         if not lowest <= weight <= highest:
--- a/schema/gateway.thrift
+++ b/schema/gateway.thrift
@@ -508,4 +508,9 @@
   /** Pass requests that wait in a failure domain on to one in which they wait
    * less. */
   17: bool leave_domain = 1,
+  /** Memory of the host in megabytes; 0 if unknown. */
+  18: i32 host_memory_mb = 0,
+  /** Memory for the bodies of callers in megabytes; 0 for a part of the
+   * host's. */
+  19: i32 caller_memory_mb = 0,
 }
--- /dev/null
+++ b/test/gateway/test_caller_memory.py
@@ -0,0 +1,185 @@
+"""The budget for bodies of callers: who gives way, and what is held."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from galenascale.errors import UserError
+from galenascale.gateway.caller_memory import (
+    DEFAULT_BUDGET_BYTES,
+    MAX_BUDGET_BYTES,
+    MEGABYTE,
+    MIN_BUDGET_BYTES,
+    STALL_S,
+    CallerMemory,
+)
+from galenascale.gateway.jobs.api import MAX_JOB_PARTS, PART_MARKS
+from galenascale.gateway.settings import check_gateway_settings
+from galenascale.generated.gateway_messages import GatewaySettings
+
+LIMIT = 100
+BUDGET = 1000
+
+
+class Caller:
+    """A caller that sends a body at its own pace."""
+
+    def __init__(self, memory, now=0.0):
+        self.memory = memory
+        self.evicted = False
+        self._stack = memory.hold(self._on_evict, now)
+        self.body = self._stack.__enter__()
+
+    def _on_evict(self):
+        self.evicted = True
+
+    def send(self, count, now):
+        """Send bytes; return False if the body has to give way."""
+        return self.memory.add(self.body, count, LIMIT, now)
+
+    def finish(self):
+        """End the body; it is held until the answer."""
+        self.body.on_evict = None
+
+    def leave(self):
+        """End the request."""
+        self._stack.__exit__(None, None, None)
+
+
+def test_stalled_crowd_gives_way_to_callers_that_send():
+    """Pattern: a crowd stops just short of its end, then others come."""
+    memory = CallerMemory(BUDGET)
+    crowd = [Caller(memory) for _ in range(10)]
+    assert all(caller.send(99, 0.0) for caller in crowd)
+    others = [Caller(memory, now=5.0) for _ in range(10)]
+    assert all(other.send(60, 5.0) for other in others)
+    assert not any(other.evicted for other in others)
+    assert sum(caller.evicted for caller in crowd) >= 5
+    assert memory.held_bytes <= BUDGET
+
+
+def test_slow_caller_outlasts_a_silent_one():
+    """A caller that sends a little all the time is not stalled."""
+    memory = CallerMemory(BUDGET)
+    slow = Caller(memory)
+    silent = [Caller(memory) for _ in range(10)]
+    for caller in silent:
+        caller.send(95, 0.0)
+    for tenth in range(1, 80):
+        assert slow.send(1, tenth / 10)
+    assert not slow.evicted
+    assert any(caller.evicted for caller in silent)
+
+
+def test_whole_bodies_are_not_evicted():
+    """Pattern: all memory is held by requests that run."""
+    memory = CallerMemory(BUDGET)
+    running = [Caller(memory) for _ in range(10)]
+    for caller in running:
+        assert caller.send(100, 0.0)
+        caller.finish()
+    late = Caller(memory, now=9.0)
+    assert not late.send(1, 9.0)
+    assert not any(caller.evicted for caller in running)
+    running[0].leave()
+    late.leave()
+    assert Caller(memory, now=9.1).send(100, 9.1)
+
+
+def test_longest_silence_gives_way_first():
+    """Who made the most progress is cut last."""
+    memory = CallerMemory(300)
+    first, second, third = (Caller(memory) for _ in range(3))
+    first.send(100, 0.0)
+    second.send(100, 1.0)
+    third.send(100, 2.0)
+    newcomer = Caller(memory, now=2.0 + STALL_S)
+    assert newcomer.send(50, 2.0 + STALL_S)
+    assert first.evicted
+    assert not second.evicted
+    assert not third.evicted
+
+
+def test_two_largest_bodies_always_fit():
+    """A budget below the configuration's limit would refuse legal bodies."""
+    memory = CallerMemory(1)
+    callers = [Caller(memory) for _ in range(2)]
+    assert all(caller.send(LIMIT, 0.0) for caller in callers)
+
+
+@given(
+    st.lists(
+        st.tuples(
+            st.integers(0, 9),
+            st.integers(0, 100),
+            st.sampled_from(("send", "finish", "leave")),
+            st.floats(0.0, 3.0),
+        ),
+        max_size=200,
+    )
+)
+def test_budget_holds_and_is_given_back(steps):
+    """Whatever callers do, the sum is right and within the budget."""
+    memory = CallerMemory(BUDGET)
+    callers = {}
+    now = 0.0
+    for number, count, step, delay_s in steps:
+        now += delay_s
+        caller = callers.get(number) or callers.setdefault(number, Caller(memory, now))
+        if step == "send" and not caller.body.evicted:
+            caller.send(count, now)
+        elif step == "finish":
+            caller.finish()
+        elif step == "leave":
+            callers.pop(number).leave()
+        assert 0 <= memory.held_bytes <= BUDGET
+    for caller in callers.values():
+        caller.leave()
+    assert memory.held_bytes == 0
+
+
+@pytest.mark.parametrize(
+    ("host_mb", "caller_mb", "budget_bytes"),
+    [
+        (0, 0, DEFAULT_BUDGET_BYTES),
+        (60, 0, MIN_BUDGET_BYTES),
+        (180, 0, 18 * MEGABYTE),
+        (4096, 0, MAX_BUDGET_BYTES),
+        (180, 5, 5 * MEGABYTE),
+    ],
+)
+def test_budget_follows_from_the_memory_of_the_host(host_mb, caller_mb, budget_bytes):
+    """The setting goes first; without both there is a default."""
+    settings = GatewaySettings(host_memory_mb=host_mb, caller_memory_mb=caller_mb)
+    memory = CallerMemory.from_config(settings)
+    caller = Caller(memory)
+    assert caller.send(budget_bytes, 0.0)
+    assert not caller.send(1, 0.0)
+
+
+def test_negative_memory_is_refused():
+    """Settings are checked before they are used."""
+    settings = GatewaySettings(
+        schema_version=1,
+        host_id="h",
+        failure_domain="a",
+        caller_listen="127.0.0.1:1",
+        ready_listen="127.0.0.1:2",
+        peer_listen="127.0.0.1:3",
+        peer_datagram_port=4,
+        caller_memory_mb=-1,
+    )
+    settings.store.address = "127.0.0.1:5"
+    settings.store.partitions = 1
+    settings.store.retention_s = 1000000
+    with pytest.raises(UserError, match="caller_memory_mb: must not be negative"):
+        check_gateway_settings(settings, "test")
+
+
+def test_largest_sound_job_has_few_parts():
+    """200 items with long lists of prompt parts stay below the limit."""
+    prompt = ",".join(f"5c1e07a{number}:800" for number in range(20))
+    headers = ",".join(f'"X-Header-{number}":"v"' for number in range(12))
+    item = '{"Id":"e5","Path":"/a/b","Headers":{"P":"' + prompt + '",' + headers
+    job = (item + '},"Body":"q8","Tokens":9},').encode() * 200
+    assert sum(map(job.count, PART_MARKS)) < MAX_JOB_PARTS / 4
--- a/test/gateway/test_tenant_shares.py
+++ b/test/gateway/test_tenant_shares.py
@@ -1,5 +1,6 @@
 """Fair shares of slots: loads of many tenants, and the division itself."""
 
+import json
 import math
 import random
 
@@ -16,6 +17,8 @@
     in_time_shares,
     run_tenants,
 )
+from galenascale.errors import UserError
+from galenascale.gateway.settings import load_gateway_settings
 from galenascale.gateway.slots.decisions import (
     FreeSlots,
     Grant,
@@ -37,6 +40,7 @@
     weights_by_key,
 )
 from galenascale.gateway.slots.wait_queue import SlotRequest
+from test.gateway.fleet import GatewayFleet
 
 HOT, ORDINARY = 1, 2
 # Largest loss of the share in time of a tenant beside hot ones; the target.
@@ -288,3 +292,25 @@
 def test_absurd_weights_are_limited(weight, kept):
     """No weight divides by nothing or starves all others."""
     assert weights_by_key({"team": weight}) == {tenant_key("team"): kept}
+
+
+@pytest.mark.parametrize(
+    ("weights", "error"),
+    [
+        ({"team": 2.5, "other": 1}, None),
+        ({"team": 0.0}, "tenant_weights.team: must be from 0.01 to 100.0"),
+        ({"team": "high"}, "tenant_weights"),
+    ],
+)
+def test_weights_are_settings(weights, error, tmp_path):
+    """Weights are read and checked before a host starts."""
+    settings = GatewayFleet().settings(1)
+    settings.store.address = "127.0.0.1:5"
+    path = tmp_path / "settings.json"
+    fields = attrs.asdict(settings) | {"tenant_weights": weights}
+    path.write_text(json.dumps(fields))
+    if error is None:
+        assert load_gateway_settings(path).tenant_weights == weights
+        return
+    with pytest.raises(UserError, match=error):
+        load_gateway_settings(path)
--- a/test/test_layering.py
+++ b/test/test_layering.py
@@ -25,6 +25,7 @@
     "galenascale.placement.targets",
     "galenascale.gateway.attempts",
     "galenascale.gateway.balancing",
+    "galenascale.gateway.caller_memory",
     "galenascale.gateway.configuration",
     "galenascale.gateway.event_stream",
     "galenascale.gateway.health",
