Hold another server for a long request if the first one goes

Cause: found in reading: a held server that leaves stayed held, so its request had no server of its own any more. Change: another server is chosen then. Measured: test_engine_memory.py, with a test of it.

--- a/galenascale/gateway/slots/server_slots.py
+++ b/galenascale/gateway/slots/server_slots.py
@@ -177,7 +177,8 @@
     def hold_memory(self, request):
         """Leave the server with the most free memory to a request."""
         held = self._held_for
-        if held is None or held.run_id != request.run_id:
+        is_held = held is not None and held.run_id == request.run_id
+        if not is_held or self._held_key not in self._servers_by_key:
             self._held_for = request
             self._held_key = self._roomiest(request)
 
--- a/test/gateway/test_engine_memory.py
+++ b/test/gateway/test_engine_memory.py
@@ -128,6 +128,19 @@
     assert len(started) >= 3
 
 
+def test_another_server_is_held_if_the_first_one_goes():
+    """A request would wait for a server that is gone."""
+    pool = make_pool(servers=2, memory=2 * SHORT)
+    for number in range(4):
+        pool.submit(SlotRequest("a", number, memory_tokens=SHORT), 0.0)
+    pool.submit(SlotRequest("b", 50, start_by=1.0, memory_tokens=1900), 0.0)
+    gone = pool._servers._held_key
+    left = 3 - gone
+    pool.set_servers([PoolServer(left, SLOTS, memory_tokens=2 * SHORT)])
+    pool.tick(0.1)
+    assert pool._servers._held_key == left
+
+
 def test_requests_without_tokens_need_slots_only():
     """Plain requests, and hosts of an earlier build."""
     pool = make_pool(servers=1, memory=10)
