--- a/galenascale/commands/gateway.py
+++ b/galenascale/commands/gateway.py
@@ -28,6 +28,13 @@
     asyncio.run(_serve(settings, loaded))
 
 
+def make_adapter():
+    """Return the adapter of the platform on which gateways run."""
+    from galenascale.platform.adapter import PlatformAdapter
+
+    return PlatformAdapter()
+
+
 def _load_modules():
     """
     Import the modules of a host without garbage collections.
@@ -45,9 +52,8 @@
 async def _serve(path, settings):
     from galenascale.gateway.host import GatewayHost
     from galenascale.gateway.settings import SettingsWatcher
-    from galenascale.platform.adapter import PlatformAdapter
 
-    host = await GatewayHost.from_config(settings, PlatformAdapter())
+    host = await GatewayHost.from_config(settings, make_adapter())
     stopped = asyncio.Event()
     on_stop_signals(stopped.set, stopped.set)
     with translate_listen_errors():
--- a/galenascale/platform/adapter.py
+++ b/galenascale/platform/adapter.py
@@ -24,6 +24,7 @@
     """Translation between the platform's formats and the gateway's types."""
 
     decode_configuration = staticmethod(configuration.decode_configuration)
+    describes_configuration = staticmethod(configuration.describes_configuration)
     parse_request = staticmethod(headers.parse_request)
     build_backend_headers = staticmethod(headers.build_backend_headers)
     build_item_headers = staticmethod(headers.build_item_headers)
--- a/galenascale/platform/configuration.py
+++ b/galenascale/platform/configuration.py
@@ -31,6 +31,11 @@
 }
 
 
+def describes_configuration(content):
+    """Return True if parsed JSON is meant to be a configuration."""
+    return isinstance(content, dict) and "Version" in content and "Routes" in content
+
+
 def decode_configuration(data):
     """Return the Configuration; raise DecodeError for an invalid record."""
     fields = parse_json_object(data, "configuration")
