Take callers that leave in the middle of a body for what they are

Cause: a connection reset in the middle of a body was an unexpected error, and the handler of malformed bodies named an exception that the library does not have. Change: such a caller has left; the exception is the library's.

--- a/galenascale/gateway/caller_body.py
+++ b/galenascale/gateway/caller_body.py
@@ -82,7 +82,10 @@
                 step="read_body",
                 http_status=408,
             ) from error
-        except web.PayloadError as error:
+        except ConnectionError as error:
+            # Nobody waits for an answer any more.
+            raise asyncio.CancelledError from error
+        except web.RequestPayloadError as error:
             raise UserError(f"body is malformed: {error}", step="read_body") from error
         finally:
             # A whole body is not evicted any more.
--- a/test/soak/faults.py
+++ b/test/soak/faults.py
@@ -9,6 +9,7 @@
 
 from galenascale.standins.endless_response import EndlessResponse
 from galenascale.standins.runner import Behaviour
+from test.gateway.fleet import HOST_NAME
 from test.soak.proxy import Impairment
 
 # Earliest and latest start of a fault, in seconds after the load starts.
@@ -28,7 +29,16 @@
 # Seconds for which an engine cuts off its streams in these faults.
 CUT_STREAMS_S = 2.0
 # Fault kinds that every scenario contains; they are not drawn at random.
-GUARANTEED_KINDS = {"lose_answers", "cut_streams", "replace_key", "name_limit"}
+GUARANTEED_KINDS = {
+    "lose_answers",
+    "cut_streams",
+    "replace_key",
+    "name_limit",
+    "crowd_of_bodies",
+}
+# Callers of a crowd, and the bytes that each sends of a body of one more.
+CROWD = 30
+CROWD_BODY_BYTES = 1 << 19
 # Range in seconds in which each scenario takes a key away; later requests with
 # it show whether hosts know.
 KEY_CHANGE_S = (0.5, 3.0)
@@ -87,6 +97,10 @@
     for target in range(2):
         at_s = round(rng.uniform(FIRST_FAULT_S, LAST_FAULT_S), 2)
         faults.append(Fault(at_s, "name_limit", target, MAX_DURATION_S))
+    # The last ones, so that the faults of a seed stay what they were.
+    for target in range(2):
+        at_s = round(rng.uniform(FIRST_FAULT_S, LAST_FAULT_S), 2)
+        faults.append(Fault(at_s, "crowd_of_bodies", target, MAX_DURATION_S))
     return sorted(faults, key=lambda fault: fault.at_s)
 
 
@@ -119,6 +133,31 @@
         _restart_if_ended(process)
 
 
+async def _send_crowd_of_bodies(fleet, fault):
+    """Hold a crowd of requests open that lack the last byte of a body."""
+    process = _pick_target(fleet.processes, fault)
+    head = (
+        f"POST /plain/crowd HTTP/1.1\r\nHost: {HOST_NAME}\r\n"
+        f"X-Galenascale-Attempt-Id: crowd\r\n"
+        f"Authorization: Token {fleet.keys.key_by_tenant['one']}\r\n"
+        f"Content-Length: {CROWD_BODY_BYTES + 1}\r\n\r\n"
+    )
+    address = (process.address, fleet.ports["caller"])
+
+    async def hold():
+        # The host may be down, or refuse the caller at any moment.
+        with contextlib.suppress(OSError, TimeoutError):
+            async with asyncio.timeout(fault.duration_s):
+                reader, writer = await asyncio.open_connection(*address)
+                try:
+                    writer.write(head.encode() + b"x" * CROWD_BODY_BYTES)
+                    await reader.read()
+                finally:
+                    writer.transport.abort()
+
+    await asyncio.gather(*(hold() for _ in range(CROWD)))
+
+
 async def _pause_host(fleet, fault):
     process = _pick_target(fleet.processes, fault)
     process.send_signal(signal.SIGSTOP)
@@ -259,6 +298,7 @@
 )
 
 _ACTIONS_BY_KIND = {
+    "crowd_of_bodies": _send_crowd_of_bodies,
     "kill": _kill_host,
     "kill_all": _kill_all_hosts,
     "pause": _pause_host,
