Start hosts of an earlier build in the soak with the settings they know

Cause: hosts refuse settings that they do not know, and the soak wrote all settings of this build, so hosts of the earlier build did not start any more with the new ones; the upgrade was played by new hosts alone, after 20 s of waiting. Change: only settings that differ from their defaults are written, and a play fails if hosts do not start.

--- a/test/soak/fleet.py
+++ b/test/soak/fleet.py
@@ -12,6 +12,7 @@
 
 import attrs
 
+from galenascale.generated.gateway_messages import GatewaySettings
 from galenascale.standins.runner import RunnerStandin
 from galenascale.standins.store_api import StoreStandin
 from test.gateway.fleet import GatewayFleet
@@ -101,7 +102,7 @@
         self.write_config()
         for number in range(2, hosts + 2):
             await self.add_process(number)
-        await self.wait_until_ready(START_TIMEOUT_S)
+        assert await self.wait_until_ready(START_TIMEOUT_S), "hosts do not start"
 
     def replace_key(self, name):
         """Take a tenant's key away and give it another one."""
@@ -148,7 +149,7 @@
         settings.bounds.quota_slack = SLACK
         settings.log_level = "info"
         path = self.directory / f"host-{number}.json"
-        path.write_text(json.dumps(attrs.asdict(settings)))
+        path.write_text(json.dumps(stated_settings(settings)))
         environment = dict(self.environment)
         if skew_ms:
             environment["GALENASCALE_SOAK_SKEW_MS"] = str(skew_ms)
@@ -199,6 +200,20 @@
                 stack.callback(process.kill)
 
 
+def stated_settings(settings):
+    """
+    Return the settings that differ from their defaults, as plain data.
+
+    Hosts of an earlier build refuse settings that they do not know.
+    """
+    defaults = attrs.asdict(GatewaySettings())
+    return {
+        name: value
+        for name, value in attrs.asdict(settings).items()
+        if value != defaults[name]
+    }
+
+
 def make_run_directory():
     """Return a new directory for the settings and logs of one scenario."""
     return tempfile.mkdtemp(prefix="galenascale-soak-")
