--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,4 +1,4 @@
-"""A gateway that is stopped ends while its clients still read their answers."""
+"""A gateway that is stopped ends while clients still read their answers."""
 
 import asyncio
 import random
@@ -9,7 +9,8 @@
 from fleet import HOST_NAME, _ReplyParser, is_trouble, item, run
 
 ITEMS = 100
-# Events of an item and hex digits of each event's data: about the mean of the site.
+# Events of an item and bytes of each event's data, before they become hex
+# digits: about the mean of the site.
 EVENTS = 170
 DATA_BYTES = 37
 CLIENTS = 3
@@ -49,7 +50,7 @@
 
 
 async def connect(fleet):
-    """Open the connection of one client to the gateway that will be stopped."""
+    """Open the connection of one client to the gateway to be stopped."""
     sock = socket.socket()
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, SEGMENT_BYTES)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BYTES)
@@ -86,10 +87,20 @@
     sock.close()
     ended_at = loop.time()
     record.write(
-        name, "status", reply.status, "complete", reply.done, "read", len(reply.body),
-        "of", reply.headers.get("content-length"), "bytes;",
-        round(ended_at - sent_at, 3), "s after its request,",
-        round(ended_at - began_at, 3), "s after the SIGTERM",
+        name,
+        "status",
+        reply.status,
+        "complete",
+        reply.done,
+        "read",
+        len(reply.body),
+        "of",
+        reply.headers.get("content-length"),
+        "bytes;",
+        round(ended_at - sent_at, 3),
+        "s after its request,",
+        round(ended_at - began_at, 3),
+        "s after the SIGTERM",
     )
     in_time = ended_at - began_at <= GRACE_S + 1.0
     return reply.done or not in_time or ended_at - sent_at <= LOSS_SLACK_S
@@ -97,7 +108,7 @@
 
 async def watch_end(gateway, record, began_at):
     """Record when the process of a gateway ends."""
-    while gateway.running:
+    while gateway.running:  # noqa: ASYNC110
         await asyncio.sleep(0.02)
     elapsed_s = asyncio.get_running_loop().time() - began_at
     record.write("process ended", round(elapsed_s, 3), "s after the SIGTERM")
--- a/review/common-2/fleet.py
+++ b/review/common-2/fleet.py
@@ -1,10 +1,11 @@
 """
 A small deployment on loopback addresses, for the scripts of the second review.
 
-Gateways are processes that the command of `deploy/system.toml` starts. The store is
-the project's own stand-in; it refuses records and calls that are larger than the
-users' pages allow. The runners are small ones of this module: strict HTTP/1.1
-servers, whose requests are parsed by `httptools` and answered in order.
+Gateways are processes that the command of `deploy/system.toml` starts. The
+store is the project's own stand-in; it refuses records and calls that are
+larger than the users' pages allow. The runners are small ones of this module:
+strict HTTP/1.1 servers, whose requests are parsed by `httptools` and answered
+in order.
 """
 
 import asyncio
@@ -130,7 +131,9 @@
 
     def on_message_complete(self):
         method = self.parser.get_method().decode()
-        self.requests.append(RunnerRequest(method, self.target, self.headers, self.body))
+        self.requests.append(
+            RunnerRequest(method, self.target, self.headers, self.body)
+        )
 
 
 class RunnerRequest:
@@ -206,8 +209,10 @@
                     parsed.parser.feed_data(data)
                 except httptools.HttpParserError as error:
                     self.record.write("runner", self.server_id, "bad request", error)
-                    writer.write(b"HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n"
-                                 b"Connection: close\r\n\r\n")
+                    writer.write(
+                        b"HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n"
+                        b"Connection: close\r\n\r\n"
+                    )
                     return
                 while parsed.requests:
                     await self._answer(parsed.requests.pop(0), writer)
@@ -224,9 +229,16 @@
         self.runs.append((asyncio.get_running_loop().time(), request))
         if self.record_runs:
             self.record.write(
-                "run", self.server_id, request.method, request.target,
-                "id", repr(request.attempt_id), "bytes", len(request.body),
-                "resume", request.header("Last-Event-Id", "-"),
+                "run",
+                self.server_id,
+                request.method,
+                request.target,
+                "id",
+                repr(request.attempt_id),
+                "bytes",
+                len(request.body),
+                "resume",
+                request.header("Last-Event-Id", "-"),
             )
         if not request.header("X-Galenascale-Model"):
             await asyncio.sleep(self.work_s)
@@ -248,7 +260,9 @@
         writer.write(b"0\r\n\r\n")
         await writer.drain()
         if self.record_runs:
-            self.record.write("answered whole", self.server_id, repr(request.attempt_id))
+            self.record.write(
+                "answered whole", self.server_id, repr(request.attempt_id)
+            )
 
 
 def _head(request, status, *lines, signed=True):
@@ -358,7 +372,7 @@
 
 
 class MemoryLimit:
-    """The platform's part: ends a process above its memory, and starts it again."""
+    """Ends a process above its memory and starts it again, as the platform."""
 
     RESTART_DELAY_S = 0.5
 
@@ -383,8 +397,12 @@
                 gateway.kill()
                 self.ends[number] += 1
                 self.fleet.record.write(
-                    "gateway", number, "ended with MB:", used >> 20,
-                    "ends so far:", self.ends[number],
+                    "gateway",
+                    number,
+                    "ended with MB:",
+                    used >> 20,
+                    "ends so far:",
+                    self.ends[number],
                 )
                 await asyncio.sleep(self.RESTART_DELAY_S)
                 gateway.start()
@@ -510,8 +528,9 @@
         """Return the runners of a service."""
         return [runner for runner in self.runners if runner.service == service]
 
-    async def ask(self, number, method, path, request_id, *headers, body=b"",
-                  deadline_ms=5000):
+    async def ask(
+        self, number, method, path, request_id, *headers, body=b"", deadline_ms=5000
+    ):
         """Send one request to a gateway, record it, and return the Reply."""
         lines = [
             f"X-Galenascale-Attempt-Id: {request_id}",
@@ -535,12 +554,17 @@
         """Submit a batch job; return the Reply."""
         body = orjson.dumps({"Items": items})
         return await self.ask(
-            number, "POST", f"/lot/{job_id}", job_id,
-            "Content-Type: application/json", body=body, deadline_ms=4000,
+            number,
+            "POST",
+            f"/lot/{job_id}",
+            job_id,
+            "Content-Type: application/json",
+            body=body,
+            deadline_ms=4000,
         )
 
     async def results(self, number, job_id):
-        """Read all results of a job; return them, or None without an answer."""
+        """Read all results of a job; return None without an answer."""
         outputs = []
         while True:
             path = f"/lots/{job_id}?After={len(outputs)}"
@@ -552,6 +576,13 @@
             if not page["Outputs"] or len(outputs) >= page["Total"]:
                 return outputs
 
+    def record_errors(self):
+        """Record what the gateways logged as errors."""
+        for log in sorted(self.folder.glob("*.log")):
+            for line in log.read_text(errors="replace").splitlines():
+                if '"error"' in line or "Traceback" in line:
+                    self.record.write(log.name, line[:300])
+
     async def close(self):
         """End all processes and stop the stand-ins."""
         for gateway in self.gateways:
@@ -611,10 +642,7 @@
                     return await case(fleet, record)
             finally:
                 await fleet.close()
-                for log in sorted(Path(place).glob("*.log")):
-                    for line in log.read_text(errors="replace").splitlines():
-                        if '"error"' in line or "Traceback" in line:
-                            record.write(log.name, line[:300])
+                fleet.record_errors()
 
     try:
         held = asyncio.run(main())
