Let any test run a host as a process

Cause: the tests of crowds of connections need the processes that test_misbehaving_callers.py starts, with fewer descriptors and other limits on callers.

Change: host_process.py holds them; the fleet's limits on callers are an attribute. No check changes.

--- a/test/gateway/fleet.py
+++ b/test/gateway/fleet.py
@@ -109,6 +109,13 @@
         self.routes = list(ROUTES)
         # Tenants in the operator's configuration format; None for none at all.
         self.tenants = None
+        # Limits on callers in the operator's configuration format.
+        self.limits = {
+            "HeaderBytes": 16384,
+            "BodyBytes": 1 << 20,
+            "HeaderTimeoutMs": 3000,
+            "IdleTimeoutMs": 15000,
+        }
         self.version = 0
         self.bounds = {"stop_grace_s": 2.0}
         self.log_level = "error"
@@ -165,12 +172,7 @@
                 {"Name": "app", "MaxConns": 100},
                 {"Name": "llm", "MaxConns": 100, "EngineKind": engine},
             ],
-            "Limits": {
-                "HeaderBytes": 16384,
-                "BodyBytes": 1 << 20,
-                "HeaderTimeoutMs": 3000,
-                "IdleTimeoutMs": 15000,
-            },
+            "Limits": self.limits,
         }
         if self.tenants is not None:
             config["Tenants"] = self.tenants
--- a/test/gateway/test_misbehaving_callers.py
+++ b/test/gateway/test_misbehaving_callers.py
@@ -10,15 +10,11 @@
 import asyncio
 import contextlib
 import itertools
-import json
-import subprocess
-import sys
-from pathlib import Path
 
-import attrs
 import pytest
 
-from test.gateway.fleet import HOST_NAME, GatewayFleet, until
+from test.gateway.fleet import HOST_NAME
+from test.gateway.host_process import running_host
 
 CROWD = 40
 # Largest body of the configuration, in bytes.
@@ -141,81 +137,6 @@
 ]
 
 
-@attrs.define
-class Host:
-    """A gateway process and the ports of its listeners."""
-
-    process: subprocess.Popen
-    ports: dict
-
-    def _status(self, name):
-        for line in Path(f"/proc/{self.process.pid}/status").read_text().splitlines():
-            if line.startswith(f"{name}:"):
-                return int(line.split()[1]) << 10
-        raise LookupError(name)
-
-    @property
-    def peak_bytes(self):
-        """Return the largest resident memory so far."""
-        return self._status("VmHWM")
-
-    @property
-    def descriptors(self):
-        """Return the number of open descriptors."""
-        return len(list(Path(f"/proc/{self.process.pid}/fd").iterdir()))
-
-
-def start_process(command):
-    """Start a program without its output."""
-    return subprocess.Popen(command, stdout=subprocess.DEVNULL)
-
-
-@contextlib.asynccontextmanager
-async def running_host(tmp_path):
-    """Yield a fleet and the Host of its only process, once that is ready."""
-    fleet = GatewayFleet()
-    try:
-        await fleet.start(hosts=0)
-        settings = fleet.settings(1)
-        settings.metrics_port = fleet.ports["metrics"] = fleet.ports["caller"] + 1000
-        settings.caller_memory_mb = CALLER_MEMORY_MB
-        path = tmp_path / "settings.json"
-        path.write_text(json.dumps(attrs.asdict(settings)))
-        command = [sys.executable, "-m", "galenascale", "gateway", "--settings", path]
-        process = start_process(command)
-        try:
-            await wait_until_ready(fleet, process)
-            yield fleet, Host(process, fleet.ports)
-        finally:
-            process.kill()
-            process.wait()
-    finally:
-        await fleet.close()
-
-
-async def wait_until_ready(fleet, process):
-    """Return once the process answers its readiness check with 200."""
-    answers = []
-
-    async def ask():
-        while process.poll() is None:
-            with contextlib.suppress(OSError):
-                ready = ("127.0.0.1", fleet.ports["ready"])
-                reader, writer = await asyncio.open_connection(*ready)
-                writer.write(b"GET /ready HTTP/1.1\r\nHost: x\r\n\r\n")
-                line = await reader.readline()
-                writer.close()
-                if b" 200 " in line:
-                    answers.append(line)
-                    return
-            await asyncio.sleep(0.05)
-
-    task = asyncio.create_task(ask())
-    await until(lambda: answers or process.poll() is not None)
-    await task
-    assert answers
-
-
 async def misbehave(port, way, path):
     """Open a connection, send a request, and return the open writer."""
     _, writer = await asyncio.open_connection("127.0.0.1", port)
@@ -234,7 +155,7 @@
 )
 async def test_crowd_ends_no_host(way, listener, path, tmp_path):
     """A crowd takes a bounded part of the memory, and others are served."""
-    async with running_host(tmp_path) as (fleet, host):
+    async with running_host(tmp_path, CALLER_MEMORY_MB) as (fleet, host):
         assert (await fleet.request("/plain/a", data=b"warm")).status == 200
         peak_before, descriptors_before = host.peak_bytes, host.descriptors
         port = host.ports[listener]
@@ -255,7 +176,7 @@
 
 async def test_largest_body_is_served_in_calm(tmp_path):
     """A limit must not meet a caller within the limits of the pages."""
-    async with running_host(tmp_path) as (fleet, _):
+    async with running_host(tmp_path, CALLER_MEMORY_MB) as (fleet, _):
         for number in range(3):
             reply = await fleet.request(
                 "/plain/a", request_id=f"large-{number}", data=b"x" * BODY_BYTES
