Read one request of a connection at a time, and its head as a whole

What callers saw: a crowd whose heads never end, or that sends requests ahead and reads no answer, ended the process; so others lost their answers.

Cause: all that arrived went to the HTTP library at once. Its parser held as many fields of a head as fit into 256 lines of the limit each, quoted up to 64 KB of what it could not read in its error, skipped empty lines without end, and queued 32 parsed requests behind the one that was answered. Only bodies were counted in the memory for callers. The same held for the listeners for readiness, other hosts and metrics.

Change: a connection collects a head until it is whole (HeadBuffer), at most HeaderBytes of target and fields, and 64 bytes of line breaks before it; then it hands over the head and the body, and keeps what follows, one receive of 16 KB, until the answer is taken. Heads, bodies and what follows a request are held in one account of each connection; when the budget is used up, the connection with the least progress gives way, with 503 (not run) if it has no request yet. The internal listeners share a second account. Refusals name the limit in a metric, and in a line a second.

The test of received bytes now asks for the smaller of the two sizes: callers are read in parts of 16 KB instead of 64.

--- /dev/null
+++ b/galenascale/gateway/bounded_connection.py
@@ -0,0 +1,103 @@
+"""HTTP connections whose callers hold a counted part of the memory."""
+
+from aiohttp import web
+
+from galenascale.gateway import responses
+from galenascale.gateway.attempts import not_run_error
+from galenascale.gateway.caller_memory import HeldMemory
+
+# Most bytes of one receive call, and so of what follows a request before
+# reading pauses.
+CALLER_RECEIVE_BYTES = 1 << 14
+# Most header fields of a request; CallerLimits bounds their size.
+MAX_HEADERS = 256
+# Bytes of a body that are buffered before reading pauses, at most twice as
+# many; also bounds the chunks of a body that nobody has taken yet.
+READ_BUFFER_BYTES = 8 << 10
+# Retry-After in seconds while the memory or the connections are used up.
+OVERLOAD_RETRY_S = 0.5
+
+
+class BoundedConnection(web.RequestHandler):
+    """
+    HTTP connection whose caller holds a counted part of the memory.
+
+    `on_limit` is called with the name of a limit that the caller met, and
+    this connection.
+    """
+
+    __slots__ = ("held", "_limits", "_memory", "_on_limit", "_timer")
+
+    def __init__(self, server, *, limits, memory, on_limit, **options):
+        super().__init__(
+            server,
+            keepalive_timeout=limits.idle_timeout_s,
+            max_line_size=limits.header_bytes,
+            max_field_size=limits.header_bytes,
+            max_headers=MAX_HEADERS,
+            auto_decompress=False,
+            read_bufsize=READ_BUFFER_BYTES,
+            access_log=None,
+            **options,
+        )
+        self._limits = limits
+        self._memory = memory
+        self._on_limit = on_limit
+        now = self._loop.time()
+        self.held = HeldMemory(now, now, self.force_close)
+        self._timer = None
+
+    @property
+    def is_closing(self):
+        """Return True if no further request is read."""
+        return self.transport is None or self.transport.is_closing()
+
+    def connection_made(self, transport):
+        super().connection_made(transport)
+        transport.max_size = CALLER_RECEIVE_BYTES
+        self._close_after(self._limits.idle_timeout_s)
+
+    def connection_lost(self, exc):
+        self._stop_timer()
+        self.held.evicted = True
+        self._memory.release(self.held)
+        super().connection_lost(exc)
+
+    # Memory.
+
+    def hold(self, count):
+        """Hold more bytes; return False if there is no memory for them."""
+        return self._memory.add(
+            self.held, count, self._limits.body_bytes, self._loop.time()
+        )
+
+    def give_way(self):
+        """Close the connection, as others make more progress."""
+        self.held.evicted = True
+        self.held.on_evict()
+
+    # Closing.
+
+    def refuse(self, error):
+        """Answer with an error before a request is handled, and close."""
+        if self.transport is not None:
+            self.transport.write(responses.encode_refusal(error))
+        self.force_close()
+
+    def _close_after(self, delay_s):
+        self._stop_timer()
+        self._timer = self._loop.call_later(delay_s, self.force_close)
+
+    def _stop_timer(self):
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+
+def memory_full_error():
+    """Return the RequestFailed of a caller that has to give way."""
+    return not_run_error(
+        "memory for callers is used up, and others make more progress",
+        code="caller_memory_full",
+        retry_after_s=OVERLOAD_RETRY_S,
+    )
--- a/galenascale/gateway/host.py
+++ b/galenascale/gateway/host.py
@@ -7,7 +7,6 @@
 
 import aiohttp
 import attrs
-from aiohttp import web
 
 from galenascale.clock import Clock
 from galenascale.gateway import suspect_exchange
@@ -17,13 +16,14 @@
 from galenascale.gateway.backend_pool import BackendPool
 from galenascale.gateway.background import BackgroundTasks
 from galenascale.gateway.block_records import BlockRecords
-from galenascale.gateway.configuration import CallerLimits, ConfigurationState
+from galenascale.gateway.configuration import ConfigurationState
 from galenascale.gateway.configuration_proof import ConfigurationProof
 from galenascale.gateway.context import GatewayContext
 from galenascale.gateway.crashes import CrashHistory
 from galenascale.gateway.discovery import HostDiscovery
 from galenascale.gateway.forwarding import Forwarder
 from galenascale.gateway.health import ServerHealth
+from galenascale.gateway.host_listeners import InternalHandlers, open_listeners
 from galenascale.gateway.jobs.acceptance import JobAcceptor
 from galenascale.gateway.jobs.api import JobsApi
 from galenascale.gateway.jobs.bodies import BodyReader
@@ -31,18 +31,13 @@
 from galenascale.gateway.jobs.partitions import Partitions
 from galenascale.gateway.jobs.quotas import Quotas
 from galenascale.gateway.jobs.recorder import OutcomeRecorder
-from galenascale.gateway.jobs.relaying_store import (
-    STORE_CALL_PATH,
-    RelayingStore,
-    answer_store_call,
-)
+from galenascale.gateway.jobs.relaying_store import RelayingStore
 from galenascale.gateway.jobs.runner import JobRunner
 from galenascale.gateway.json_log import JsonLog
-from galenascale.gateway.listeners import CallerServer, listen, make_internal_server
 from galenascale.gateway.load import FleetLoad
 from galenascale.gateway.metrics import GatewayMetrics
 from galenascale.gateway.ownership import OwnerCandidate, Ownership
-from galenascale.gateway.peer_state import PeerStateFetcher, handle_state_request
+from galenascale.gateway.peer_state import PeerStateFetcher
 from galenascale.gateway.peers import PeerProtocol
 from galenascale.gateway.rates.service import RateService
 from galenascale.gateway.reachability import Reachability
@@ -216,28 +211,21 @@
 
     async def _listen(self, settings):
         loop = asyncio.get_running_loop()
-        host = split_address(settings.peer_listen)[0]
         transport, _ = await loop.create_datagram_endpoint(
             lambda: self.discovery.peer_protocol,
-            local_addr=(host, settings.peer_datagram_port),
+            local_addr=(
+                split_address(settings.peer_listen)[0],
+                settings.peer_datagram_port,
+            ),
         )
         self.stack.callback(transport.close)
-        ready = make_internal_server(self._handle_ready_request)
-        await listen(self.stack, ready, settings.ready_listen)
-        peers = make_internal_server(self._handle_peer_request)
-        await listen(self.stack, peers, settings.peer_listen)
-        if settings.metrics_port:
-            metrics = make_internal_server(self._handle_metrics_request)
-            await listen(self.stack, metrics, f"{host}:{settings.metrics_port}")
-        self._caller_server = CallerServer(self.request_handler.handle, self._limits)
-        self._caller_listener = await listen(
-            self.stack, self._caller_server, settings.caller_listen
+        self._caller_server, self._caller_listener = await open_listeners(
+            self.stack,
+            self.context,
+            self.request_handler.handle,
+            InternalHandlers(self.context, self.followers, lambda: self.ready),
         )
 
-    def _limits(self):
-        current = self.context.configuration.current
-        return current.limits if current else CallerLimits()
-
     @property
     def ready(self):
         """Return True if the host is ready for new callers."""
@@ -248,23 +236,6 @@
             and self.authenticator.is_proven()
         )
 
-    async def _handle_peer_request(self, request):
-        if request.path == STORE_CALL_PATH:
-            return await answer_store_call(self.context.store, request)
-        return await handle_state_request(self.followers, request)
-
-    async def _handle_ready_request(self, request):
-        return web.Response(status=200 if self.ready else 503)
-
-    async def _handle_metrics_request(self, request):
-        self.context.metrics.log_lines_waiting.set(self.context.log.queued_lines)
-        self.context.metrics.peers.set(
-            len(self.context.peers.alive(self.context.clock.monotonic()))
-        )
-        return web.Response(
-            body=self.context.metrics.expose(), content_type="text/plain"
-        )
-
     async def _close_idle(self):
         while True:
             await asyncio.sleep(IDLE_CHECK_INTERVAL_S)
--- /dev/null
+++ b/galenascale/gateway/host_listeners.py
@@ -0,0 +1,91 @@
+"""Opens the listeners of a host, and answers the calls that are internal."""
+
+from aiohttp import web
+
+from galenascale.gateway.caller_memory import CallerMemory
+from galenascale.gateway.configuration import CallerLimits
+from galenascale.gateway.jobs.relaying_store import (
+    MAX_CALL_BYTES,
+    STORE_CALL_PATH,
+    answer_store_call,
+)
+from galenascale.gateway.limit_log import LimitLog
+from galenascale.gateway.listeners import (
+    CallerServer,
+    ListenerLimits,
+    listen,
+    make_internal_server,
+)
+from galenascale.gateway.peer_state import handle_state_request
+from galenascale.gateway.sockets import split_address
+
+
+class InternalHandlers:
+    """
+    Answers the calls of the balancer, other hosts and operators.
+
+    `is_ready` returns whether the host is ready for new callers.
+    """
+
+    def __init__(self, context, followers, is_ready):
+        self._context = context
+        self._followers = followers
+        self._is_ready = is_ready
+
+    async def handle_ready(self, request):
+        """Answer a readiness check."""
+        return web.Response(status=200 if self._is_ready() else 503)
+
+    async def handle_peer(self, request):
+        """Answer a call of another host."""
+        if request.path == STORE_CALL_PATH:
+            return await answer_store_call(self._context.store, request)
+        return await handle_state_request(self._followers, request)
+
+    async def handle_metrics(self, request):
+        """Return the metrics."""
+        context = self._context
+        metrics = context.metrics
+        metrics.log_lines_waiting.set(context.log.queued_lines)
+        metrics.caller_body_bytes.set(context.caller_memory.held_bytes)
+        metrics.peers.set(len(context.peers.alive(context.clock.monotonic())))
+        return web.Response(body=metrics.expose(), content_type="text/plain")
+
+
+async def open_listeners(stack, context, handle_caller, internal):
+    """
+    Listen until the stack closes; return the callers' server and listener.
+
+    `internal` are the InternalHandlers. Raise OSError if listening fails.
+    """
+    on_limit = LimitLog(context.log, context.clock, context.metrics).record
+    await _listen_internally(stack, context.settings, internal, on_limit)
+
+    def caller_limits():
+        current = context.configuration.current
+        return current.limits if current else CallerLimits()
+
+    server = CallerServer(
+        handle_caller,
+        caller_limits,
+        ListenerLimits(context.caller_memory, on_limit),
+    )
+    address = context.settings.caller_listen
+    return server, await listen(stack, server, address)
+
+
+async def _listen_internally(stack, settings, internal, on_limit):
+    """Listen for others than callers; they have a memory of their own."""
+    memory = CallerMemory.from_config(settings)
+    own_limits = ListenerLimits(memory, on_limit)
+    handlers_by_address = {
+        settings.ready_listen: internal.handle_ready,
+        settings.peer_listen: internal.handle_peer,
+    }
+    if settings.metrics_port:
+        host, _ = split_address(settings.peer_listen)
+        address = f"{host}:{settings.metrics_port}"
+        handlers_by_address[address] = internal.handle_metrics
+    for address, handler in handlers_by_address.items():
+        server = make_internal_server(handler, own_limits, MAX_CALL_BYTES)
+        await listen(stack, server, address)
--- a/galenascale/gateway/metrics.py
+++ b/galenascale/gateway/metrics.py
@@ -66,7 +66,7 @@
             ("limit",),
         )
         self.caller_body_bytes = self._gauge(
-            "caller_body_bytes", "Memory held by the bodies of callers."
+            "caller_body_bytes", "Memory that callers make the host hold."
         )
         self._tenant_labels = set()
         self.items = self._counter("items", "Runs of items by outcome.", ("outcome",))
@@ -92,6 +92,10 @@
         label = tenant if tenant in self._tenant_labels else OTHER_TENANTS
         self.rejections.labels(label, reason).inc()
 
+    def count_caller_limit(self, limit):
+        """Count a caller that met a limit, by the name of the limit."""
+        self.caller_limits.labels(limit).inc()
+
     def _counter(self, name, text, labels=()):
         return Counter(
             name, text, labels, namespace="galenascale", registry=self.registry
--- a/galenascale/gateway/request_handler.py
+++ b/galenascale/gateway/request_handler.py
@@ -114,13 +114,16 @@
         exchange.route = route
         self._authenticator.identify(request, route)
         await self._limit_rate(request, route)
-        body = CallerBody(context, exchange.http_request, self._limits().body_bytes)
-        with body.hold():
-            request.body = await body.read()
-            if route.kind is RequestKind.BATCH:
-                body.reserve_for_job()
-                return await self._jobs.submit(exchange, route)
-            return await self._forward(exchange, route)
+        body = CallerBody(
+            exchange.http_request,
+            self._limits().body_bytes,
+            context.metrics.count_caller_limit,
+        )
+        request.body = await body.read()
+        if route.kind is RequestKind.BATCH:
+            body.reserve_for_job()
+            return await self._jobs.submit(exchange, route)
+        return await self._forward(exchange, route)
 
     async def _limit_rate(self, request, route):
         """Raise RequestFailed (429) if the tenant sends too many requests."""
--- a/galenascale/gateway/responses.py
+++ b/galenascale/gateway/responses.py
@@ -1,6 +1,7 @@
 """HTTP responses to callers: errors and responses of backend servers."""
 
 import contextlib
+import http
 import time
 
 import orjson
@@ -15,10 +16,39 @@
 
 def error_response(error):
     """Return the HTTP response for a GalenascaleError."""
-    headers = {}
+    return web.Response(
+        status=caller_status(error),
+        headers=_error_headers(error),
+        body=_error_body(error),
+    )
+
+
+def encode_refusal(error):
+    """
+    Return the bytes of the response for a GalenascaleError.
+
+    For requests that the HTTP library does not see; the connection closes.
+    """
+    status = http.HTTPStatus(caller_status(error))
+    body = _error_body(error)
+    headers = _error_headers(error) | {
+        "Content-Length": str(len(body)),
+        "Connection": "close",
+    }
+    lines = [f"HTTP/1.1 {status.value} {status.phrase}"]
+    lines.extend(f"{name}: {value}" for name, value in headers.items())
+    return "\r\n".join([*lines, "", ""]).encode("latin-1") + body
+
+
+def _error_headers(error):
+    headers = {"Content-Type": "application/json"}
     retry_after_s = getattr(error, "retry_after_s", None)
     if retry_after_s is not None:
         headers["Retry-After"] = f"{retry_after_s:.3f}"
+    return headers
+
+
+def _error_body(error):
     body = {
         "error": {
             "code": error.code,
@@ -26,12 +56,7 @@
             "execution": str(error.execution),
         }
     }
-    return web.Response(
-        status=caller_status(error),
-        headers=headers,
-        body=orjson.dumps(body),
-        content_type="application/json",
-    )
+    return orjson.dumps(body)
 
 
 def to_web_response(buffered):
--- a/schema/gateway.thrift
+++ b/schema/gateway.thrift
@@ -510,7 +510,7 @@
   17: bool leave_domain = 1,
   /** Memory of the host in megabytes; 0 if unknown. */
   18: i32 host_memory_mb = 0,
-  /** Memory for the bodies of callers in megabytes; 0 for a part of the
-   * host's. */
+  /** Memory for all that callers make the host hold, in megabytes; 0 for a
+   * part of the host's. */
   19: i32 caller_memory_mb = 0,
 }
--- a/test/gateway/test_caller_body.py
+++ b/test/gateway/test_caller_body.py
@@ -74,9 +74,9 @@
         memory = host.context.caller_memory
         reader, writer = await open_request(fleet)
         writer.write(b"x" * 999)
-        await until(lambda: any(body.held_bytes > 999 for body in memory._bodies))
-        (body,) = memory._bodies
-        memory._evict(body)
+        await until(lambda: any(held.held_bytes > 999 for held in memory._holders))
+        (held,) = memory._holders
+        memory._evict(held)
         answer = await reader.read()
         assert b" 503 " in answer.splitlines()[0]
         assert b"caller_memory_full" in answer
--- a/test/gateway/test_caller_memory.py
+++ b/test/gateway/test_caller_memory.py
@@ -12,6 +12,7 @@
     MIN_BUDGET_BYTES,
     STALL_S,
     CallerMemory,
+    HeldMemory,
 )
 from galenascale.gateway.jobs.api import MAX_JOB_PARTS, PART_MARKS
 from galenascale.gateway.settings import check_gateway_settings
@@ -27,8 +28,7 @@
     def __init__(self, memory, now=0.0):
         self.memory = memory
         self.evicted = False
-        self._stack = memory.hold(self._on_evict, now)
-        self.body = self._stack.__enter__()
+        self.body = HeldMemory(now, now, self._on_evict)
 
     def _on_evict(self):
         self.evicted = True
@@ -43,7 +43,7 @@
 
     def leave(self):
         """End the request."""
-        self._stack.__exit__(None, None, None)
+        self.memory.release(self.body)
 
 
 def test_stalled_crowd_gives_way_to_callers_that_send():
@@ -100,6 +100,40 @@
     assert not third.evicted
 
 
+def test_request_that_runs_is_refused_more_memory_but_not_evicted():
+    """It has run, or will, and waits for its answer."""
+    memory = CallerMemory(BUDGET)
+    running = Caller(memory)
+    assert running.send(BUDGET, 0.0)
+    running.finish()
+    assert not running.send(1, 0.0)
+    assert not running.evicted
+    assert memory.held_bytes == BUDGET
+
+
+def test_unread_answers_give_way_to_callers_that_send():
+    """Pattern: a crowd takes nothing of its answers, then others come."""
+    memory = CallerMemory(BUDGET)
+    crowd = [Caller(memory) for _ in range(10)]
+    for caller in crowd:
+        assert memory.add_unmoved(caller.body, 99, LIMIT, 0.0)
+    other = Caller(memory, now=0.2)
+    assert other.send(90, 0.2)
+    assert not other.evicted
+    assert sum(caller.evicted for caller in crowd) == 1
+
+
+def test_reader_that_takes_most_gives_way_last():
+    """A slow reader counts by what it takes, not by what it holds."""
+    memory = CallerMemory(300)
+    readers = [Caller(memory) for _ in range(3)]
+    for taken, reader in enumerate(readers, 1):
+        memory.add_unmoved(reader.body, 100, LIMIT, 0.0)
+        reader.body.record_progress(taken, 0.5)
+    assert Caller(memory, now=0.6).send(100, 0.6)
+    assert [reader.evicted for reader in readers] == [True, False, False]
+
+
 def test_two_largest_bodies_always_fit():
     """A budget below the configuration's limit would refuse legal bodies."""
     memory = CallerMemory(1)
--- a/test/gateway/test_listeners.py
+++ b/test/gateway/test_listeners.py
@@ -9,8 +9,10 @@
 import pytest
 from aiohttp import web
 
+from galenascale.gateway.bounded_connection import CALLER_RECEIVE_BYTES
+from galenascale.gateway.caller_memory import MEGABYTE, CallerMemory
 from galenascale.gateway.configuration import CallerLimits
-from galenascale.gateway.listeners import CallerServer, listen
+from galenascale.gateway.listeners import CallerServer, ListenerLimits, listen
 from galenascale.gateway.sockets import RECEIVE_BYTES, BoundedSocket
 from galenascale.platform.adapter import PlatformAdapter
 from test.gateway.fleet import gateway_fleet
@@ -37,7 +39,8 @@
         idle_timeout_s=IDLE_TIMEOUT_S,
     )
     async with contextlib.AsyncExitStack() as stack:
-        server = CallerServer(answer, lambda: limits)
+        own_limits = ListenerLimits(CallerMemory(MEGABYTE), lambda *_: None)
+        server = CallerServer(answer, lambda: limits, own_limits)
         stack.push_async_callback(server.shutdown, 0.1)
         listener = await listen(stack, server, "127.0.0.1:0")
         port = listener.sockets[0].getsockname()[1]
@@ -120,7 +123,7 @@
         session.get(fleet.url("/none")),
     ):
         (connection,) = fleet.hosts[0]._caller_server.connections
-        assert connection.transport.max_size == RECEIVE_BYTES
+        assert connection.transport.max_size == CALLER_RECEIVE_BYTES <= RECEIVE_BYTES
     async with PlatformAdapter().make_session() as session:
         sock = session.connector._socket_factory((socket.AF_INET, 1, 6, "", None))
         with sock:
