Limit what comes between two bytes of a body

What callers saw: a crowd whose trailers never end grew a host by 108 to 175 MB, at each listener. A body with a malformed chunk was answered after 10 s, with 408.

Cause: the parser keeps trailers as it keeps header fields, 256 lines of the limit each, and nothing counted them, as they are no part of a body. An error of the parser inside a body was queued as a request of its own; the reader of the body was not told.

Change: a connection counts the bytes that come without a byte of the body; above HeaderBytes the body is malformed. Its reader is told at once, so the caller gets 400 at once and the connection closes.

--- a/galenascale/gateway/caller_connection.py
+++ b/galenascale/gateway/caller_connection.py
@@ -7,7 +7,7 @@
 after the answer has been taken.
 """
 
-from aiohttp import hdrs
+from aiohttp import hdrs, web
 from aiohttp.http import HttpProcessingError
 
 from galenascale.errors import UserError
@@ -38,7 +38,9 @@
     __slots__ = (
         "_ahead",
         "_answered",
+        "_body_bytes",
         "_find_ends",
+        "_framing_bytes",
         "_head",
         "_payload",
         "_unparsed",
@@ -51,6 +53,8 @@
         self._payload = None
         # Finds where it may end.
         self._find_ends = None
+        # Bytes of it, and bytes that came since it grew.
+        self._body_bytes = self._framing_bytes = 0
         # Received bytes that wait until the reader of the body goes on.
         self._unparsed = b""
         # Whether its answer was taken although it is not whole.
@@ -113,6 +117,7 @@
         if not self._hold_request(head, message):
             return
         self._payload = payload
+        self._body_bytes = self._framing_bytes = 0
         self._find_ends = _end_finder(message)
         self._enqueue(message, payload)
         if rest:
@@ -146,12 +151,24 @@
         rest = data[begin:]
         if not self._payload.is_eof():
             self._unparsed = rest
+            self._limit_framing(len(data) - len(rest))
             return
         self._unparsed = b""
         self._keep(rest)
         if self._answered:
             self._begin_next()
 
+    def _limit_framing(self, count):
+        """Limit the bytes between two bytes of a body."""
+        if self._payload.total_bytes > self._body_bytes:
+            self._body_bytes = self._payload.total_bytes
+            self._framing_bytes = 0
+            return
+        self._framing_bytes += count
+        if self._framing_bytes > self._limits.header_bytes:
+            self._on_limit("framing_bytes", self)
+            self._reject("trailers or sizes of chunks are too long")
+
     def _keep(self, data):
         """Keep what follows a request, and read no further."""
         if not data:
@@ -172,9 +189,12 @@
         self.refuse(memory_full_error())
 
     def _reject(self, reason):
-        """Refuse a malformed request."""
+        """Refuse a malformed request; the reader of its body does so."""
         if self._payload is None:
             self.refuse(UserError(reason[:MAX_REASON], step=STEP))
+            return
+        self._payload.set_exception(web.RequestPayloadError(reason[:MAX_REASON]))
+        self.close()
 
     async def finish_response(self, request, resp, start_time):
         """Write a response; return once the caller has taken it."""
--- a/test/gateway/test_caller_connection.py
+++ b/test/gateway/test_caller_connection.py
@@ -261,6 +261,30 @@
         writer.close()
 
 
+MALFORMED_BODIES_BY_NAME = {
+    "size of a chunk": b"nonsense\r\n",
+    "trailers without end": b"4\r\nbody\r\n0\r\n" + b"X: v\r\n" * 2000,
+    "extension without end": b"4;" + b"x" * 9000,
+}
+
+
+@pytest.mark.parametrize("name", MALFORMED_BODIES_BY_NAME)
+async def test_malformed_body_is_refused_at_once(name):
+    """The handler of the request must not wait for more of it."""
+    async with running_listener() as listener:
+        reader, writer = await listener.connect()
+        writer.write(
+            f"POST / HTTP/1.1\r\n{FIELDS}Transfer-Encoding: chunked\r\n\r\n".encode()
+        )
+        writer.write(MALFORMED_BODIES_BY_NAME[name])
+        async with asyncio.timeout(3):
+            answer = await reader.read()
+        # The handler of this test does not translate the error.
+        assert b" 500 " in answer.splitlines()[0]
+        assert listener.bodies == []
+        writer.close()
+
+
 async def test_head_that_gives_way_is_refused_as_not_run():
     """Its caller may come again elsewhere."""
     async with running_listener() as listener:
--- a/test/gateway/test_crowded_connections.py
+++ b/test/gateway/test_crowded_connections.py
@@ -14,7 +14,7 @@
 import pytest
 
 from test.gateway.host_process import running_host
-from test.gateway.test_misbehaving_callers import head_of
+from test.gateway.test_misbehaving_callers import chunk_of, head_of
 
 CROWD = 100
 CALLER_MEMORY_MB = 2
@@ -97,6 +97,12 @@
     yield from endless(b"\n")
 
 
+def endless_trailers(path):
+    """Yield a body whose trailers never end."""
+    yield head_of(path, "Transfer-Encoding: chunked") + chunk_of(b"body") + b"0\r\n"
+    yield from endless(b"X-Line: " + b"v" * 8000 + b"\r\n")
+
+
 def endless_extension(path):
     """Yield a chunk extension without end."""
     yield head_of(path, "Transfer-Encoding: chunked") + b"1;e="
@@ -138,9 +144,9 @@
     empty_lines,
     bare_line_feeds,
 )
-IN_BODIES = (endless_extension, endless_chunk_size)
+IN_BODIES = (endless_trailers, endless_extension, endless_chunk_size)
 AHEAD = (long_heads_ahead, small_requests_ahead, requests_after_empty_lines)
-SOME = (no_line_break, long_lines, long_heads_ahead)
+SOME = (no_line_break, long_lines, endless_trailers, long_heads_ahead)
 CALLER_PATHS = ("/once/a", "/chat/a", "/jobs/a", "/nothing/a", "/ready")
 LISTENERS = (("ready", "/ready"), ("peer", "/state"), ("metrics", "/metrics"))
 # Way, listener, path, and whether each connection had an answer before.
