Count the part of an answer that its caller does not take, and end it

What callers saw: nothing, until the host had no memory left.

Cause: the event loop keeps what the kernel does not take, up to the whole answer, and nothing counted it.

Change: UnreadAnswer holds the unsent bytes of a connection in its account. A crowd that takes nothing gives way before callers that send; a reader counts by the bytes that it takes. Without a byte for 10 s the connection is reset, and one that closes drops its unsent bytes after 2 s. The next request of a connection is read once the last byte of the answer is with the kernel.

--- a/galenascale/gateway/bounded_connection.py
+++ b/galenascale/gateway/bounded_connection.py
@@ -1,10 +1,11 @@
-"""HTTP connections whose callers hold a counted part of the memory."""
+"""HTTP connections whose unread answers are bounded in memory and time."""
 
 from aiohttp import web
 
 from galenascale.gateway import responses
 from galenascale.gateway.attempts import not_run_error
 from galenascale.gateway.caller_memory import HeldMemory
+from galenascale.gateway.unread_answer import UnreadAnswer
 
 # Most bytes of one receive call, and so of what follows a request before
 # reading pauses.
@@ -16,6 +17,9 @@
 READ_BUFFER_BYTES = 8 << 10
 # Retry-After in seconds while the memory or the connections are used up.
 OVERLOAD_RETRY_S = 0.5
+# Seconds for which a connection that closes waits until its last bytes are
+# taken.
+CLOSE_TIMEOUT_S = 2.0
 
 
 class BoundedConnection(web.RequestHandler):
@@ -26,7 +30,7 @@
     this connection.
     """
 
-    __slots__ = ("held", "_limits", "_memory", "_on_limit", "_timer")
+    __slots__ = ("held", "_limits", "_memory", "_on_limit", "_timer", "_unread")
 
     def __init__(self, server, *, limits, memory, on_limit, **options):
         super().__init__(
@@ -45,6 +49,9 @@
         self._on_limit = on_limit
         now = self._loop.time()
         self.held = HeldMemory(now, now, self.force_close)
+        self._unread = UnreadAnswer(
+            self._loop, memory, self.held, self._abort_unread_answer
+        )
         self._timer = None
 
     @property
@@ -55,10 +62,13 @@
     def connection_made(self, transport):
         super().connection_made(transport)
         transport.max_size = CALLER_RECEIVE_BYTES
+        # Writing pauses as soon as the kernel does not take all bytes.
+        transport.set_write_buffer_limits(high=0)
         self._close_after(self._limits.idle_timeout_s)
 
     def connection_lost(self, exc):
         self._stop_timer()
+        self._unread.end()
         self.held.evicted = True
         self._memory.release(self.held)
         super().connection_lost(exc)
@@ -76,6 +86,32 @@
         self.held.evicted = True
         self.held.on_evict()
 
+    # Answers.
+
+    def pause_writing(self):
+        """Count what the caller does not take, and wait until it does."""
+        super().pause_writing()
+        self._unread.begin(self.transport, self._give_way_unread)
+        self.count_unsent()
+
+    def resume_writing(self):
+        """Go on, as the caller has taken all."""
+        super().resume_writing()
+        self._unread.end()
+        self.held.on_evict = None
+
+    def count_unsent(self):
+        """Hold the bytes of the answer that the caller has not taken yet."""
+        self._unread.count(self._limits.body_bytes)
+
+    def _give_way_unread(self):
+        self._on_limit("caller_memory", self)
+        self._abort()
+
+    def _abort_unread_answer(self):
+        self._on_limit("unread_answer", self)
+        self._abort()
+
     # Closing.
 
     def refuse(self, error):
@@ -84,6 +120,17 @@
             self.transport.write(responses.encode_refusal(error))
         self.force_close()
 
+    def force_close(self):
+        """Close; drop what the caller does not take soon."""
+        transport = self.transport
+        super().force_close()
+        if transport is not None and transport.get_write_buffer_size():
+            self._loop.call_later(CLOSE_TIMEOUT_S, transport.abort)
+
+    def _abort(self):
+        if self.transport is not None:
+            self.transport.abort()
+
     def _close_after(self, delay_s):
         self._stop_timer()
         self._timer = self._loop.call_later(delay_s, self.force_close)
--- a/galenascale/gateway/responses.py
+++ b/galenascale/gateway/responses.py
@@ -99,6 +99,7 @@
             self.longest_gap_s = max(self.longest_gap_s, now - self._sent_at)
         self._sent_at = now
         await self.response.write(data)
+        self._request.protocol.count_unsent()
 
     async def finish(self):
         """End the response as complete."""
--- a/test/gateway/test_caller_connection.py
+++ b/test/gateway/test_caller_connection.py
@@ -10,7 +10,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from galenascale.gateway import bounded_connection
+from galenascale.gateway import bounded_connection, unread_answer
 from galenascale.gateway.caller_memory import MEGABYTE, CallerMemory
 from galenascale.gateway.configuration import CallerLimits
 from galenascale.gateway.listeners import CallerServer, ListenerLimits, listen
@@ -40,6 +40,8 @@
         self.bodies.append(body)
         if request.path == "/wait":
             await self.released.wait()
+        if request.path == "/large":
+            return web.Response(body=bytes(32 * MEGABYTE))
         return web.Response(body=request.path.encode() + b" " + body)
 
     async def connect(self):
@@ -285,6 +287,19 @@
         writer.close()
 
 
+async def test_caller_that_reads_nothing_is_reset(monkeypatch):
+    """Its answer holds memory until then."""
+    monkeypatch.setattr(unread_answer, "CHECK_INTERVAL_S", 0.05)
+    monkeypatch.setattr(unread_answer, "UNREAD_TIMEOUT_S", 0.2)
+    async with running_listener() as listener:
+        reader, writer = await listener.connect()
+        reader._transport.pause_reading()
+        writer.write(encode_request("large", by_length, b""))
+        await until(lambda: listener.met_limits == ["unread_answer"])
+        await until(lambda: listener.memory.held_bytes == 0)
+        writer.transport.abort()
+
+
 async def test_head_that_gives_way_is_refused_as_not_run():
     """Its caller may come again elsewhere."""
     async with running_listener() as listener:
--- a/test/gateway/test_crowded_connections.py
+++ b/test/gateway/test_crowded_connections.py
@@ -133,6 +133,12 @@
         yield b"\r\n" * 40_000 + head_of(path, "Content-Length: 1") + b"x"
 
 
+def long_answers(path):
+    """Yield requests for answers of 1 MB, which are never read."""
+    for _ in range(20):
+        yield head_of(path, "Content-Length: 1") + b"x"
+
+
 HEADS = (
     no_line_break,
     endless_target,
@@ -153,7 +159,7 @@
 CASES = [
     *(
         (way, "caller", "/plain/a", later)
-        for way in (*HEADS, *IN_BODIES, *AHEAD)
+        for way in (*HEADS, *IN_BODIES, *AHEAD, long_answers)
         for later in (False, True)
     ),
     *((way, "caller", path, False) for way in SOME for path in CALLER_PATHS),
@@ -203,6 +209,9 @@
 async def test_crowd_stays_within_the_memory(way, listener, path, later, tmp_path):
     """A crowd takes a bounded part of the memory, and others are served."""
     async with running_host(tmp_path, CALLER_MEMORY_MB) as (fleet, host):
+        if way is long_answers:
+            for runner in fleet.runners_of("app"):
+                runner.behaviour.body = bytes(1 << 20)
         assert (await fleet.request("/plain/a", data=b"warm")).status == 200
         peak_before, descriptors_before = host.peak_bytes, host.descriptors
         port = host.ports[listener]
