Count the bodies of calls that other hosts pass on to the store

What callers saw: the listener for other hosts took bodies of 1 MB for the store's path in any number, without a time limit; 100 that stop short of their end grew a host by 88 to 91 MB.

Cause: these bodies were read by the HTTP library, past the memory for callers.

--- a/galenascale/gateway/host_listeners.py
+++ b/galenascale/gateway/host_listeners.py
@@ -2,6 +2,8 @@
 
 from aiohttp import web
 
+from galenascale.errors import GalenascaleError
+from galenascale.gateway.caller_body import CallerBody
 from galenascale.gateway.caller_memory import CallerMemory
 from galenascale.gateway.configuration import CallerLimits
 from galenascale.gateway.jobs.relaying_store import (
@@ -17,6 +19,7 @@
     make_internal_server,
 )
 from galenascale.gateway.peer_state import handle_state_request
+from galenascale.gateway.responses import error_response
 from galenascale.gateway.sockets import split_address
 
 
@@ -38,9 +41,16 @@
 
     async def handle_peer(self, request):
         """Answer a call of another host."""
-        if request.path == STORE_CALL_PATH:
-            return await answer_store_call(self._context.store, request)
-        return await handle_state_request(self._followers, request)
+        if request.path != STORE_CALL_PATH:
+            return await handle_state_request(self._followers, request)
+        count_limit = self._context.metrics.count_caller_limit
+        body = CallerBody(request, MAX_CALL_BYTES, count_limit)
+        try:
+            return await answer_store_call(self._context.store, await body.read())
+        except GalenascaleError as error:
+            response = error_response(error)
+            response.force_close()
+            return response
 
     async def handle_metrics(self, request):
         """Return the metrics."""
--- a/galenascale/gateway/jobs/relaying_store.py
+++ b/galenascale/gateway/jobs/relaying_store.py
@@ -164,12 +164,14 @@
             )
 
 
-async def answer_store_call(store, request):
-    """Execute a call relayed by another host; it is not relayed further."""
-    if (request.content_length or 0) > MAX_CALL_BYTES:
-        return web.Response(status=413)
+async def answer_store_call(store, body):
+    """
+    Execute a call relayed by another host; it is not relayed further.
+
+    `body` is that of the call, of at most MAX_CALL_BYTES.
+    """
     try:
-        call = decode(StoreCall, await request.read())
+        call = decode(StoreCall, body)
     except DecodeError as error:
         return web.Response(status=400, text=error.message)
     if call.topic not in _TOPICS:
--- a/test/gateway/test_crowded_connections.py
+++ b/test/gateway/test_crowded_connections.py
@@ -139,6 +139,12 @@
         yield head_of(path, "Content-Length: 1") + b"x"
 
 
+def body_for_store(path):
+    """Yield a body for the store that lacks its last byte."""
+    yield head_of("/store", f"Content-Length: {1 << 20}")
+    yield b"x" * ((1 << 20) - 1)
+
+
 HEADS = (
     no_line_break,
     endless_target,
@@ -169,6 +175,7 @@
         for listener in LISTENERS
         for later in (False, True)
     ),
+    *((body_for_store, "peer", "/state", later) for later in (False, True)),
 ]
 
 
