Bound the connections of each listener by descriptors and memory

What callers saw: more connections than the process has descriptors kept new callers out until the idle ones timed out, at the callers' listener; and a request that was read found no descriptor for its server.

Cause: nothing bounded the connections. The event loop accepts up to 1,024 at a time until the system refuses, and then accepts none for a second.

Change: ConnectionLimits derives from descriptors and memory how many connections each listener has at once, and how many wait to be accepted. Above that the connection without progress for longest gives way; if all are being answered, the new one is refused at once with 503, not run.

--- a/galenascale/gateway/host_listeners.py
+++ b/galenascale/gateway/host_listeners.py
@@ -6,6 +6,7 @@
 from galenascale.gateway.caller_body import CallerBody
 from galenascale.gateway.caller_memory import CallerMemory
 from galenascale.gateway.configuration import CallerLimits
+from galenascale.gateway.connection_limits import ConnectionLimits
 from galenascale.gateway.jobs.relaying_store import (
     MAX_CALL_BYTES,
     STORE_CALL_PATH,
@@ -68,8 +69,9 @@
 
     `internal` are the InternalHandlers. Raise OSError if listening fails.
     """
+    limits = ConnectionLimits.from_config(context.settings)
     on_limit = LimitLog(context.log, context.clock, context.metrics).record
-    await _listen_internally(stack, context.settings, internal, on_limit)
+    await _listen_internally(stack, context.settings, internal, limits, on_limit)
 
     def caller_limits():
         current = context.configuration.current
@@ -78,16 +80,16 @@
     server = CallerServer(
         handle_caller,
         caller_limits,
-        ListenerLimits(context.caller_memory, on_limit),
+        ListenerLimits(context.caller_memory, limits.callers, on_limit),
     )
     address = context.settings.caller_listen
-    return server, await listen(stack, server, address)
+    return server, await listen(stack, server, address, limits.backlog)
 
 
-async def _listen_internally(stack, settings, internal, on_limit):
+async def _listen_internally(stack, settings, internal, limits, on_limit):
     """Listen for others than callers; they have a memory of their own."""
     memory = CallerMemory.from_config(settings)
-    own_limits = ListenerLimits(memory, on_limit)
+    own_limits = ListenerLimits(memory, limits.internal, on_limit)
     handlers_by_address = {
         settings.ready_listen: internal.handle_ready,
         settings.peer_listen: internal.handle_peer,
@@ -98,4 +100,4 @@
         handlers_by_address[address] = internal.handle_metrics
     for address, handler in handlers_by_address.items():
         server = make_internal_server(handler, own_limits, MAX_CALL_BYTES)
-        await listen(stack, server, address)
+        await listen(stack, server, address, limits.backlog)
--- a/galenascale/gateway/listeners.py
+++ b/galenascale/gateway/listeners.py
@@ -6,13 +6,13 @@
 import attrs
 from aiohttp import web
 
+from galenascale.gateway.attempts import not_run_error
+from galenascale.gateway.bounded_connection import OVERLOAD_RETRY_S
 from galenascale.gateway.caller_connection import CallerConnection
 from galenascale.gateway.configuration import CallerLimits
+from galenascale.gateway.connection_limits import choose_idle
 from galenascale.gateway.sockets import split_address
 
-# Connections that the kernel queues until they are accepted.
-BACKLOG = 1024
-
 # aiohttp's log lines about malformed requests do not identify the caller.
 _MUTED_LOGGER = logging.getLogger("galenascale.gateway.http")
 _MUTED_LOGGER.addHandler(logging.NullHandler())
@@ -25,6 +25,7 @@
 
     # CallerMemory, shared with other listeners.
     memory: object
+    max_connections: int
     # Called with the name of a limit that a caller met, and its connection.
     on_limit: object
 
@@ -53,6 +54,31 @@
             logger=_MUTED_LOGGER,
         )
 
+    def connection_made(self, handler, transport):
+        """Register a connection; one gives way if there are too many."""
+        super().connection_made(handler, transport)
+        if len(self.connections) <= self._own_limits.max_connections:
+            return
+        others = [
+            each
+            for each in self.connections
+            if each is not handler and not each.is_closing
+        ]
+        if len(others) < self._own_limits.max_connections:
+            return
+        self._own_limits.on_limit("connections", handler)
+        idle = choose_idle(others)
+        if idle is not None:
+            idle.give_way()
+            return
+        handler.refuse(
+            not_run_error(
+                "too many connections",
+                code="too_many_connections",
+                retry_after_s=OVERLOAD_RETRY_S,
+            )
+        )
+
     def close_idle(self):
         """
         Close the connections on which no request is being handled.
@@ -65,11 +91,15 @@
                 connection.force_close()
 
 
-async def listen(stack, server, address):
-    """Listen on "host:port" until the stack closes; return the listener."""
+async def listen(stack, server, address, backlog):
+    """
+    Listen on "host:port" until the stack closes; return the listener.
+
+    `backlog` is the number of connections that wait to be accepted.
+    """
     host, port = split_address(address)
     loop = asyncio.get_running_loop()
-    listener = await loop.create_server(server, host, port, backlog=BACKLOG)
+    listener = await loop.create_server(server, host, port, backlog=backlog)
     stack.callback(listener.close)
     return listener
 
--- a/galenascale/gateway/settings.py
+++ b/galenascale/gateway/settings.py
@@ -64,7 +64,12 @@
             "store.retention_s",
             "must be greater than bounds.job_retention_s, or results would be lost",
         )
-    for name in ("host_memory_mb", "caller_memory_mb"):
+    for name in (
+        "host_memory_mb",
+        "caller_memory_mb",
+        "host_descriptors",
+        "max_caller_connections",
+    ):
         if getattr(settings, name) < 0:
             yield name, "must not be negative"
     lowest, highest = WEIGHT_RANGE
--- a/schema/gateway.thrift
+++ b/schema/gateway.thrift
@@ -513,4 +513,9 @@
   /** Memory for all that callers make the host hold, in megabytes; 0 for a
    * part of the host's. */
   19: i32 caller_memory_mb = 0,
+  /** Descriptors that the host may open; 0 for the limit of the process. */
+  20: i32 host_descriptors = 0,
+  /** Connections of callers at once; 0 for as many as descriptors and memory
+   * bear. */
+  21: i32 max_caller_connections = 0,
 }
--- a/test/gateway/test_caller_connection.py
+++ b/test/gateway/test_caller_connection.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import re
+import resource
 
 import attrs
 import pytest
@@ -13,8 +14,10 @@
 from galenascale.gateway import bounded_connection, unread_answer
 from galenascale.gateway.caller_memory import MEGABYTE, CallerMemory
 from galenascale.gateway.configuration import CallerLimits
+from galenascale.gateway.connection_limits import ConnectionLimits
 from galenascale.gateway.listeners import CallerServer, ListenerLimits, listen
 from galenascale.gateway.request_head import MAX_EMPTY_LINE_BYTES
+from galenascale.generated.gateway_messages import GatewaySettings
 from test.gateway.fleet import until
 
 HEADER_BYTES = 2048
@@ -50,17 +53,18 @@
 
 
 @contextlib.asynccontextmanager
-async def running_listener(*, limits=LIMITS):
+async def running_listener(*, limits=LIMITS, max_connections=100):
     """Yield a Listener."""
     listener = Listener()
     own_limits = ListenerLimits(
         listener.memory,
+        max_connections,
         lambda limit, connection: listener.met_limits.append(limit),
     )
     async with contextlib.AsyncExitStack() as stack:
         server = CallerServer(listener.answer, lambda: limits, own_limits)
         stack.push_async_callback(server.shutdown, 0.1)
-        opened = await listen(stack, server, "127.0.0.1:0")
+        opened = await listen(stack, server, "127.0.0.1:0", 100)
         listener.port = opened.sockets[0].getsockname()[1]
         yield listener
 
@@ -300,6 +304,48 @@
         writer.transport.abort()
 
 
+async def test_longest_idle_connection_gives_way_to_a_new_one():
+    """Too many connections must not keep a new caller out."""
+    async with running_listener(max_connections=3) as listener:
+        connections = []
+        for number in range(3):
+            reader, writer = await listener.connect()
+            connections.append((reader, writer))
+            if number != 1:
+                writer.write(encode_request("a", by_length, b"body"))
+                assert await read_response(reader) == (200, b"/a body")
+        connections.append(await listener.connect())
+        reader, writer = connections[3]
+        writer.write(encode_request("new", by_length, b"body"))
+        assert await read_response(reader) == (200, b"/new body")
+        assert await connections[0][0].read() == b""
+        assert listener.met_limits == ["connections"]
+        for reader, writer in connections[1:]:
+            writer.write(encode_request("again", by_length, b"body"))
+            assert await read_response(reader) == (200, b"/again body")
+        for _, writer in connections:
+            writer.close()
+
+
+async def test_connection_is_refused_at_once_if_all_are_busy():
+    """The refusal says that nothing ran, and when to come back."""
+    async with running_listener(max_connections=2) as listener:
+        busy = [await listener.connect() for _ in range(2)]
+        for _, writer in busy:
+            writer.write(encode_request("wait", by_length, b"body"))
+        await until(lambda: len(listener.bodies) == 2)
+        reader, writer = await listener.connect()
+        answer = await reader.read()
+        assert b" 503 " in answer.splitlines()[0]
+        assert b"not_run" in answer
+        assert b"\r\nRetry-After: 0.500\r\n" in answer
+        writer.close()
+        listener.released.set()
+        for reader, writer in busy:
+            assert await read_response(reader) == (200, b"/wait body")
+            writer.close()
+
+
 async def test_head_that_gives_way_is_refused_as_not_run():
     """Its caller may come again elsewhere."""
     async with running_listener() as listener:
@@ -313,3 +359,26 @@
         assert b"not_run" in answer
         assert listener.met_limits == ["caller_memory"]
         writer.close()
+
+
+SMALL_HOST = {"host_memory_mb": 160, "host_descriptors": 1638}
+
+
+@pytest.mark.parametrize(
+    ("fields", "callers", "internal", "backlog"),
+    [
+        (SMALL_HOST, 409, 102, 204),
+        (SMALL_HOST | {"host_descriptors": 8200}, 853, 512, 1024),
+        (SMALL_HOST | {"max_caller_connections": 50}, 50, 102, 204),
+        ({"host_descriptors": 40}, 16, 16, 16),
+    ],
+)
+def test_connection_limits_follow_from_the_host(
+    fields, callers, internal, backlog, monkeypatch
+):
+    """Descriptors and memory bear all connections at once."""
+    monkeypatch.setattr(resource, "getrlimit", lambda _: (10_000, 10_000))
+    limits = ConnectionLimits.from_config(GatewaySettings(**fields))
+    assert limits == ConnectionLimits(callers, internal, backlog)
+    descriptors = 2 * limits.callers + 3 * limits.internal + limits.backlog
+    assert fields["host_descriptors"] < 100 or descriptors < fields["host_descriptors"]
--- a/test/gateway/test_crowded_connections.py
+++ b/test/gateway/test_crowded_connections.py
@@ -29,6 +29,11 @@
 SEND_TIMEOUT_S = 3.0
 # Seconds after which a request that was not answered fails the test.
 ANSWER_TIMEOUT_S = 30.0
+# Descriptors of the process, and a crowd of more connections than these.
+MAX_DESCRIPTORS = 1638 // 8
+LARGE_CROWD = 300
+# Longer than a test: what is idle stays until others need its place.
+PATIENT_LIMITS = {"HeaderTimeoutMs": 60_000, "IdleTimeoutMs": 60_000}
 PIECE = 1 << 14
 # Buffer of a caller, above the largest answer in bytes.
 READ_LIMIT_BYTES = 2 << 20
@@ -238,3 +243,68 @@
         finally:
             for writer in writers:
                 writer.transport.abort()
+
+
+def send_nothing(path):
+    """Yield nothing."""
+    return ()
+
+
+def part_of_a_head(path):
+    """Yield a head that lacks its last line break."""
+    yield open_head(path)
+
+
+def part_of_a_body(path):
+    """Yield a body that lacks its last byte."""
+    yield head_of(path, "Content-Length: 2") + b"x"
+
+
+def one_request(path):
+    """Yield one request."""
+    yield head_of(path, "Content-Length: 0")
+
+
+DESCRIPTOR_CASES = [
+    (way, *listener)
+    for way in (send_nothing, part_of_a_head, part_of_a_body, one_request)
+    for listener in (("caller", "/once/a"), *LISTENERS)
+]
+
+
+async def request_until_taken(fleet):
+    """Send an ordinary request; come again if it is refused as not run."""
+    while True:
+        reply = await fleet.request("/plain/a", request_id="after", data=b"body")
+        if reply.status != 503:
+            return reply
+        await asyncio.sleep(float(reply.headers["Retry-After"]))
+
+
+@pytest.mark.parametrize(("way", "listener", "path"), DESCRIPTOR_CASES, ids=case_id)
+async def test_crowd_leaves_descriptors(way, listener, path, tmp_path):
+    """More connections than descriptors at any listener keep nobody out."""
+    async with running_host(
+        tmp_path, CALLER_MEMORY_MB, MAX_DESCRIPTORS, PATIENT_LIMITS
+    ) as (fleet, host):
+        for runner in fleet.runners_of("app"):
+            runner.behaviour.processing_time_s = 1.0
+        assert (await fleet.request("/plain/a", data=b"warm")).status == 200
+        port = host.ports[listener]
+        writers = await asyncio.gather(
+            *(misbehave(port, way, path, False) for _ in range(LARGE_CROWD))
+        )
+        try:
+            async with asyncio.timeout(ANSWER_TIMEOUT_S):
+                reply = await request_until_taken(fleet)
+            assert reply.status == 200
+            assert host.process.poll() is None
+            assert host.descriptors < MAX_DESCRIPTORS
+            async with asyncio.timeout(ANSWER_TIMEOUT_S):
+                ready = await asyncio.open_connection("127.0.0.1", host.ports["ready"])
+                writers.append(ready[1])
+                ready[1].write(b"GET /ready HTTP/1.1\r\nHost: x\r\n\r\n")
+                assert b" 200 " in await ready[0].readline()
+        finally:
+            for writer in writers:
+                writer.transport.abort()
--- a/test/gateway/test_listeners.py
+++ b/test/gateway/test_listeners.py
@@ -39,10 +39,10 @@
         idle_timeout_s=IDLE_TIMEOUT_S,
     )
     async with contextlib.AsyncExitStack() as stack:
-        own_limits = ListenerLimits(CallerMemory(MEGABYTE), lambda *_: None)
+        own_limits = ListenerLimits(CallerMemory(MEGABYTE), 10, lambda *_: None)
         server = CallerServer(answer, lambda: limits, own_limits)
         stack.push_async_callback(server.shutdown, 0.1)
-        listener = await listen(stack, server, "127.0.0.1:0")
+        listener = await listen(stack, server, "127.0.0.1:0", 10)
         port = listener.sockets[0].getsockname()[1]
         reader, writer = await asyncio.open_connection("127.0.0.1", port)
         stack.callback(writer.close)
