Wait for the rest of a long request before an early answer counts

What callers saw: a server that answered a long upload at once with a 200 without a length, ended its side of the connection after a part of the body, and reset it while the upload was still being written: the part was the answer.

Cause: the end of input marks the end of an answer without a length, whatever becomes of the request. A reset that came alone was noticed before.

Change: if the request is long, the connection stays open for writing after the end of such an answer. It counts once the server has taken the rest (nothing is left in the buffers of the process and of the kernel), and is broken if the connection is reset meanwhile. The first fields of a response are counted in ResponseState, which knows them.

An early answer whose server takes the rest of the upload is still whole.

--- a/galenascale/gateway/backend_connection.py
+++ b/galenascale/gateway/backend_connection.py
@@ -12,6 +12,7 @@
 import httptools
 
 from galenascale.errors import BackendError, Execution
+from galenascale.gateway.request_sending import SendingWait, SendState
 from galenascale.gateway.response_limits import ResponseLimits
 from galenascale.gateway.response_match import ResponseMatch, match_response
 from galenascale.gateway.response_state import ResponseState
@@ -20,7 +21,6 @@
 # Size of buffered response bytes above which reading from the socket pauses,
 # and of a request body from which it is written apart from the head.
 BUFFER_LIMIT_BYTES = 1 << 16
-MAX_HEADERS = 256
 # Requests answered with a refusal or an error, after which a connection is not
 # used again: it remembers their ids.
 MAX_FAILED_IDS = 32
@@ -56,6 +56,10 @@
         # may be sent again, but not on this connection: a second copy of that
         # answer would be taken for the next one.
         self._failed_ids = set()
+        # Whether the server may answer before the kernel has sent all.
+        self._is_long_request = False
+        # SendingWait of a response that ended with the connection, or None.
+        self._sending = None
         # Number of requests sent on this connection.
         self.requests = 0
         # The last response was complete and allows another request.
@@ -100,10 +104,14 @@
         self._byte_limits.check()
 
     def eof_received(self):
+        """Return True to send on although the server sends nothing more."""
         self._end_of_input(None)
-        return False
+        return self._sending is not None and self._request_id is not None
 
     def connection_lost(self, error):
+        if self._sending is not None:
+            self._sending.cancel()
+            self._end_sending(SendState.BROKEN)
         self._end_of_input(error)
         self.closed = True
 
@@ -116,10 +124,20 @@
         if error is None and without_length and not response.is_skipped:
             # The end of the connection marks the end of such a response.
             self.reusable = False
-            self._finish()
+            if self._is_long_request:
+                self._sending = SendingWait(self._transport, self._end_sending)
+            else:
+                self._finish()
             return
         self._fail("connection closed before the end of the response")
 
+    def _end_sending(self, state):
+        """End a response without a length, once its request is not sent on."""
+        if state is SendState.TAKEN:
+            self._finish()
+        else:
+            self._fail("connection was reset while the request was sent")
+
     # Parser callbacks.
 
     def on_message_begin(self):
@@ -131,11 +149,7 @@
         self._response = ResponseState()
 
     def on_header(self, name, value):
-        if name.lower() in (b"content-length", b"transfer-encoding"):
-            self._response.has_length = True
-        self._response.headers.append((name, value))
-        if len(self._response.headers) > MAX_HEADERS:
-            raise ValueError(f"response has more than {MAX_HEADERS} headers")
+        self._response.add_header(name, value)
 
     def on_headers_complete(self):
         if self._request_id is None:
@@ -187,9 +201,7 @@
             self._transport.pause_reading()
 
     def on_message_complete(self):
-        if self._request_id is None:
-            return
-        if self._response.is_skipped:
+        if self._request_id is None or self._response.is_skipped:
             return
         if self._response.has_head:
             self._finish()
@@ -221,6 +233,7 @@
         """Send a request; `read` returns its response."""
         self._request_id = request_id
         self._method = method
+        self._is_long_request = len(body) >= BUFFER_LIMIT_BYTES
         # Nothing known of the last response may describe the next one.
         self._response = ResponseState()
         self._events.clear()
@@ -230,8 +243,8 @@
         self.requests += 1
         self.reusable = False
         self.active_at = asyncio.get_running_loop().time()
-        self._transport.write(head + body if len(body) < BUFFER_LIMIT_BYTES else head)
-        if len(body) >= BUFFER_LIMIT_BYTES:
+        self._transport.write(head if self._is_long_request else head + body)
+        if self._is_long_request:
             self._transport.write(body)
 
     async def read(self):
--- a/test/gateway/fleet.py
+++ b/test/gateway/fleet.py
@@ -257,11 +257,17 @@
 
 
 @contextlib.asynccontextmanager
-async def gateway_fleet(*, tenants=None, bounds=None, **fields):
-    """Yield a started GatewayFleet; `bounds` are fields of LimitsInTime."""
+async def gateway_fleet(*, tenants=None, bounds=None, caller_limits=None, **fields):
+    """
+    Yield a started GatewayFleet.
+
+    `bounds` are fields of LimitsInTime, `caller_limits` those of the
+    configuration, as far as they differ from the usual ones.
+    """
     fleet = GatewayFleet()
     fleet.tenants = tenants
     fleet.bounds.update(bounds or {})
+    fleet.limits |= caller_limits or {}
     try:
         await fleet.start(**fields)
         yield fleet
