Take no status outside 200 to 599 for an answer

What callers saw: a server in trouble sent a status of 600 with its id and signature, and the caller got it as an answer.

Cause: only the id and the signature decided what a response head is. Statuses below 200 were passed over already, so that the attempt failed.

Change: such a head is spoiled, like one without a signature.

Evidence: 16 cases of test_early_answers.py with the statuses 600 and 999 on four routes, short and long requests, and 3 of test_match_of_a_response_head failed before; all pass. 000, 0, 20 and 099 gave a 502 before and after; to items none of them was an outcome, before and after.

--- a/galenascale/gateway/response_match.py
+++ b/galenascale/gateway/response_match.py
@@ -7,6 +7,9 @@
 
 import enum
 
+# Statuses of final responses (RFC 9110, section 15).
+FINAL_STATUSES = range(200, 600)
+
 
 class ResponseMatch(enum.Enum):
     """What a response head is to the request in flight."""
@@ -26,6 +29,8 @@
     `first` says whether the request is the first one on its connection, on
     which no copy of an earlier answer can arrive.
     """
+    if head.status not in FINAL_STATUSES:
+        return ResponseMatch.SPOILED
     if head.request_id != request_id:
         if first and not head.request_id:
             return ResponseMatch.SPOILED
--- a/test/gateway/test_early_answers.py
+++ b/test/gateway/test_early_answers.py
@@ -35,6 +35,7 @@
 RECEIVE_BUFFER_BYTES = 4096
 CLOSING_WAYS = ("reset", "reset later", "end, reset later")
 PATHS = ("/plain/a", "/once/a", "/chat/a", "/talk/a")
+STATUSES = ("000", "0", "20", "099", "600", "999")
 
 
 class EarlyRunner(RunnerStandin):
@@ -124,11 +125,33 @@
             assert (reply.status, reply.body) == (200, EVENT.encode())
 
 
-@pytest.mark.parametrize("name", FRAMINGS_BY_NAME)
-async def test_early_answer_is_no_output_of_an_item(name):
+@pytest.mark.parametrize("size", [10, UPLOAD_BYTES])
+@pytest.mark.parametrize("status", STATUSES)
+@pytest.mark.parametrize("path", PATHS)
+async def test_status_that_does_not_exist_is_no_answer(path, status, size):
+    """Only statuses from 200 to 599 end a request."""
+    async with gateway_fleet(runners=0, caller_limits=LIMITS) as fleet:
+        body = "Content-Length: 7\r\n\r\npartial"
+        answer = HEAD.replace("@STATUS", status) + body
+        await add_early_servers(fleet, service_of(path), answer, "reset later")
+        for number in range(2):
+            reply = await fleet.request(path, request_id=f"r{number}", data=bytes(size))
+            assert reply.status in (502, 504)
+            assert b'"may_have_run"' in reply.body
+            assert b"partial" not in reply.body
+
+
+@pytest.mark.parametrize(
+    ("status", "name"),
+    [
+        *(("200", name) for name in FRAMINGS_BY_NAME),
+        *((status, "cut by length") for status in STATUSES),
+    ],
+)
+async def test_early_answer_is_no_output_of_an_item(status, name):
     """The item runs again at a sound server."""
     async with gateway_fleet(runners=0, caller_limits=LIMITS) as fleet:
-        answer = HEAD.replace("@STATUS", "200") + FRAMINGS_BY_NAME[name]
+        answer = HEAD.replace("@STATUS", status) + FRAMINGS_BY_NAME[name]
         early = await add_early_servers(fleet, "llm", answer, "reset")
         assert await submit(fleet, "job-1", items=1, body=bytes(1 << 20)) == 202
         await until(lambda: sum(runner.answered for runner in early) >= 1)
