--- a/galenascale/gateway/caller_body.py
+++ b/galenascale/gateway/caller_body.py
@@ -23,7 +23,6 @@
 
     def __init__(self, http_request, limit_bytes, count_limit):
         self._http_request = http_request
-        # None if the connection was lost.
         self._connection = http_request.protocol
         self._limit_bytes = limit_bytes
         self._count_limit = count_limit
