Give the callers' listener of serve the connections of the gateway

What callers saw: 100 callers whose heads or trailers never end, or that send requests ahead, grew a process of serve by 15 to 170 MB.

Cause: as at the gateway: all that arrives went to the HTTP library.

Change: the listener makes the gateway's connections, with its own limits and its own form of errors, which also serves connections beyond the limit. A head above the limit is headers_too_large at the gateway too. A malformed chunk is bad_body at once.

The listener of serve for other hosts is as before.

--- a/galenascale/gateway/bounded_connection.py
+++ b/galenascale/gateway/bounded_connection.py
@@ -27,19 +27,36 @@
     HTTP connection whose caller holds a counted part of the memory.
 
     `on_limit` is called with the name of a limit that the caller met, and
-    this connection.
+    this connection. `encode_refusal` returns the bytes of the response for a
+    GalenascaleError.
     """
 
-    __slots__ = ("held", "_limits", "_memory", "_on_limit", "_timer", "_unread")
+    __slots__ = (
+        "held",
+        "_encode_refusal",
+        "_limits",
+        "_memory",
+        "_on_limit",
+        "_timer",
+        "_unread",
+    )
 
-    def __init__(self, server, *, limits, memory, on_limit, **options):
+    def __init__(
+        self,
+        server,
+        *,
+        limits,
+        memory,
+        on_limit,
+        encode_refusal=responses.encode_refusal,
+        **options,
+    ):
         super().__init__(
             server,
             keepalive_timeout=limits.idle_timeout_s,
             max_line_size=limits.header_bytes,
             max_field_size=limits.header_bytes,
             max_headers=MAX_HEADERS,
-            auto_decompress=False,
             read_bufsize=READ_BUFFER_BYTES,
             access_log=None,
             **options,
@@ -47,6 +64,7 @@
         self._limits = limits
         self._memory = memory
         self._on_limit = on_limit
+        self._encode_refusal = encode_refusal
         now = self._loop.time()
         self.held = HeldMemory(now, now, self.force_close)
         self._unread = UnreadAnswer(
@@ -117,7 +135,7 @@
     def refuse(self, error):
         """Answer with an error before a request is handled, and close."""
         if self.transport is not None:
-            self.transport.write(responses.encode_refusal(error))
+            self.transport.write(self._encode_refusal(error))
         self.force_close()
 
     def force_close(self):
--- a/galenascale/gateway/listeners.py
+++ b/galenascale/gateway/listeners.py
@@ -51,6 +51,7 @@
             limits=self._limits(),
             memory=self._own_limits.memory,
             on_limit=self._own_limits.on_limit,
+            auto_decompress=False,
             logger=_MUTED_LOGGER,
         )
 
--- a/galenascale/gateway/request_head.py
+++ b/galenascale/gateway/request_head.py
@@ -78,6 +78,7 @@
         """Return the error for a head above the limit."""
         return UserError(
             f"head has more than {self._max_bytes} bytes",
+            code="headers_too_large",
             step=STEP,
             http_status=431,
         )
--- a/galenascale/gateway/responses.py
+++ b/galenascale/gateway/responses.py
@@ -29,12 +29,14 @@
 
     For requests that the HTTP library does not see; the connection closes.
     """
-    status = http.HTTPStatus(caller_status(error))
-    body = _error_body(error)
-    headers = _error_headers(error) | {
-        "Content-Length": str(len(body)),
-        "Connection": "close",
-    }
+    status = caller_status(error)
+    return encode_last_response(status, _error_headers(error), _error_body(error))
+
+
+def encode_last_response(status, headers, body):
+    """Return the bytes of a response after which the connection closes."""
+    status = http.HTTPStatus(status)
+    headers = headers | {"Content-Length": str(len(body)), "Connection": "close"}
     lines = [f"HTTP/1.1 {status.value} {status.phrase}"]
     lines.extend(f"{name}: {value}" for name, value in headers.items())
     return "\r\n".join([*lines, "", ""]).encode("latin-1") + body
--- a/galenascale/http_api/limits.py
+++ b/galenascale/http_api/limits.py
@@ -11,6 +11,12 @@
 from galenascale.http_api.context import CONTEXT
 
 DEADLINE_HEADER = "X-Request-Deadline-Ms"
+# What reading a body raises if its encoding or its chunks are malformed.
+MALFORMED_BODY_ERRORS = (
+    aiohttp.ClientPayloadError,
+    HttpProcessingError,
+    web.RequestPayloadError,
+)
 MAX_DEADLINE_DIGITS = 12
 
 
@@ -36,7 +42,7 @@
             return await request.read()
     except web.HTTPRequestEntityTooLarge as error:
         raise _too_large(limits) from error
-    except (aiohttp.ClientPayloadError, HttpProcessingError) as error:
+    except MALFORMED_BODY_ERRORS as error:
         raise UserError("body is not validly encoded", code="bad_body") from error
     except TimeoutError as error:
         raise UserError(
--- a/galenascale/http_api/listener.py
+++ b/galenascale/http_api/listener.py
@@ -6,7 +6,11 @@
 from aiohttp import web
 
 from galenascale.errors import Refused
-from galenascale.http_api.errors import error_body
+from galenascale.gateway.caller_connection import CallerConnection
+from galenascale.gateway.caller_memory import DEFAULT_BUDGET_BYTES, CallerMemory
+from galenascale.gateway.configuration import CallerLimits
+from galenascale.gateway.responses import encode_last_response
+from galenascale.http_api.errors import error_body, error_headers
 from galenascale.logs import get_logger
 
 log = get_logger("http")
@@ -22,12 +26,7 @@
 
     def connection_made(self, transport):
         error = Refused("too many connections", code="too_many_connections")
-        body = error_body(error)
-        transport.write(
-            b"HTTP/1.1 503 Service Unavailable\r\nContent-Type: application/json\r\n"
-            b"Retry-After: 1\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%b"
-            % (len(body), body)
-        )
+        transport.write(_encode_refusal(error))
         transport.close()
 
 
@@ -61,18 +60,23 @@
         app,
         access_log=None,
         handler_cancellation=True,
-        keepalive_timeout=limits.idle_timeout_s,
-        max_line_size=limits.max_header_bytes,
-        max_field_size=limits.max_header_bytes,
-        lingering_time=LINGERING_TIME_S,
         shutdown_timeout=SHUTDOWN_TIMEOUT_S,
     )
     await runner.setup()
+    memory = CallerMemory(DEFAULT_BUDGET_BYTES)
 
     def make_protocol():
         if len(runner.server.connections) >= limits.max_connections:
             return _RefusedConnection()
-        protocol = runner.server()
+        protocol = CallerConnection(
+            runner.server,
+            loop=loop,
+            limits=_connection_limits(limits),
+            memory=memory,
+            on_limit=_log_limit,
+            encode_refusal=_encode_refusal,
+            lingering_time=LINGERING_TIME_S,
+        )
         without_request.add(protocol)
         loop.call_later(limits.body_timeout_s, close_silent, protocol)
         return protocol
@@ -89,3 +93,22 @@
             server.close()
     finally:
         await runner.cleanup()
+
+
+def _connection_limits(limits):
+    """Return the CallerLimits of a connection by the settings' limits."""
+    return CallerLimits(
+        header_bytes=limits.max_header_bytes,
+        body_bytes=limits.max_body_bytes,
+        header_timeout_s=limits.body_timeout_s,
+        idle_timeout_s=limits.idle_timeout_s,
+    )
+
+
+def _encode_refusal(error):
+    headers = error_headers(error) | {"Content-Type": "application/json"}
+    return encode_last_response(error.http_status, headers, error_body(error))
+
+
+def _log_limit(limit, connection):
+    log.debug("Caller %s met the limit %s.", connection.peername, limit)
