Let TLS connections of callers resume writing

Cause: a TLS transport compares its buffer with the high mark by 'at least', so with a mark of 0 it pauses with an empty buffer. Found by reading; the tests of TLS passed before.

Change: the mark is 1.

Result: test_tls.py, the tests of http_api named on its limits and client, and those of callers' connections pass.

--- a/galenascale/gateway/bounded_connection.py
+++ b/galenascale/gateway/bounded_connection.py
@@ -80,8 +80,9 @@
     def connection_made(self, transport):
         super().connection_made(transport)
         transport.max_size = CALLER_RECEIVE_BYTES
-        # Writing pauses as soon as the kernel does not take all bytes.
-        transport.set_write_buffer_limits(high=0)
+        # Writing pauses as soon as the kernel does not take all bytes. With 0
+        # a TLS transport would pause with an empty buffer, and not resume.
+        transport.set_write_buffer_limits(high=1)
         self._close_after(self._limits.idle_timeout_s)
 
     def connection_lost(self, exc):
