End a stopping host once no connection of a caller is left

Cause: the stop closes the connections without a request and ends when none is in flight. A request whose head was read in the same step of the event loop was no longer closed unread, as connections now know of it at once, but not in flight before its task ran. Connections that were accepted in that step were not known yet either.

Evidence: test_request_read_as_the_listener_closes_is_answered failed for two paths without the change and passes.

--- a/galenascale/gateway/stopping.py
+++ b/galenascale/gateway/stopping.py
@@ -68,11 +68,13 @@
         hand_over = asyncio.ensure_future(self._hand_over(end_at))
         await asyncio.sleep(min(ACCEPT_PERIOD_S, grace_s / 2))
         self.caller_listener.close()
-        self.caller_server.close_idle()
         while clock.monotonic() < end_at:
-            if self.request_handler.in_flight == 0 and hand_over.done():
-                break
+            # Connections that were accepted last appear later, and requests
+            # that were read last are not in flight yet.
+            self.caller_server.close_idle()
             await asyncio.sleep(POLL_INTERVAL_S)
+            if not self.caller_server.connections and hand_over.done():
+                break
         hand_over.cancel()
         # This host announces that it leaves even if the jobs could not be
         # handed over.
--- a/test/gateway/test_late_in_stop.py
+++ b/test/gateway/test_late_in_stop.py
@@ -121,3 +121,47 @@
     """Guards the moments at which requests may still be passed on."""
     window = StopWindow.from_grace(0.0, grace_s)
     assert window.would_cut(read_at, deadline) is refused
+
+
+@attrs.define
+class ListenerClosedAfterRequest:
+    """Stands before a listener; a request is read just before it closes."""
+
+    listener: object
+    connection: object
+    request: bytes
+
+    def close(self):
+        """Read the request and close the listener, in one step of the loop."""
+        self.connection.data_received(self.request)
+        self.listener.close()
+
+
+# Guards callers against requests that are read in the moment in which a host
+# looks whether any is left.
+@pytest.mark.parametrize("path", ["/plain/a", "/once/a", "/nothing/a"])
+async def test_request_read_as_the_listener_closes_is_answered(path):
+    """The host ends once the caller has its answer."""
+    async with gateway_fleet(runners=1, bounds={"stop_grace_s": GRACE_S}) as fleet:
+        fleet.runners_of("app")[0].behaviour.processing_time_s = 0.2
+        host = fleet.hosts.pop(0)
+        reader, writer = await asyncio.open_connection(
+            "127.0.0.1", fleet.ports["caller"]
+        )
+        await until(lambda: host._caller_server.connections)
+        (connection,) = host._caller_server.connections
+        fields = make_headers("late", path) | {"X-Galenascale-Deadline-Ms": "450"}
+        lines = [f"GET {path} HTTP/1.1"]
+        lines += [f"{name}: {value}" for name, value in fields.items()]
+        host._caller_listener = ListenerClosedAfterRequest(
+            host._caller_listener,
+            connection,
+            "\r\n".join([*lines, "", ""]).encode(),
+        )
+        await host.stop()
+        # The process ends here, and with it any connection.
+        assert host._caller_server.connections == []
+        answer = await reader.read(-1)
+        status = b" 404 " if path == "/nothing/a" else b" 200 "
+        assert status in answer.splitlines()[0]
+        writer.close()
