Give the limits in force on callers one place, and limits of heads a code

ConfigurationState.caller_limits replaces two copies in the request handler and the listeners. The error of a head above its limit is known by its code, not by a status that stands twice. ListenerLimits, too like CallerLimits, is now ListenerBudget. No behaviour changes: the tests of listeners, connections and early answers pass as before.

--- a/galenascale/gateway/caller_connection.py
+++ b/galenascale/gateway/caller_connection.py
@@ -13,6 +13,7 @@
 from galenascale.errors import UserError
 from galenascale.gateway.bounded_connection import BoundedConnection, memory_full_error
 from galenascale.gateway.request_head import (
+    HEAD_TOO_LARGE,
     STEP,
     HeadBuffer,
     find_chunk_ends,
@@ -24,7 +25,6 @@
 FIELD_OVERHEAD_BYTES = 300
 # Characters of a parser's message that a refusal repeats.
 MAX_REASON = 200
-HEAD_TOO_LARGE = 431
 
 
 class CallerConnection(BoundedConnection):
@@ -73,7 +73,7 @@
         try:
             self._read(data)
         except UserError as error:
-            too_large = error.http_status == HEAD_TOO_LARGE
+            too_large = error.code == HEAD_TOO_LARGE
             self._on_limit("header_bytes" if too_large else "malformed", self)
             self.refuse(error)
         except HttpProcessingError as error:
--- a/galenascale/gateway/configuration.py
+++ b/galenascale/gateway/configuration.py
@@ -172,6 +172,11 @@
         """Return the installed version, 0 before the first."""
         return self.current.version if self.current else 0
 
+    @property
+    def caller_limits(self):
+        """Return the CallerLimits in force, the defaults before the first."""
+        return self.current.limits if self.current else CallerLimits()
+
     def tenant(self, name):
         """Return the Tenant with a name, or None."""
         if self.current is None or self.current.tenants_by_name is None:
--- a/galenascale/gateway/host_listeners.py
+++ b/galenascale/gateway/host_listeners.py
@@ -5,7 +5,6 @@
 from galenascale.errors import GalenascaleError
 from galenascale.gateway.caller_body import CallerBody
 from galenascale.gateway.caller_memory import CallerMemory
-from galenascale.gateway.configuration import CallerLimits
 from galenascale.gateway.connection_limits import ConnectionLimits
 from galenascale.gateway.jobs.relaying_store import (
     MAX_CALL_BYTES,
@@ -15,7 +14,7 @@
 from galenascale.gateway.limit_log import LimitLog
 from galenascale.gateway.listeners import (
     CallerServer,
-    ListenerLimits,
+    ListenerBudget,
     listen,
     make_internal_server,
 )
@@ -73,14 +72,10 @@
     on_limit = LimitLog(context.log, context.clock, context.metrics).record
     await _listen_internally(stack, context.settings, internal, limits, on_limit)
 
-    def caller_limits():
-        current = context.configuration.current
-        return current.limits if current else CallerLimits()
-
     server = CallerServer(
         handle_caller,
-        caller_limits,
-        ListenerLimits(context.caller_memory, limits.callers, on_limit),
+        lambda: context.configuration.caller_limits,
+        ListenerBudget(context.caller_memory, limits.callers, on_limit),
     )
     address = context.settings.caller_listen
     return server, await listen(stack, server, address, limits.backlog)
@@ -89,7 +84,7 @@
 async def _listen_internally(stack, settings, internal, limits, on_limit):
     """Listen for others than callers; they have a memory of their own."""
     memory = CallerMemory.from_config(settings)
-    own_limits = ListenerLimits(memory, limits.internal, on_limit)
+    budget = ListenerBudget(memory, limits.internal, on_limit)
     handlers_by_address = {
         settings.ready_listen: internal.handle_ready,
         settings.peer_listen: internal.handle_peer,
@@ -99,5 +94,5 @@
         address = f"{host}:{settings.metrics_port}"
         handlers_by_address[address] = internal.handle_metrics
     for address, handler in handlers_by_address.items():
-        server = make_internal_server(handler, own_limits, MAX_CALL_BYTES)
+        server = make_internal_server(handler, budget, MAX_CALL_BYTES)
         await listen(stack, server, address, limits.backlog)
--- a/galenascale/gateway/listeners.py
+++ b/galenascale/gateway/listeners.py
@@ -20,7 +20,7 @@
 
 
 @attrs.frozen
-class ListenerLimits:
+class ListenerBudget:
     """What the callers of one listener may make the host hold."""
 
     # CallerMemory, shared with other listeners.
@@ -35,22 +35,22 @@
     HTTP server whose limits follow the operator's configuration.
 
     `limits` returns the current CallerLimits; each connection keeps those in
-    force when it was opened. `own_limits` are the ListenerLimits.
+    force when it was opened. `budget` are the ListenerBudget.
     """
 
-    def __init__(self, handler, limits, own_limits):
+    def __init__(self, handler, limits, budget):
         super().__init__(handler, handler_cancellation=True)
         self._handler_loop = asyncio.get_running_loop()
         self._limits = limits
-        self._own_limits = own_limits
+        self._budget = budget
 
     def __call__(self):
         return CallerConnection(
             self,
             loop=self._handler_loop,
             limits=self._limits(),
-            memory=self._own_limits.memory,
-            on_limit=self._own_limits.on_limit,
+            memory=self._budget.memory,
+            on_limit=self._budget.on_limit,
             auto_decompress=False,
             logger=_MUTED_LOGGER,
         )
@@ -58,16 +58,16 @@
     def connection_made(self, handler, transport):
         """Register a connection; one gives way if there are too many."""
         super().connection_made(handler, transport)
-        if len(self.connections) <= self._own_limits.max_connections:
+        if len(self.connections) <= self._budget.max_connections:
             return
         others = [
             each
             for each in self.connections
             if each is not handler and not each.is_closing
         ]
-        if len(others) < self._own_limits.max_connections:
+        if len(others) < self._budget.max_connections:
             return
-        self._own_limits.on_limit("connections", handler)
+        self._budget.on_limit("connections", handler)
         idle = choose_idle(others)
         if idle is not None:
             idle.give_way()
@@ -105,7 +105,7 @@
     return listener
 
 
-def make_internal_server(handler, own_limits, body_bytes):
+def make_internal_server(handler, budget, body_bytes):
     """Return a server with default limits, for calls of small bodies."""
     limits = CallerLimits(body_bytes=body_bytes)
-    return CallerServer(handler, lambda: limits, own_limits)
+    return CallerServer(handler, lambda: limits, budget)
--- a/galenascale/gateway/request_handler.py
+++ b/galenascale/gateway/request_handler.py
@@ -8,7 +8,7 @@
 from galenascale.gateway import responses
 from galenascale.gateway.attempts import not_run_error
 from galenascale.gateway.caller_body import CallerBody
-from galenascale.gateway.configuration import CallerLimits, RequestKind
+from galenascale.gateway.configuration import RequestKind
 from galenascale.gateway.execution import caller_status
 
 # Retry-After in seconds while the host has no configuration.
@@ -84,10 +84,6 @@
         response.force_close()
         return response
 
-    def _limits(self):
-        current = self._context.configuration.current
-        return current.limits if current else CallerLimits()
-
     async def _route(self, exchange):
         context = self._context
         request = exchange.request
@@ -116,7 +112,7 @@
         await self._limit_rate(request, route)
         body = CallerBody(
             exchange.http_request,
-            self._limits().body_bytes,
+            configuration.caller_limits.body_bytes,
             context.metrics.count_caller_limit,
         )
         request.body = await body.read()
--- a/galenascale/gateway/request_head.py
+++ b/galenascale/gateway/request_head.py
@@ -10,6 +10,8 @@
 # line breaks of its fields.
 HEAD_FRAMING_BYTES = 1 << 11
 STEP = "read_head"
+# Code of the error for a head above the limit.
+HEAD_TOO_LARGE = "headers_too_large"
 END_OF_HEAD = b"\r\n\r\n"
 # Most bytes of an END_OF_HEAD that may have arrived before.
 _END_OVERLAP = len(END_OF_HEAD) - 1
@@ -52,7 +54,7 @@
         if _MALFORMED.search(self._data, searched):
             raise UserError("request line or header field is malformed", step=STEP)
         if len(self._data) > self._max_bytes + HEAD_FRAMING_BYTES:
-            raise self.too_large()
+            raise self._too_large()
         return None
 
     def _skip_empty_lines(self, data):
@@ -72,13 +74,12 @@
         """Raise UserError (431) if target and fields are too large."""
         fields = sum(len(name) + len(value) for name, value in raw_fields)
         if len(target) + fields > self._max_bytes:
-            raise self.too_large()
+            raise self._too_large()
 
-    def too_large(self):
-        """Return the error for a head above the limit."""
+    def _too_large(self):
         return UserError(
             f"head has more than {self._max_bytes} bytes",
-            code="headers_too_large",
+            code=HEAD_TOO_LARGE,
             step=STEP,
             http_status=431,
         )
--- a/test/gateway/test_caller_connection.py
+++ b/test/gateway/test_caller_connection.py
@@ -15,7 +15,7 @@
 from galenascale.gateway.caller_memory import MEGABYTE, CallerMemory
 from galenascale.gateway.configuration import CallerLimits
 from galenascale.gateway.connection_limits import ConnectionLimits
-from galenascale.gateway.listeners import CallerServer, ListenerLimits, listen
+from galenascale.gateway.listeners import CallerServer, ListenerBudget, listen
 from galenascale.gateway.request_head import MAX_EMPTY_LINE_BYTES
 from galenascale.generated.gateway_messages import GatewaySettings
 from test.gateway.fleet import until
@@ -56,13 +56,13 @@
 async def running_listener(*, limits=LIMITS, max_connections=100):
     """Yield a Listener."""
     listener = Listener()
-    own_limits = ListenerLimits(
+    budget = ListenerBudget(
         listener.memory,
         max_connections,
         lambda limit, connection: listener.met_limits.append(limit),
     )
     async with contextlib.AsyncExitStack() as stack:
-        server = CallerServer(listener.answer, lambda: limits, own_limits)
+        server = CallerServer(listener.answer, lambda: limits, budget)
         stack.push_async_callback(server.shutdown, 0.1)
         opened = await listen(stack, server, "127.0.0.1:0", 100)
         listener.port = opened.sockets[0].getsockname()[1]
--- a/test/gateway/test_listeners.py
+++ b/test/gateway/test_listeners.py
@@ -12,7 +12,7 @@
 from galenascale.gateway.bounded_connection import CALLER_RECEIVE_BYTES
 from galenascale.gateway.caller_memory import MEGABYTE, CallerMemory
 from galenascale.gateway.configuration import CallerLimits
-from galenascale.gateway.listeners import CallerServer, ListenerLimits, listen
+from galenascale.gateway.listeners import CallerServer, ListenerBudget, listen
 from galenascale.gateway.sockets import RECEIVE_BYTES, BoundedSocket
 from galenascale.platform.adapter import PlatformAdapter
 from test.gateway.fleet import gateway_fleet
@@ -39,8 +39,8 @@
         idle_timeout_s=IDLE_TIMEOUT_S,
     )
     async with contextlib.AsyncExitStack() as stack:
-        own_limits = ListenerLimits(CallerMemory(MEGABYTE), 10, lambda *_: None)
-        server = CallerServer(answer, lambda: limits, own_limits)
+        budget = ListenerBudget(CallerMemory(MEGABYTE), 10, lambda *_: None)
+        server = CallerServer(answer, lambda: limits, budget)
         stack.push_async_callback(server.shutdown, 0.1)
         listener = await listen(stack, server, "127.0.0.1:0", 10)
         port = listener.sockets[0].getsockname()[1]
