Write heads in one place, which refuses text that ends a line

Cause: each writer of a head had to check its own text; names, values and paths of items were checked for line breaks, ids were not, and nothing stood between them and the connection.

Change: http_heads.py writes the heads of requests to backend servers and of refusals, and raises InvalidHead for any part that is no token, value or target, and for fields that frame the body or concern one connection; it adds the length itself. Items of stored jobs that cannot be sent end as dead. Names of tenants are checked as they are decoded.

test_formats.py expected Content-Length among the headers; it now expects the whole head of that request, byte for byte, as the length is added there.

--- a/galenascale/gateway/dispatch.py
+++ b/galenascale/gateway/dispatch.py
@@ -8,6 +8,7 @@
 from galenascale.errors import BackendError, Execution
 from galenascale.gateway import limit_exchange
 from galenascale.gateway.balancing import Candidate, choose_candidate
+from galenascale.gateway.http_heads import InvalidHead, encode_request_head
 from galenascale.gateway.slots.leases import is_paced
 
 # Maximum number of servers compared for one request. Of a larger pool a random
@@ -149,21 +150,27 @@
         if head.limit is not None or self._context.limits:
             limit_exchange.record_answer(self._context, attempt, head)
 
-    def _find_obstacle(self, server, plan, lease, now):
-        """Return a BackendError if nothing may be sent now, or None."""
+    def _raise_on_obstacle(self, server, plan, lease, now):
+        """Raise BackendError (not run) if nothing may be sent now."""
         context = self._context
         if not context.servers.is_usable(server, now):
             # The server announced that it leaves, or was removed, while the
             # body was read or the connection was opened.
             plan.record_unreachable(server.incarnation)
-            return _not_sent(server, "server is leaving", code="server_left")
+            raise _not_sent(server, "server is leaving", code="server_left")
         if context.limits.rate_of(server) is not None and not is_paced(lease, now):
             # The owner of the pool did not know of the limit, or the request
             # could not be sent soon enough.
             plan.record_limited(server.incarnation)
             limit_exchange.record_unpaced(context, server)
-            return _not_sent(server, "server named a limit", code="server_limited")
-        return None
+            raise _not_sent(server, "server named a limit", code="server_limited")
+
+    def _encode_head(self, request, server, remaining_s, resume_after):
+        """Return the head of a request; raise InvalidHead."""
+        fields = self._context.dialect.build_backend_headers(
+            request, server.server_id, remaining_s, resume_after
+        )
+        return encode_request_head(request, fields)
 
     @contextlib.asynccontextmanager
     async def send(self, request, server, plan, resume_after, lease=None):
@@ -172,7 +179,8 @@
 
         `lease` is that of the slot. Raise BackendError (not run) if the server
         is unreachable or leaving, or if the lease does not let a request go to
-        a server that named a limit.
+        a server that named a limit, and InvalidHead (not run) if the request
+        has no head that can be sent.
         """
         context = self._context
         try:
@@ -187,13 +195,14 @@
                 context.reachability.record_unreachable(server, error)
             raise
         now = context.clock.monotonic()
-        error = self._find_obstacle(server, plan, lease, now)
-        if error is not None:
+        try:
+            self._raise_on_obstacle(server, plan, lease, now)
+            head = self._encode_head(
+                request, server, plan.remaining_s(now), resume_after
+            )
+        except (BackendError, InvalidHead):
             context.pool.release(server, connection)
-            raise error
-        headers = context.dialect.build_backend_headers(
-            request, server.server_id, plan.remaining_s(now), resume_after
-        )
+            raise
         plan.record_send(server.incarnation)
         context.load.start(server.server_id, batch=self._batch)
         attempt = Attempt(
@@ -208,12 +217,7 @@
         )
         context.reachability.add(attempt)
         try:
-            connection.send(
-                request.method,
-                _encode_head(request, headers),
-                request.body,
-                request.request_id,
-            )
+            connection.send(request.method, head, request.body, request.request_id)
             yield attempt
         finally:
             context.reachability.remove(attempt)
@@ -232,10 +236,3 @@
         peer=server.server_id,
         execution=Execution.NOT_RUN,
     )
-
-
-def _encode_head(request, headers):
-    line = f"{request.method} {request.target} HTTP/1.1"
-    lines = [line.encode("utf-8", "surrogateescape")]
-    lines.extend(name + b": " + value for name, value in headers)
-    return b"\r\n".join(lines) + b"\r\n\r\n"
--- a/galenascale/gateway/jobs/acceptance.py
+++ b/galenascale/gateway/jobs/acceptance.py
@@ -2,6 +2,7 @@
 
 from galenascale.errors import Execution, GalenascaleError
 from galenascale.gateway.attempts import may_have_run_error, not_run_error
+from galenascale.gateway.jobs.item_routes import check_item_routes
 from galenascale.gateway.jobs.partitions import BODIES_TOPIC, retry_until
 from galenascale.gateway.jobs.quota_reconciler import RESERVATION_TTL_S
 from galenascale.gateway.jobs.records import (
@@ -38,9 +39,10 @@
         Return None for a job that was already stored. `arrived_at` is a
         monotonic time in seconds.
 
-        Raise RequestFailed if the job does not fit the quota of its route, or
-        if the store does not confirm it in time. The error says "not run"
-        only if nothing can have been stored.
+        Raise UserError if an item cannot run on its route, and RequestFailed
+        if the job does not fit the quota of its route or if the store does not
+        confirm it in time. The error says "not run" only if nothing can have
+        been stored.
         """
         timeout_s = request.timeout_s or DEFAULT_TIMEOUT_S
         deadline = arrived_at + timeout_s * TIMEOUT_SHARE
@@ -106,8 +108,9 @@
         """
         Try to store a job; return its offset, or None if it was stored before.
 
-        Raise the errors of the store, and RequestFailed if the quota of the
-        route has too few tokens left.
+        Raise the errors of the store, UserError if an item cannot run on its
+        route, and RequestFailed if the quota of the route has too few tokens
+        left.
         """
         job_id = submission.job_id
         jobs_by_id = self._partition.state.jobs_by_id
@@ -116,6 +119,7 @@
         if job_id in jobs_by_id:
             return None
         if not self._maybe_stored:
+            check_item_routes(self._context.configuration, job)
             await self._reserve(job_id, job)
         return await self._store(submission, job)
 
--- a/galenascale/gateway/jobs/item_runs.py
+++ b/galenascale/gateway/jobs/item_runs.py
@@ -33,11 +33,11 @@
     """
     Return why the items of a job may be given up, or None if they may not.
 
-    A missing route counts as removed only if this host's configuration is
-    newer than the one that accepted the job: an older one may lack a route
-    that was added since.
+    A missing route counts only if this host's configuration is not older than
+    the one that accepted the job: an older one may lack a route that was added
+    since.
     """
-    if route is None and config_version > job.config_version:
+    if route is None and config_version >= job.config_version:
         return "no route"
     age_ms = now_ms - job.accepted_ms
     if job.give_up_ms and age_ms > job.give_up_ms + MAX_CLOCK_SKEW_MS:
@@ -80,7 +80,7 @@
     now = context.clock.monotonic()
     plan = AttemptPlan(route, arrived_at=now, deadline=now + MAX_RUN_S)
     stored = item.state.job.items[item.index]
-    headers = context.dialect.build_item_headers(stored, item.state.job)
+    headers = context.dialect.build_item_headers(stored, item.state.job.host)
     events_before = item.events
     request = CallerRequest(
         request_id=stored.item_id,
--- a/galenascale/gateway/jobs/open_items.py
+++ b/galenascale/gateway/jobs/open_items.py
@@ -30,6 +30,8 @@
 
     state: object
     index: int
+    # Why its request cannot be sent; empty if it can.
+    defect: str = ""
     # The present Route of the item; None if there is none.
     route: object = None
     # Data of the events received so far, and the id of the last one.
--- a/galenascale/gateway/jobs/outcomes.py
+++ b/galenascale/gateway/jobs/outcomes.py
@@ -14,13 +14,13 @@
 
     def give_up_if_expired(self, item, route):
         """
-        Give an item up if it has expired or its route was removed.
+        Give an item up if it cannot be sent, has expired or lost its route.
 
         Return True if it was given up. A running item is never given up.
         """
         if item.task is not None:
             return False
-        reason = give_up_reason(
+        reason = item.defect or give_up_reason(
             item.state.job,
             route,
             self._context.configuration.version,
--- a/galenascale/gateway/jobs/runner.py
+++ b/galenascale/gateway/jobs/runner.py
@@ -3,8 +3,10 @@
 import asyncio
 
 from galenascale.gateway.dispatch import Dispatcher
+from galenascale.gateway.http_heads import InvalidHead
 from galenascale.gateway.jobs.followers import PartitionFollowers
 from galenascale.gateway.jobs.held_output import break_off_excess_runs
+from galenascale.gateway.jobs.item_routes import find_item_route
 from galenascale.gateway.jobs.item_runs import run_item
 from galenascale.gateway.jobs.open_items import (
     FAILED_BACKOFF_S,
@@ -127,7 +129,16 @@
         for job_id, index in wanted - self._items_by_key.keys():
             state = self._partitions.for_job(job_id).state.jobs_by_id[job_id]
             if not self.stopping:
-                self._items_by_key[job_id, index] = OpenItem.from_state(state, index)
+                self._items_by_key[job_id, index] = self._open_item(state, index)
+
+    def _open_item(self, state, index):
+        item = OpenItem.from_state(state, index)
+        try:
+            self._context.dialect.check_item(state.job.items[index], state.job.host)
+        except InvalidHead as error:
+            # Another build accepted the job.
+            item.defect = error.message
+        return item
 
     def _drop_item(self, key):
         item = self._items_by_key.pop(key)
@@ -165,9 +176,10 @@
         return bool(self._context.servers.usable(service, now))
 
     def _route_of(self, item):
-        table = self._context.configuration.table
-        path = item.state.job.items[item.index].path.partition("?")[0]
-        return table.find(item.state.job.host, path)
+        job = item.state.job
+        return find_item_route(
+            self._context.configuration, job.host, job.items[item.index].path
+        )
 
     def _log_start(self, item, server):
         in_flight = self._context.load.total_at(server.server_id)
--- a/galenascale/gateway/responses.py
+++ b/galenascale/gateway/responses.py
@@ -8,6 +8,7 @@
 from aiohttp import web
 
 from galenascale.gateway.execution import caller_status
+from galenascale.gateway.http_heads import encode_response_head
 from galenascale.gateway.sockets import enable_dead_peer_detection
 
 # Headers that the HTTP library sets itself.
@@ -35,11 +36,8 @@
 
 def encode_last_response(status, headers, body):
     """Return the bytes of a response after which the connection closes."""
-    status = http.HTTPStatus(status)
-    headers = headers | {"Content-Length": str(len(body)), "Connection": "close"}
-    lines = [f"HTTP/1.1 {status.value} {status.phrase}"]
-    lines.extend(f"{name}: {value}" for name, value in headers.items())
-    return "\r\n".join([*lines, "", ""]).encode("latin-1") + body
+    head = encode_response_head(http.HTTPStatus(status), headers, len(body))
+    return head + body
 
 
 def _error_headers(error):
--- a/galenascale/platform/configuration.py
+++ b/galenascale/platform/configuration.py
@@ -13,6 +13,7 @@
     Tenant,
     TrafficSplit,
 )
+from galenascale.gateway.http_heads import InvalidHead, check_field
 from galenascale.key_table import key_digest
 from galenascale.platform.fields import get_field, get_ms_as_seconds, parse_json_object
 
@@ -77,7 +78,7 @@
         return None
     tenants = [
         Tenant(
-            name=get_field(fields, "Name", str),
+            name=_check_tenant_name(get_field(fields, "Name", str)),
             key_digests=tuple(fields[_KEY_DIGESTS]),
             priority=get_field(fields, "Priority", int, None),
             requests_per_s=get_field(fields, "RatePerS", float, 0.0),
@@ -88,6 +89,15 @@
     return {tenant.name: tenant for tenant in tenants}
 
 
+def _check_tenant_name(name):
+    """Return a name that can be sent in headers; raise DecodeError."""
+    try:
+        check_field(b"tenant", name.encode())
+    except InvalidHead as error:
+        raise DecodeError(error.message, step="decode") from error
+    return name
+
+
 def _decode_route(fields):
     return Route(
         name=get_field(fields, "Name", str),
--- a/galenascale/platform/headers.py
+++ b/galenascale/platform/headers.py
@@ -3,6 +3,15 @@
 import re
 
 from galenascale.errors import UserError
+from galenascale.gateway.http_heads import (
+    CONNECTION_FIELDS,
+    LENGTH_FIELD,
+    InvalidHead,
+    check_field,
+    encode_target,
+    encode_text,
+    encode_value,
+)
 from galenascale.gateway.requests import CallerRequest, ResponseHead
 from galenascale.gateway.server_limits import NamedLimit
 from galenascale.whole_numbers import parse_whole_number
@@ -33,24 +42,10 @@
 # Status 421 (Misdirected Request): the backend server did not run the request.
 _MISDIRECTED = 421
 
-# Hop-by-hop headers (RFC 9110, section 7.6.1).
-_HOP_BY_HOP = frozenset(
-    (
-        b"connection",
-        b"keep-alive",
-        b"proxy-authenticate",
-        b"proxy-authorization",
-        b"proxy-connection",
-        b"te",
-        b"trailer",
-        b"transfer-encoding",
-        b"upgrade",
-    )
-)
 # Request headers that the gateway handles itself or replaces by its own value.
-_GATEWAY_HEADERS = frozenset(
-    (b"content-length", b"expect", _DEADLINE_MS, _TARGET_SERVER)
-)
+_GATEWAY_HEADERS = frozenset((LENGTH_FIELD, b"expect", _DEADLINE_MS, _TARGET_SERVER))
+# Headers that an item may not have, as its sender writes them.
+_NOT_OF_ITEMS = CONNECTION_FIELDS | _GATEWAY_HEADERS
 # Credentials that carry a key of a tenant.
 _KEY_CREDENTIALS = re.compile(rb"\s*token\s+(\S+)\s*", re.I)
 _KEY_SCHEME = re.compile(rb"\s*token\b", re.I)
@@ -67,7 +62,7 @@
 
 def strip_hop_by_hop_headers(headers):
     """Return the headers without those that apply to a single connection."""
-    dropped = set(_HOP_BY_HOP)
+    dropped = set(CONNECTION_FIELDS)
     for key, value in headers:
         if key.lower() == b"connection":
             dropped.update(part.strip().lower() for part in value.split(b","))
@@ -186,23 +181,44 @@
         headers.append((b"Last-Event-Id", b"%d" % resume_after))
     headers.append((b"X-Galenascale-Deadline-Ms", b"%d" % max(1, remaining_s * 1000)))
     headers.append((b"X-Galenascale-Target-Instance", server_id.encode()))
-    if request.body or request.method not in ("GET", "HEAD", "DELETE", "OPTIONS"):
-        headers.append((b"Content-Length", b"%d" % len(request.body)))
     return headers
 
 
-def build_item_headers(item, job):
-    """Return the headers of the request that runs an item of a job."""
-    headers = [(b"Host", job.host.encode("latin-1"))]
-    headers.append((b"X-Galenascale-Attempt-Id", item.item_id.encode("latin-1")))
-    headers.extend(
-        (name.encode("latin-1"), value.encode("latin-1"))
-        for name, value in item.headers.items()
-        if name.lower().encode("latin-1") not in (_REQUEST_ID, b"host")
-    )
+def build_item_headers(item, host):
+    """
+    Return the headers of the request that runs an item of a job.
+
+    `host` is that of the job. Raise InvalidHead for an item whose id or
+    headers cannot be sent.
+    """
+    item_id = encode_value("Id", item.item_id)
+    if not item_id.strip() or item_id != item_id.strip():
+        # Servers read such an id without its spaces, and answer another one.
+        raise InvalidHead("Id", item.item_id)
+    headers = [
+        (b"Host", encode_value("host", host)),
+        (b"X-Galenascale-Attempt-Id", item_id),
+    ]
+    for name, value in item.headers.items():
+        header = (
+            encode_text("name of a header", name),
+            encode_value(f"value of header {name!r}", value),
+        )
+        check_field(*header)
+        key = header[0].lower()
+        if key in _NOT_OF_ITEMS:
+            raise InvalidHead("header", name)
+        if key not in (_REQUEST_ID, b"host"):
+            headers.append(header)
     return tuple(headers)
 
 
+def check_item(item, host):
+    """Raise InvalidHead if the request that runs an item cannot be sent."""
+    encode_target(item.path)
+    build_item_headers(item, host)
+
+
 def parse_limit(headers):
     """
     Return the NamedLimit in a response head, or None.
--- a/test/platform/test_formats.py
+++ b/test/platform/test_formats.py
@@ -10,6 +10,7 @@
 
 from galenascale.errors import DecodeError, UserError
 from galenascale.gateway.configuration import RequestKind, RouteTable
+from galenascale.gateway.http_heads import encode_request_head
 from galenascale.gateway.requests import CallerRequest, ItemResult, JobCallKind
 from galenascale.platform import configuration, headers, jobs, records, servers
 
@@ -107,8 +108,17 @@
         (b"Last-Event-Id", b"4"),
         (b"X-Galenascale-Deadline-Ms", b"1200"),
         (b"X-Galenascale-Target-Instance", b"s1"),
-        (b"Content-Length", b"4"),
     ]
+    assert encode_request_head(request, passed) == (
+        b"POST /x/ HTTP/1.1\r\n"
+        b"Host: a.example\r\n"
+        b"X-Galenascale-Attempt-Id: r1\r\n"
+        b"X-Other: \xe9\r\n"
+        b"Last-Event-Id: 4\r\n"
+        b"X-Galenascale-Deadline-Ms: 1200\r\n"
+        b"X-Galenascale-Target-Instance: s1\r\n"
+        b"Content-Length: 4\r\n\r\n"
+    )
 
 
 def test_non_numeric_header_is_rejected():
