Refuse a stream asked for by HTTP/1.0 before it runs

What callers saw: 500 with a page of the HTTP library, after the request had run on a backend server.

Cause: a streamed answer is sent in chunks, which HTTP/1.0 does not have; the library raised an error once the answer began.

Change: such a request gets 400 http_version before a server is chosen. A plain answer that is too long to be buffered goes to such a caller with its length.

Evidence: test_stream_by_an_old_version_of_http_is_refused_before_it_runs failed before with 500 and a run on a server.

--- a/galenascale/gateway/request_handler.py
+++ b/galenascale/gateway/request_handler.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import attrs
+from aiohttp import HttpVersion11
 
 from galenascale.errors import GalenascaleError, UserError
 from galenascale.gateway import responses
@@ -140,6 +141,7 @@
     async def _forward(self, exchange, route):
         plan = self._forwarder.plan(exchange.request, route, exchange.arrived_at)
         self._refuse_if_stopping(plan)
+        _check_version(exchange.http_request, route)
         caller = responses.CallerStream(
             exchange.http_request, exchange.record_first_part
         )
@@ -161,6 +163,12 @@
         return responses.to_web_response(buffered)
 
 
+def _check_version(http_request, route):
+    """Raise UserError if the caller's version of HTTP has no streams."""
+    if route.kind is RequestKind.STREAMING and http_request.version < HttpVersion11:
+        raise UserError("a stream needs HTTP/1.1", code="http_version")
+
+
 @attrs.define
 class _CallerExchange:
     """A request of a caller, for the log and metrics of its result."""
--- a/galenascale/gateway/responses.py
+++ b/galenascale/gateway/responses.py
@@ -5,7 +5,7 @@
 import time
 
 import orjson
-from aiohttp import web
+from aiohttp import HttpVersion11, web
 
 from galenascale.gateway.execution import caller_status
 from galenascale.gateway.http_heads import encode_response_head
@@ -88,7 +88,10 @@
         """Send the status and headers of a ResponseHead."""
         self.response = web.StreamResponse(status=head.status)
         _copy_headers(head, self.response)
-        self.response.enable_chunked_encoding()
+        if self._request.version >= HttpVersion11:
+            self.response.enable_chunked_encoding()
+        else:
+            self.response.content_length = head.length
         self._on_first_part()
         await self.response.prepare(self._request)
 
--- a/test/gateway/test_text_of_items.py
+++ b/test/gateway/test_text_of_items.py
@@ -5,6 +5,8 @@
 builds have accepted.
 """
 
+import asyncio
+
 import orjson
 import pytest
 
@@ -15,6 +17,7 @@
     ROUTES,
     gateway_fleet,
     key_header,
+    make_headers,
     make_route,
     make_tenant,
     until,
@@ -106,3 +109,19 @@
             request.target for runner in fleet.runners for request in runner.requests
         ]
         assert targets == [b"/jobs/0"]
+
+
+async def test_stream_by_an_old_version_of_http_is_refused_before_it_runs():
+    """It ran, and its caller got 500."""
+    async with gateway_fleet() as fleet:
+        fields = make_headers("r1", "/chat/a")
+        lines = [f"{name}: {value}" for name, value in fields.items()]
+        head = "\r\n".join(["POST /chat/a HTTP/1.0", *lines, "", ""])
+        port = fleet.ports["caller"]
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(head.encode())
+        answer = await reader.read()
+        writer.close()
+        assert answer.startswith(b"HTTP/1.0 400 ")
+        assert b"http_version" in answer
+        assert not any(runner.requests for runner in fleet.runners)
