Keep the fields of a request that a Connection field names

What callers saw: with 'Connection: X-Galenascale-Attempt-Id' the request went to a server without its id, ran at two servers in a row, as no answer could be matched, and got no answer until its deadline. With 'Connection: Host' it went without its host.

Cause: any field named by Connection was dropped as one of the connection.

Change: the host, the id and other fields of the platform, credentials and the position in a stream are for the server, and stay (RFC 9110, 7.6.1: they must not be named there). A second id gets 400, as a server may answer either.

Evidence: five cases of test_http_heads.py, all failed before.

--- a/galenascale/platform/headers.py
+++ b/galenascale/platform/headers.py
@@ -42,6 +42,10 @@
 # Status 421 (Misdirected Request): the backend server did not run the request.
 _MISDIRECTED = 421
 
+# Headers that a Connection header cannot make hop-by-hop: they are for the
+# server, which runs another request without them.
+_END_TO_END = frozenset((b"host", _RESUME_AFTER, _AUTHORIZATION))
+_END_TO_END_PREFIX = b"x-galenascale-"
 # Request headers that the gateway handles itself or replaces by its own value.
 _GATEWAY_HEADERS = frozenset((LENGTH_FIELD, b"expect", _DEADLINE_MS, _TARGET_SERVER))
 # Headers that an item may not have, as its sender writes them.
@@ -65,16 +69,28 @@
     dropped = set(CONNECTION_FIELDS)
     for key, value in headers:
         if key.lower() == b"connection":
-            dropped.update(part.strip().lower() for part in value.split(b","))
+            dropped.update(_connection_options(value))
     return tuple(item for item in headers if item[0].lower() not in dropped)
 
 
+def _connection_options(value):
+    """Return the names of headers that a Connection header may name."""
+    names = {part.strip().lower() for part in value.split(b",")}
+    return {
+        name for name in names - _END_TO_END if not name.startswith(_END_TO_END_PREFIX)
+    }
+
+
 def parse_request(method, target, headers):
     """
     Return the CallerRequest without its body.
 
-    Raise UserError for an invalid header.
+    Raise UserError for an invalid header and for a second id.
     """
+    if sum(name.lower() == _REQUEST_ID for name, _ in headers) > 1:
+        raise UserError(
+            f"header {_REQUEST_ID.decode()} is given twice", step="read_request"
+        )
     tokens = (find_header(headers, _TOKENS) or b"").split(b",")
     kept = [
         item
--- a/test/gateway/test_http_heads.py
+++ b/test/gateway/test_http_heads.py
@@ -244,3 +244,27 @@
     """Refusals that the HTTP library does not write are checked as well."""
     with pytest.raises(InvalidHead, match=message):
         encode_response_head(http.HTTPStatus.BAD_REQUEST, fields, 0)
+
+
+@pytest.mark.parametrize(
+    "option", ["X-Galenascale-Attempt-Id", "Host", "Last-Event-Id", "Authorization"]
+)
+def test_connection_header_drops_no_field_of_the_request(option):
+    """A server would run another request, or one that nobody can match."""
+    sent = (
+        (b"Host", HOST.encode()),
+        (b"X-Galenascale-Attempt-Id", b"r1"),
+        (b"Last-Event-Id", b"3"),
+        (b"Authorization", b"Basic a"),
+        (b"Connection", b"close, X-Mine, " + option.encode()),
+        (b"X-Mine", b"1"),
+    )
+    kept = headers.parse_request("POST", "/x/", sent).headers
+    assert kept == sent[:4]
+
+
+def test_second_id_is_refused():
+    """A server may take either id, so the answer to the other is lost."""
+    field = (b"X-Galenascale-Attempt-Id", b"r1")
+    with pytest.raises(UserError, match="twice"):
+        headers.parse_request("POST", "/x/", (field, field))
