Keep the items of accepted jobs in the form in which they came

Cause: a host keeps each job of its partitions, its own and others', decoded, until its retention is over: two strings and a place in a dictionary for each header of each item, 6.3 MB for a record of 5 KB, also of finished items.

Change: an item is one small object with its headers as one JSON text, which equal items of a job share, and which is dropped once the item has an outcome.

--- a/galenascale/gateway/jobs/api.py
+++ b/galenascale/gateway/jobs/api.py
@@ -127,7 +127,7 @@
             await self._wait_for_result(state, call)
         results = [
             ItemResult(
-                state.job.items[outcome.index].item_id,
+                state.items[outcome.index].item_id,
                 outcome.state == ItemState.COMPLETED,
                 outcome.text,
             )
--- a/galenascale/gateway/jobs/bodies.py
+++ b/galenascale/gateway/jobs/bodies.py
@@ -50,7 +50,7 @@
         key = (state.job_id, index)
         if key in self._cached:
             return self._cached[key]
-        item = state.job.items[index]
+        item = state.items[index]
         number = self._partitions.for_job(state.job_id).number
         offset = state.job.bodies_offset + item.first_record
         pieces = []
--- a/galenascale/gateway/jobs/item_runs.py
+++ b/galenascale/gateway/jobs/item_runs.py
@@ -79,7 +79,7 @@
     """
     now = context.clock.monotonic()
     plan = AttemptPlan(route, arrived_at=now, deadline=now + MAX_RUN_S)
-    stored = item.state.job.items[item.index]
+    stored = item.state.items[item.index]
     headers = context.dialect.build_item_headers(stored, item.state.job.host)
     events_before = item.events
     request = CallerRequest(
--- a/galenascale/gateway/jobs/open_items.py
+++ b/galenascale/gateway/jobs/open_items.py
@@ -75,7 +75,7 @@
     @property
     def memory_tokens(self):
         """Return the tokens of an engine's memory that it may need."""
-        return self.state.job.items[self.index].tokens
+        return self.state.items[self.index].tokens
 
     @property
     def key(self):
--- a/galenascale/gateway/jobs/outcomes.py
+++ b/galenascale/gateway/jobs/outcomes.py
@@ -40,7 +40,7 @@
             "item_run",
             job=item.state.job_id,
             index=item.index,
-            request=item.state.job.items[item.index].item_id,
+            request=item.state.items[item.index].item_id,
             server=server.server_id,
             outcome=result.outcome,
             reason=result.reason,
--- a/galenascale/gateway/jobs/runner.py
+++ b/galenascale/gateway/jobs/runner.py
@@ -134,7 +134,7 @@
     def _open_item(self, state, index):
         item = OpenItem.from_state(state, index)
         try:
-            self._context.dialect.check_item(state.job.items[index], state.job.host)
+            self._context.dialect.check_item(state.items[index], state.job.host)
         except InvalidHead as error:
             # Another build accepted the job.
             item.defect = error.message
@@ -176,9 +176,9 @@
         return bool(self._context.servers.usable(service, now))
 
     def _route_of(self, item):
-        job = item.state.job
+        state = item.state
         return find_item_route(
-            self._context.configuration, job.host, job.items[item.index].path
+            self._context.configuration, state.job.host, state.items[item.index].path
         )
 
     def _log_start(self, item, server):
@@ -187,7 +187,7 @@
             "item_started",
             job=item.state.job_id,
             index=item.index,
-            request=item.state.job.items[item.index].item_id,
+            request=item.state.items[item.index].item_id,
             server=server.server_id,
             online=in_flight.online,
             batch=in_flight.batch,
--- a/galenascale/gateway/jobs/state.py
+++ b/galenascale/gateway/jobs/state.py
@@ -10,6 +10,7 @@
 from galenascale.codec import decode
 from galenascale.errors import DecodeError
 from galenascale.gateway.jobs.records import decode_body
+from galenascale.gateway.jobs.stored_items import StoredItem, pack_items
 from galenascale.generated.gateway_messages import (
     ItemState,
     Job,
@@ -29,7 +30,9 @@
     """One job with everything recorded about it."""
 
     job_id: str
+    # The job without its items.
     job: Job
+    items: tuple[StoredItem, ...]
     runner: str
     runner_started_ms: int
     # Outcomes in the order of the positions of their results.
@@ -42,7 +45,7 @@
     @property
     def total(self):
         """Return the number of items."""
-        return len(self.job.items)
+        return len(self.items)
 
     def open_tokens(self, finished=()):
         """
@@ -55,7 +58,7 @@
             return 0
         return sum(
             item.tokens
-            for index, item in enumerate(self.job.items)
+            for index, item in enumerate(self.items)
             if index not in self.outcomes_by_index and index not in finished
         )
 
@@ -76,7 +79,7 @@
 
     def index_of(self, item_id):
         """Return the index of an item, or None if the job has no such item."""
-        for index, item in enumerate(self.job.items):
+        for index, item in enumerate(self.items):
             if item.item_id == item_id:
                 return index
         return None
@@ -109,8 +112,10 @@
         job = decode_body(Job, record.body)
         if not job.items:
             raise DecodeError("job has no items", step="apply")
+        items = pack_items(job.items)
+        job.items = []
         self.jobs_by_id[record.job_id] = JobState(
-            record.job_id, job, job.runner, job.runner_started_ms
+            record.job_id, job, items, job.runner, job.runner_started_ms
         )
 
     def drop_older(self, accepted_before_ms):
@@ -134,6 +139,7 @@
         if valid and known and outcome.index not in state.outcomes_by_index:
             state.outcomes_by_index[outcome.index] = outcome
             state.outcomes.append(outcome)
+            state.items[outcome.index].drop_headers()
             state.progress_by_index.pop(outcome.index, None)
 
 
--- a/test/gateway/test_item_order.py
+++ b/test/gateway/test_item_order.py
@@ -9,6 +9,7 @@
 from galenascale.gateway.jobs.item_runs import RunResult
 from galenascale.gateway.jobs.open_items import OpenItem
 from galenascale.gateway.jobs.outcomes import RunResultHandler
+from galenascale.gateway.jobs.stored_items import pack_items
 from galenascale.gateway.json_log import JsonLog
 from galenascale.gateway.metrics import GatewayMetrics
 from galenascale.generated.gateway_messages import Job, JobItem
@@ -63,8 +64,8 @@
         configuration=types.SimpleNamespace(version=1),
     )
     recorder = types.SimpleNamespace(add=lambda *_: None)
-    job = Job(items=[JobItem("i")])
-    state = types.SimpleNamespace(job=job, job_id="j")
+    items = pack_items([JobItem("i")])
+    state = types.SimpleNamespace(job=Job(), items=items, job_id="j")
     item = OpenItem(state, 0, failures=failures)
     route = types.SimpleNamespace(max_attempts=3)
     server = types.SimpleNamespace(server_id="s")
--- a/test/gateway/test_jobs.py
+++ b/test/gateway/test_jobs.py
@@ -11,7 +11,9 @@
 from galenascale.gateway.jobs.item_runs import RunResult
 from galenascale.gateway.jobs.open_items import MAX_BACKOFF_S, OpenItem
 from galenascale.gateway.jobs.outcomes import RunResultHandler
+from galenascale.gateway.jobs.stored_items import pack_items
 from galenascale.gateway.metrics import GatewayMetrics
+from galenascale.generated.gateway_messages import JobItem
 from galenascale.standins.endless_response import EndlessResponse
 from test.gateway.fleet import gateway_fleet, until
 
@@ -191,9 +193,8 @@
         configuration=SimpleNamespace(version=1),
     )
     handler = RunResultHandler(context, recorder=None)
-    item_id = SimpleNamespace(item_id="i1")
-    job = SimpleNamespace(items=[item_id])
-    item = OpenItem(SimpleNamespace(job_id="j1", job=job), 0)
+    items = pack_items([JobItem("i1")])
+    item = OpenItem(SimpleNamespace(job_id="j1", items=items), 0)
     server = SimpleNamespace(server_id="s1")
     for _ in range(100):
         handler.handle(item, server, None, RunResult("broken", "connection reset"))
