Write what is larger than a record in pieces, and let no job wait for another

A job with many headers was answered 503 at every attempt.

Cause: each message was one record, whatever its size; the store refuses more than RecordBytes with 413, which counted as an outage, and the recorder's round ended there, in the same order each time.

Change: a body that does not fit goes to records of the topic of bodies first, and its record names them; readers insert it before they apply the record, so a part is never listed. The recorder writes partitions at the same time, each until it fails, and goes on after a record that is refused as such (StoreRefused: 400, 413, 422), which no longer counts as a lost store. Two flushes at once can neither fail (KeyError) nor drop what was added meanwhile. Appends of pieces stay below what hosts relay for each other.

--- a/galenascale/gateway/jobs/acceptance.py
+++ b/galenascale/gateway/jobs/acceptance.py
@@ -3,14 +3,10 @@
 from galenascale.errors import Execution, GalenascaleError
 from galenascale.gateway.attempts import may_have_run_error, not_run_error
 from galenascale.gateway.jobs.item_routes import check_item_routes
-from galenascale.gateway.jobs.partitions import BODIES_TOPIC, retry_until
+from galenascale.gateway.jobs.partitions import retry_until
+from galenascale.gateway.jobs.pieces import append_pieces
 from galenascale.gateway.jobs.quota_reconciler import RESERVATION_TTL_S
-from galenascale.gateway.jobs.records import (
-    compress,
-    encode_record,
-    group_by_size,
-    split_bytes,
-)
+from galenascale.gateway.jobs.records import compress, split_bytes
 from galenascale.gateway.jobs.scopes import QuotaScope
 from galenascale.generated.gateway_messages import Job, JobItem, JobRecordKind
 from galenascale.store import STORE_ERRORS, StoreFenced
@@ -134,9 +130,13 @@
     async def _store(self, submission, job):
         records = _split_bodies(submission, job, self._context.settings.store)
         if self._bodies_offset is None:
-            self._bodies_offset = await self._append_bodies(records)
+            self._bodies_offset = await append_pieces(
+                self._context, self._partition.number, records
+            )
         job.bodies_offset = self._bodies_offset
-        record = encode_record(JobRecordKind.JOB, submission.job_id, job)
+        record = await self._partition.prepare(
+            JobRecordKind.JOB, submission.job_id, job
+        )
         try:
             return await self._partition.append(record)
         except GalenascaleError as error:
@@ -144,19 +144,6 @@
                 self._maybe_stored = True
             raise
 
-    async def _append_bodies(self, records):
-        limit = self._context.settings.store.call_bytes
-        groups = group_by_size(records, limit)
-        store = self._context.job_store
-        number = self._partition.number
-        first = await store.append(BODIES_TOPIC, number, groups[0])
-        end = first + len(groups[0])
-        for group in groups[1:]:
-            # The bodies of a job must have consecutive offsets.
-            await store.append(BODIES_TOPIC, number, group, expected_offset=end)
-            end += len(group)
-        return first
-
     def failure(self, job_id, error):
         """Return the RequestFailed to raise after the last attempt failed."""
         if isinstance(error, StoreFenced):
--- a/galenascale/gateway/jobs/bodies.py
+++ b/galenascale/gateway/jobs/bodies.py
@@ -1,11 +1,7 @@
 """Reads the bodies of items from the store."""
 
-from galenascale.gateway.jobs.partitions import BODIES_TOPIC
+from galenascale.gateway.jobs.pieces import PieceRange, read_pieces
 from galenascale.gateway.jobs.records import decompress
-from galenascale.store import StoreUnavailable
-
-# KB that a read requests beyond the body, for record framing and rounding.
-_READ_OVERHEAD_KB = 2
 
 
 class BodyReader:
@@ -52,21 +48,9 @@
             return self._cached[key]
         item = state.items[index]
         number = self._partitions.for_job(state.job_id).number
-        offset = state.job.bodies_offset + item.first_record
-        pieces = []
-        while len(pieces) < item.records:
-            result = await self._context.job_store.read(
-                BODIES_TOPIC,
-                number,
-                offset + len(pieces),
-                max_kb=item.body_bytes // 1024 + _READ_OVERHEAD_KB,
-            )
-            if not result.records:
-                raise StoreUnavailable(
-                    "store has no records for the item body", step="read_body"
-                )
-            wanted = result.records[: item.records - len(pieces)]
-            pieces.extend(record for _, record in wanted)
-        body = decompress(b"".join(pieces))
+        pieces = PieceRange(
+            state.job.bodies_offset + item.first_record, item.records, item.body_bytes
+        )
+        body = decompress(await read_pieces(self._context, number, pieces))
         self._put(key, body)
         return body
--- a/galenascale/gateway/jobs/partitions.py
+++ b/galenascale/gateway/jobs/partitions.py
@@ -2,13 +2,23 @@
 
 import asyncio
 
+from galenascale.codec import encode
 from galenascale.errors import DecodeError
+from galenascale.gateway.jobs.pieces import (
+    PiecesMissing,
+    append_bytes,
+    encode_pointer,
+    find_pieces,
+    insert_body,
+    read_pieces,
+)
+from galenascale.gateway.jobs.records import encode_body
 from galenascale.gateway.jobs.state import PartitionState
+from galenascale.generated.gateway_messages import JobRecord
 from galenascale.hashing import shard_of
 from galenascale.store import STORE_ERRORS, PartitionTrimmed
 
 JOBS_TOPIC = "jobs"
-BODIES_TOPIC = "bodies"
 QUOTAS_TOPIC = "quotas"
 # Seconds for which a read of a followed partition waits for new records. This
 # bounds how long a silent connection goes unnoticed: the runs of a cancelled
@@ -88,14 +98,35 @@
         except PartitionTrimmed as error:
             self._position = max(self._position, error.first_kept_offset)
             return
-        for offset, record in result.records:
+        for offset, data in result.records:
+            if offset < self._position:
+                continue
+            record = await self._with_body(offset, data)
+            # Meanwhile another call may have read on.
             if offset >= self._position:
                 self._position = offset + 1
-                self._apply(offset, record)
+                if record is not None:
+                    self._apply(offset, record)
         self._drop_expired()
         if self._position >= result.next_offset:
             self._caught_up_at = max(self._caught_up_at, started_at)
 
+    async def _with_body(self, offset, data):
+        """
+        Return a record with its body, if that is in other records.
+
+        Return None if they do not exist; raise the errors of the store.
+        """
+        pieces = find_pieces(data) if self.topic == JOBS_TOPIC else None
+        if pieces is None:
+            return data
+        try:
+            body = await read_pieces(self._context, self.number, pieces)
+        except (PartitionTrimmed, PiecesMissing) as error:
+            self._log_broken(offset, error.message)
+            return None
+        return insert_body(data, body)
+
     def _drop_expired(self):
         retention_s = self._context.settings.bounds.job_retention_s + EXTRA_RETENTION_S
         now_ms = self._context.clock.wall_ms()
@@ -105,14 +136,31 @@
         try:
             self.state.apply(record)
         except DecodeError as error:
-            self._context.log.write(
-                "job_record_broken",
-                "error",
-                topic=self.topic,
-                partition=self.number,
-                offset=offset,
-                reason=error.message,
-            )
+            self._log_broken(offset, error.message)
+
+    def _log_broken(self, offset, reason):
+        self._context.log.write(
+            "job_record_broken",
+            "error",
+            topic=self.topic,
+            partition=self.number,
+            offset=offset,
+            reason=reason,
+        )
+
+    async def prepare(self, kind, job_id, message):
+        """
+        Return the bytes of a record with a message.
+
+        If it is too large for one record, its body is written to others first,
+        and the record says where. Raise the errors of the store.
+        """
+        body = encode_body(message)
+        record = encode(JobRecord(kind=int(kind), job_id=job_id, body=body))
+        if len(record) <= self._context.settings.store.record_bytes:
+            return record
+        pieces = await append_bytes(self._context, self.number, body)
+        return encode_pointer(kind, job_id, pieces)
 
     async def append(self, record):
         """Append a record and return its offset; raise the store's errors."""
--- a/galenascale/gateway/jobs/recorder.py
+++ b/galenascale/gateway/jobs/recorder.py
@@ -3,7 +3,6 @@
 import asyncio
 
 from galenascale.gateway.jobs.partitions import RETRY_INTERVAL_S
-from galenascale.gateway.jobs.records import encode_record
 from galenascale.gateway.jobs.scopes import QuotaScope
 from galenascale.generated.gateway_messages import (
     ItemOutcome,
@@ -12,7 +11,7 @@
     JobProgress,
     JobRecordKind,
 )
-from galenascale.store import STORE_ERRORS
+from galenascale.store import STORE_ERRORS, StoreRefused
 
 # Seconds for which outcomes are collected before they are appended together.
 BATCH_DELAY_S = 0.15
@@ -47,15 +46,47 @@
                 await self._context.clock.sleep(RETRY_INTERVAL_S)
 
     async def flush(self):
-        """Write all pending outcomes; raise the errors of the store."""
-        for job_id in list(self._pending_by_job):
-            outcomes = list(self._pending_by_job[job_id].values())
+        """
+        Write the pending outcomes of all jobs.
+
+        Neither a partition that does not answer nor a job whose record is
+        refused keeps the others back. Raise one of the errors of the store.
+        """
+        job_ids_by_partition = {}
+        for job_id in self._pending_by_job:
+            number = self._partitions.for_job(job_id).number
+            job_ids_by_partition.setdefault(number, []).append(job_id)
+        results = await asyncio.gather(
+            *map(self._flush_jobs, job_ids_by_partition.values()),
+            return_exceptions=True,
+        )
+        for error in filter(None, results):
+            raise error
+
+    async def _flush_jobs(self, job_ids):
+        """Write the outcomes of jobs of one partition, until it fails."""
+        refusal = None
+        for job_id in job_ids:
+            try:
+                await self._flush_job(job_id)
+            except StoreRefused as error:
+                refusal = error
+                self._context.log.write(
+                    "record_refused", "error", job=job_id, reason=error.message
+                )
+        if refusal is not None:
+            raise refusal
+
+    async def _flush_job(self, job_id):
+        # Another call may have written them while this one waited.
+        pending = self._pending_by_job.get(job_id, {})
+        outcomes = list(pending.values())
+        if outcomes:
             await self._write(job_id, outcomes)
-            pending = self._pending_by_job.get(job_id, {})
-            for outcome in outcomes:
-                pending.pop(outcome.index, None)
-            if not pending:
-                self._pending_by_job.pop(job_id, None)
+        for outcome in outcomes:
+            pending.pop(outcome.index, None)
+        if not pending and self._pending_by_job.get(job_id) is pending:
+            del self._pending_by_job[job_id]
 
     async def _write(self, job_id, outcomes):
         limit = self._context.settings.store.record_bytes // 2
@@ -72,7 +103,7 @@
         await self._append(partition, job_id, group)
 
     async def _append(self, partition, job_id, group):
-        record = encode_record(
+        record = await partition.prepare(
             JobRecordKind.OUTCOMES, job_id, JobOutcomes(outcomes=group)
         )
         await partition.append(record)
@@ -101,9 +132,10 @@
             ItemProgress(item.index, item.last_event_id, item.text())
             for item in unrecorded
         ]
-        record = encode_record(
+        partition = self._partitions.for_job(job_id)
+        record = await partition.prepare(
             JobRecordKind.PROGRESS, job_id, JobProgress(items=progress)
         )
-        await self._partitions.for_job(job_id).append(record)
+        await partition.append(record)
         for item, recorded in zip(unrecorded, progress, strict=True):
             item.recorded_event_id = recorded.last_event_id
--- a/galenascale/gateway/jobs/records.py
+++ b/galenascale/gateway/jobs/records.py
@@ -19,10 +19,14 @@
 _COMPRESSED = b"\1"
 
 
+def encode_body(body):
+    """Return the bytes of a record's body, a message or None."""
+    return compress(encode(body)) if body is not None else b""
+
+
 def encode_record(kind, job_id, body=None):
     """Return the bytes of a record; `body` is a message or None."""
-    data = compress(encode(body)) if body is not None else b""
-    return encode(JobRecord(kind=int(kind), job_id=job_id, body=data))
+    return encode(JobRecord(kind=int(kind), job_id=job_id, body=encode_body(body)))
 
 
 def decode_body(kind, data):
--- a/galenascale/gateway/jobs/relaying_store.py
+++ b/galenascale/gateway/jobs/relaying_store.py
@@ -6,11 +6,8 @@
 from galenascale.codec import decode, encode
 from galenascale.errors import DecodeError
 from galenascale.gateway.http_bodies import read_limited_body
-from galenascale.gateway.jobs.partitions import (
-    BODIES_TOPIC,
-    JOBS_TOPIC,
-    QUOTAS_TOPIC,
-)
+from galenascale.gateway.jobs.partitions import JOBS_TOPIC, QUOTAS_TOPIC
+from galenascale.gateway.jobs.pieces import BODIES_TOPIC
 from galenascale.gateway.sockets import peer_url
 from galenascale.generated.gateway_messages import (
     StoreAnswer,
@@ -22,6 +19,7 @@
     ReadResult,
     StoreFenced,
     StoreOutcomeUnknown,
+    StoreRefused,
     StoreUnavailable,
 )
 
@@ -198,6 +196,8 @@
             wait_s=call.wait_ms / 1000,
             max_kb=call.max_kb,
         )
+    except StoreRefused as error:
+        return StoreAnswer(outcome=int(StoreOutcome.REFUSED), reason=str(error))
     except StoreUnavailable as error:
         return _not_done(str(error))
     except StoreOutcomeUnknown as error:
@@ -229,5 +229,6 @@
     error_type = {
         StoreOutcome.NOT_DONE: StoreUnavailable,
         StoreOutcome.OVERTAKEN: StoreFenced,
+        StoreOutcome.REFUSED: StoreRefused,
     }.get(answer.outcome, StoreOutcomeUnknown)
     raise error_type(answer.reason, step="store")
--- a/galenascale/gateway/jobs/state.py
+++ b/galenascale/gateway/jobs/state.py
@@ -22,7 +22,7 @@
 )
 
 # Newest version of the record schema that is understood.
-SCHEMA_VERSION = 1
+SCHEMA_VERSION = 2
 
 
 @attrs.define
--- a/galenascale/platform/store.py
+++ b/galenascale/platform/store.py
@@ -23,6 +23,7 @@
     ReadResult,
     StoreFenced,
     StoreOutcomeUnknown,
+    StoreRefused,
     StoreUnavailable,
 )
 
@@ -39,6 +40,8 @@
 MAX_RESPONSE_BYTES = 4 << 20
 # Statuses with which the store rejects a call without applying it.
 _REJECTED_STATUSES = frozenset((429, 503, 507))
+# Statuses with which it rejects the call as such, whoever makes it.
+_REFUSED_STATUSES = frozenset((400, 413, 422))
 
 
 @attrs.frozen
@@ -54,8 +57,8 @@
     """
     Calls the store; each call is an HTTP request with a timeout.
 
-    Calls raise StoreUnavailable if the store did not apply the call, and
-    StoreOutcomeUnknown if it may have.
+    Calls raise StoreUnavailable if the store did not apply the call, its kind
+    StoreRefused if it never will, and StoreOutcomeUnknown if it may have.
     """
 
     def __init__(self, url, session, timeout_s=CALL_TIMEOUT_S):
@@ -199,6 +202,8 @@
         if response.status == 200:
             return response
         message = f"store responded with status {response.status}"
+        if response.status in _REFUSED_STATUSES:
+            raise StoreRefused(message, step=step, peer=self._url)
         if response.status in _REJECTED_STATUSES or 400 <= response.status < 500:
             raise StoreUnavailable(message, step=step, peer=self._url)
         raise StoreOutcomeUnknown(message, step=step, peer=self._url)
--- a/galenascale/standins/store_api.py
+++ b/galenascale/standins/store_api.py
@@ -16,6 +16,9 @@
 # Interval at which a long-polling read checks for new records.
 POLL_INTERVAL_S = 0.01
 DEFAULT_READ_KB = 1024
+# Largest record, and largest records of one append, in bytes.
+MAX_RECORD_BYTES = 1 << 18
+MAX_CALL_BYTES = 1 << 21
 
 
 class StoreFaults:
@@ -42,6 +45,7 @@
     def __init__(self, state, clock):
         self.state = state
         self.records_read = 0
+        self.record_bytes = MAX_RECORD_BYTES
         self._clock = clock
         self._stopped = asyncio.Event()
         self.handlers_by_path = {
@@ -65,6 +69,9 @@
         if "ProducerId" in query:
             producer = (query["ProducerId"], int(query["epoch"]), int(query["Seq"]))
         records = parse_records(body)
+        sizes = [len(record) for record in records]
+        if max(sizes, default=0) > self.record_bytes or sum(sizes) > MAX_CALL_BYTES:
+            return _json({"why": "too large"}, 413)
         try:
             offset = self.state.append(
                 query["Topic"],
@@ -155,6 +162,10 @@
         self._stopped = asyncio.Event()
         self._store_handlers = StoreHandlers(self.state, Clock())
 
+    def limit_records(self, max_bytes):
+        """Refuse appends of larger records."""
+        self._store_handlers.record_bytes = max_bytes
+
     async def start(self, host="127.0.0.1"):
         """Listen on a free port of `host`."""
         self._runner = web.ServerRunner(
--- a/galenascale/store.py
+++ b/galenascale/store.py
@@ -12,6 +12,12 @@
     http_status = 503
 
 
+class StoreRefused(StoreUnavailable):
+    """The store refuses the call as such, and will refuse it again."""
+
+    code = "log_refused"
+
+
 class StoreOutcomeUnknown(GalenascaleError):
     """The store may have applied a write or still apply it; reads show it."""
 
--- a/schema/gateway.thrift
+++ b/schema/gateway.thrift
@@ -28,6 +28,12 @@
   2: i32 kind = 0,
   3: string job_id = "",
   4: binary body = "",
+  /** Offset of the first record of the topic of bodies that holds the body. */
+  5: i64 body_offset = 0,
+  /** Number of those records; 0 if the body is in `body`. */
+  6: i32 body_records = 0,
+  /** Size of the body in them, in bytes. */
+  7: i32 body_bytes = 0,
 }
 
 /** One item of a job, without its body. */
@@ -396,6 +402,8 @@
   OVERTAKEN = 4,
   /** The requested records are deleted. */
   TRIMMED = 5,
+  /** The store never applies this call. */
+  REFUSED = 6,
 }
 
 /** A call of the store that one host makes through another. */
