Tell a peer that reads slowly from one that is gone

Cause: TCP_USER_TIMEOUT counts the time in which sent bytes stay unacknowledged, and also the time in which a live peer's window is too small for them.

Change: PeerWatch looks 0.5 s after a write whether bytes wait in the process or the kernel. Then it lifts the timeout for the connection and looks at TCP_INFO each 0.25 s: the peer is gone if a retransmission or probe stays unanswered for 1 s and nothing was acknowledged for 1.5 s. The same on long requests to servers. A connection that the host closes has 10 s for what waits in the kernel, unless its answer was given up. Progress of unread answers is what the peer acknowledged, and 16 KB in 10 s is the least. Where the kernel tells nothing, its timeout decides as before.

Evidence: test_peer_watch.py; the four cases of steady readers failed before (with and without Connection: close, two receive buffers).

--- a/galenascale/gateway/backend_connection.py
+++ b/galenascale/gateway/backend_connection.py
@@ -12,6 +12,7 @@
 import httptools
 
 from galenascale.errors import BackendError, Execution
+from galenascale.gateway.peer_watch import PeerWatch
 from galenascale.gateway.request_sending import SendingWait, SendState
 from galenascale.gateway.response_limits import ResponseLimits
 from galenascale.gateway.response_match import ResponseMatch, match_response
@@ -41,6 +42,7 @@
     def __init__(self, parse_head):
         self._parse_head = parse_head
         self._transport = None
+        self._peer_watch = None
         self._parser = httptools.HttpResponseParser(self)
         self._waiter = None
         self._events = collections.deque()
@@ -76,6 +78,7 @@
     def connection_made(self, transport):
         self._transport = transport
         enable_dead_peer_detection(transport)
+        self._peer_watch = PeerWatch(asyncio.get_running_loop(), self._end_silent)
 
     def get_buffer(self, sizehint):
         return _RECEIVE_BUFFER
@@ -108,7 +111,11 @@
         self._end_of_input(None)
         return self._sending is not None and self._request_id is not None
 
+    def _end_silent(self):
+        self._fail("server acknowledges nothing")
+
     def connection_lost(self, error):
+        self._peer_watch.end()
         if self._sending is not None:
             self._sending.cancel()
             self._end_sending(SendState.BROKEN)
@@ -246,6 +253,7 @@
         self._transport.write(head if self._is_long_request else head + body)
         if self._is_long_request:
             self._transport.write(body)
+            self._peer_watch.begin(self._transport)
 
     async def read(self):
         """
--- a/galenascale/gateway/bounded_connection.py
+++ b/galenascale/gateway/bounded_connection.py
@@ -5,6 +5,7 @@
 from galenascale.gateway import responses
 from galenascale.gateway.attempts import not_run_error
 from galenascale.gateway.caller_memory import HeldMemory
+from galenascale.gateway.peer_watch import PeerWatch, let_drain
 from galenascale.gateway.unread_answer import UnreadAnswer
 
 # Most bytes of one receive call, and so of what follows a request before
@@ -34,9 +35,12 @@
     __slots__ = (
         "held",
         "_encode_refusal",
+        "_is_aborted",
         "_limits",
         "_memory",
         "_on_limit",
+        "_open_transport",
+        "_peer_watch",
         "_timer",
         "_unread",
     )
@@ -70,6 +74,11 @@
         self._unread = UnreadAnswer(
             self._loop, memory, self.held, self._abort_unread_answer
         )
+        self._peer_watch = PeerWatch(self._loop, self._abort)
+        # The transport, also after the library has closed it.
+        self._open_transport = None
+        # Whether the rest of an answer is dropped.
+        self._is_aborted = False
         self._timer = None
 
     @property
@@ -79,6 +88,7 @@
 
     def connection_made(self, transport):
         super().connection_made(transport)
+        self._open_transport = transport
         transport.max_size = CALLER_RECEIVE_BYTES
         # Writing pauses as soon as the kernel does not take all bytes. With 0
         # a TLS transport would pause with an empty buffer, and not resume.
@@ -87,6 +97,9 @@
 
     def connection_lost(self, exc):
         self._stop_timer()
+        self._peer_watch.end()
+        if exc is None and not self._is_aborted:
+            let_drain(self._open_transport)
         self._unread.end()
         self.held.evicted = True
         self._memory.release(self.held)
@@ -122,6 +135,12 @@
     def count_unsent(self):
         """Hold the bytes of the answer that the caller has not taken yet."""
         self._unread.count(self._limits.body_bytes)
+        self.watch_peer()
+
+    def watch_peer(self):
+        """Notice a caller that is gone, and not one that reads slowly."""
+        if self.transport is not None:
+            self._peer_watch.begin(self.transport)
 
     def _give_way_unread(self):
         self._on_limit("caller_memory", self)
@@ -144,11 +163,11 @@
         transport = self.transport
         super().force_close()
         if transport is not None and transport.get_write_buffer_size():
-            self._loop.call_later(CLOSE_TIMEOUT_S, transport.abort)
+            self._loop.call_later(CLOSE_TIMEOUT_S, self._abort)
 
     def _abort(self):
-        if self.transport is not None:
-            self.transport.abort()
+        self._is_aborted = True
+        self._open_transport.abort()
 
     def _close_after(self, delay_s):
         self._stop_timer()
--- a/galenascale/gateway/caller_connection.py
+++ b/galenascale/gateway/caller_connection.py
@@ -198,6 +198,7 @@
 
     async def finish_response(self, request, resp, start_time):
         """Write a response; return once the caller has taken it."""
+        self.watch_peer()
         resp, is_lost = await super().finish_response(request, resp, start_time)
         if not is_lost:
             await self._drain_helper()
--- a/galenascale/gateway/request_sending.py
+++ b/galenascale/gateway/request_sending.py
@@ -8,16 +8,13 @@
 """
 
 import asyncio
-import contextlib
 import enum
-import fcntl
 import socket
-import struct
-import termios
+
+from galenascale.gateway.peer_watch import untaken_bytes
 
 # Seconds between two looks at a request that is still being taken.
 CHECK_INTERVAL_S = 0.02
-_QUEUE_SIZE = struct.Struct("i")
 
 
 class SendState(enum.Enum):
@@ -36,19 +33,11 @@
             return SendState.BROKEN
     except OSError:
         return SendState.BROKEN
-    if transport.get_write_buffer_size() or _unacknowledged_bytes(sock):
+    if untaken_bytes(transport):
         return SendState.UNDER_WAY
     return SendState.TAKEN
 
 
-def _unacknowledged_bytes(sock):
-    """Return the bytes in the send queue of the kernel, 0 if it is unknown."""
-    queued = _QUEUE_SIZE.pack(0)
-    with contextlib.suppress(OSError):
-        queued = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, queued)
-    return _QUEUE_SIZE.unpack(queued)[0]
-
-
 class SendingWait:
     """
     Calls `on_end` with the last SendState once a request is not under way.
--- a/galenascale/gateway/unread_answer.py
+++ b/galenascale/gateway/unread_answer.py
@@ -1,8 +1,11 @@
 """The part of an answer that a caller has not taken yet."""
 
-# Seconds between two checks whether an answer is being taken, and without a
-# byte taken after which it is given up.
+from galenascale.gateway.peer_watch import untaken_bytes
+
+# Seconds between two checks whether an answer is being taken.
 CHECK_INTERVAL_S = 1.0
+# A caller that takes fewer bytes in so many seconds is given up.
+MIN_TAKEN_BYTES = 16 << 10
 UNREAD_TIMEOUT_S = 10.0
 
 
@@ -10,7 +13,8 @@
     """
     Counts the unsent bytes of a connection, and gives up on idle readers.
 
-    `on_timeout` is called if the caller takes nothing for UNREAD_TIMEOUT_S.
+    `on_timeout` is called if the caller takes less than MIN_TAKEN_BYTES in
+    UNREAD_TIMEOUT_S.
     """
 
     def __init__(self, loop, memory, held, on_timeout):
@@ -20,21 +24,30 @@
         self._on_timeout = on_timeout
         self._transport = None
         self._timer = None
-        # Loop time in seconds at which bytes were taken last.
-        self._taken_at = 0.0
+        # Bytes taken since a loop time in seconds.
+        self._taken_bytes = 0
+        self._counted_since = 0.0
+        # Bytes that the process holds, and those with what the kernel holds.
         self._unsent_bytes = 0
+        self._untaken_bytes = 0
 
     def begin(self, transport, on_evict):
         """Begin to watch a transport that holds unsent bytes."""
         self._transport = transport
-        self._taken_at = self._loop.time()
-        self._held.begin_step(on_evict, self._taken_at)
+        self._untaken_bytes = untaken_bytes(transport)
+        self._count_anew(self._loop.time())
+        self._held.begin_step(on_evict, self._counted_since)
         self._check_later()
 
+    def _count_anew(self, now):
+        self._taken_bytes = 0
+        self._counted_since = now
+
     def count(self, limit_bytes):
         """Hold the bytes that are unsent now."""
         if self._transport is None:
             return
+        self._untaken_bytes = max(self._untaken_bytes, untaken_bytes(self._transport))
         unsent = self._transport.get_write_buffer_size()
         grown = unsent - self._unsent_bytes
         self._unsent_bytes = unsent
@@ -47,19 +60,32 @@
             self._memory.release(self._held, -grown)
 
     def _check(self):
-        before = self._unsent_bytes
         now = self._loop.time()
-        unsent = self._transport.get_write_buffer_size()
-        if unsent < before:
-            self._memory.release(self._held, before - unsent)
-            self._unsent_bytes = unsent
-            self._taken_at = now
-            self._held.record_progress(before - unsent, now)
-        elif now - self._taken_at >= UNREAD_TIMEOUT_S:
+        self._release_sent()
+        taken = self._take_progress()
+        if taken:
+            self._held.record_progress(taken, now)
+        if self._taken_bytes >= MIN_TAKEN_BYTES:
+            self._count_anew(now)
+        elif now - self._counted_since >= UNREAD_TIMEOUT_S:
             self._on_timeout()
             return
         self._check_later()
 
+    def _release_sent(self):
+        unsent = self._transport.get_write_buffer_size()
+        if unsent < self._unsent_bytes:
+            self._memory.release(self._held, self._unsent_bytes - unsent)
+            self._unsent_bytes = unsent
+
+    def _take_progress(self):
+        """Return the bytes that were taken since the last check."""
+        untaken = untaken_bytes(self._transport)
+        taken = max(0, self._untaken_bytes - untaken)
+        self._untaken_bytes = untaken
+        self._taken_bytes += taken
+        return taken
+
     def _check_later(self):
         self._timer = self._loop.call_later(CHECK_INTERVAL_S, self._check)
 
--- /dev/null
+++ b/test/gateway/test_peer_watch.py
@@ -0,0 +1,189 @@
+"""
+Callers and backend servers that read slowly, and peers that are gone.
+
+Guards steady readers against the kernel's user timeout, which also counts the
+time in which a live peer has no room in its buffer.
+"""
+
+import asyncio
+import contextlib
+import socket
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from galenascale.gateway.backend_connection import BackendConnection
+from galenascale.gateway.peer_watch import (
+    CHECK_INTERVAL_S,
+    SILENCE_S,
+    UNANSWERED_S,
+    AckState,
+    SilenceDetector,
+    read_ack_state,
+    untaken_bytes,
+)
+from galenascale.platform.headers import parse_response_head
+from test.gateway.fleet import HOST_NAME, gateway_fleet
+
+# Size of an answer or a body in bytes, and how a slow peer reads it: 64 KB/s.
+SIZE = 250_000
+READ_BYTES = 8192
+PAUSE_S = 0.125
+# Segments of Ethernet; those of the loopback device hide small windows.
+SEGMENT_BYTES = 1460
+
+
+def slow_socket(receive_bytes=0):
+    """Return a socket like that of a slow caller on a usual link."""
+    sock = socket.socket()
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, SEGMENT_BYTES)
+    if receive_bytes:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_bytes)
+    sock.setblocking(False)
+    return sock
+
+
+async def read_slowly(sock, until_bytes, pause_s=PAUSE_S, size=READ_BYTES):
+    """Return what comes until an end, an error or so many bytes."""
+    loop = asyncio.get_running_loop()
+    data = b""
+    with contextlib.suppress(ConnectionError, TimeoutError):
+        while len(data) < until_bytes and (piece := await loop.sock_recv(sock, size)):
+            data += piece
+            await asyncio.sleep(pause_s)
+    return data
+
+
+async def ask(fleet, sock, path, *lines):
+    """Send a request on a new connection of a socket."""
+    loop = asyncio.get_running_loop()
+    await loop.sock_connect(sock, ("127.0.0.1", fleet.ports["caller"]))
+    head = [
+        f"POST {path} HTTP/1.1",
+        f"Host: {HOST_NAME}",
+        "X-Galenascale-Attempt-Id: slow",
+        "X-Galenascale-Deadline-Ms: 5000",
+        "Content-Length: 0",
+        *lines,
+    ]
+    await loop.sock_sendall(sock, "\r\n".join([*head, "", ""]).encode())
+
+
+@pytest.mark.parametrize("lines", [(), ("Connection: close",)])
+@pytest.mark.parametrize("receive_bytes", [0, 16384])
+async def test_steady_reader_gets_a_whole_answer(receive_bytes, lines):
+    """It was reset after 2.0 to 2.6 s, and its request had run."""
+    async with gateway_fleet() as fleet:
+        for runner in fleet.runners_of("app"):
+            runner.behaviour.body = b"x" * SIZE
+        with slow_socket(receive_bytes) as sock:
+            await ask(fleet, sock, "/once/a", *lines)
+            data = await read_slowly(sock, SIZE)
+            assert data.startswith(b"HTTP/1.1 200 ")
+            assert data.count(b"x") >= SIZE
+
+
+async def test_server_that_reads_an_upload_slowly_gets_all_of_it():
+    """The same holds on connections to servers."""
+    received = []
+
+    async def serve(reader, writer):
+        head = await reader.readuntil(b"\r\n\r\n")
+        received.append(head)
+        while sum(map(len, received)) - len(head) < SIZE:
+            received.append(await reader.read(READ_BYTES))
+            await asyncio.sleep(PAUSE_S / 2)
+        writer.close()
+
+    with slow_socket(16384) as listener:
+        listener.bind(("127.0.0.1", 0))
+        server = await asyncio.start_server(serve, sock=listener, limit=READ_BYTES)
+        loop = asyncio.get_running_loop()
+        _, connection = await loop.create_connection(
+            lambda: BackendConnection(parse_response_head), *listener.getsockname()
+        )
+        connection.send("POST", b"POST / HTTP/1.1\r\n\r\n", b"x" * SIZE, "r1")
+        started_at = loop.time()
+        while sum(map(len, received)) < SIZE and loop.time() < started_at + 8:
+            assert not connection.closed
+            await asyncio.sleep(0.05)
+        server.close()
+    assert b"".join(received).count(b"x") == SIZE
+    assert loop.time() - started_at > SILENCE_S
+
+
+# Seconds of each acknowledgement of a live peer, and how long the kernel's
+# probe before it was unanswered.
+ACKNOWLEDGEMENTS = st.lists(
+    st.tuples(st.floats(0.01, 30.0), st.floats(0.0, UNANSWERED_S - CHECK_INTERVAL_S)),
+    min_size=1,
+    max_size=12,
+)
+
+
+def state_at(now, acks):
+    """Return the AckState of a peer that acknowledges at the given times."""
+    past = [at for at, _ in acks if at <= now]
+    silent_s = now - max(past, default=0.0)
+    is_unanswered = any(at - delay_s <= now < at for at, delay_s in acks)
+    return AckState(is_unanswered, silent_s)
+
+
+def check_times(until_s):
+    """Yield the times of the checks of a watch."""
+    now = 0.0
+    while now < until_s:
+        yield now
+        now += CHECK_INTERVAL_S
+
+
+@given(ACKNOWLEDGEMENTS)
+def test_peer_that_answers_each_probe_is_never_gone(intervals):
+    """The kernel doubles the time between probes; silence alone is no sign."""
+    acks = []
+    at = 0.0
+    for interval_s, delay_s in intervals:
+        at += interval_s
+        acks.append((at, min(delay_s, interval_s)))
+    detector = SilenceDetector()
+    for now in check_times(at):
+        assert not detector.is_gone(state_at(now, acks), now)
+
+
+@given(st.floats(0.0, 20.0), st.floats(0.0, 3.0))
+def test_peer_that_answers_nothing_is_soon_gone(last_ack_at, pause_s):
+    """From the first probe without an answer it takes the same short time."""
+    detector = SilenceDetector()
+    probed_at = last_ack_at + pause_s
+    for now in check_times(60.0):
+        silent_s = max(0.0, now - last_ack_at)
+        if detector.is_gone(AckState(now >= probed_at, silent_s), now):
+            break
+    assert now >= max(last_ack_at + SILENCE_S, probed_at + UNANSWERED_S)
+    assert now <= max(last_ack_at + SILENCE_S, probed_at + UNANSWERED_S) + (
+        2 * CHECK_INTERVAL_S
+    )
+
+
+async def test_kernel_tells_what_a_peer_has_acknowledged():
+    """The layout of the kernel's answer is known by offsets only."""
+    loop = asyncio.get_running_loop()
+    with slow_socket() as listener:
+        listener.bind(("127.0.0.1", 0))
+        listener.listen()
+        reader, writer = await asyncio.open_connection(*listener.getsockname())
+        with (await loop.sock_accept(listener))[0] as peer:
+            writer.write(b"x" * 1000)
+            await asyncio.sleep(0.3)
+            sock = writer.get_extra_info("socket")
+            state = read_ack_state(sock)
+            assert not state.is_unanswered
+            assert 0.2 < state.silent_s < 5.0
+            assert untaken_bytes(writer.transport) == 0
+            writer.write(b"x" * (8 << 20))
+            await asyncio.sleep(0.1)
+            assert untaken_bytes(writer.transport) > 1 << 20
+            assert read_ack_state(peer).is_unanswered is False
+        writer.transport.abort()
+        del reader
