Bound the memory for accepted jobs, and leave in the store what does not fit

Cause: the memory that stands for accepted jobs was counted nowhere. A host held all jobs of its partitions, with the results of 150 s, and read all of them again after a start; it also opened every item of its own jobs and looked at each of them 20 times a second.

Open jobs that it runs stay loaded; items and results of others are dropped, longest unused first, and JobLoader reads them again for callers. A new job without room gets 503 job_memory_full with Retry-After, one that was accepted 202 again. Jobs of lost hosts are claimed as there is room.

--- a/galenascale/gateway/context.py
+++ b/galenascale/gateway/context.py
@@ -43,6 +43,8 @@
     store: object = None
     # Access to the job topics, through a peer if the store is unreachable.
     job_store: object = None
+    # JobMemory of the jobs that the host knows.
+    job_memory: object = None
     quotas: object = None
     slots: object = None
     # HeldBytes of the answers that are buffered.
--- a/galenascale/gateway/host.py
+++ b/galenascale/gateway/host.py
@@ -28,6 +28,8 @@
 from galenascale.gateway.jobs.api import JobsApi
 from galenascale.gateway.jobs.bodies import BodyReader
 from galenascale.gateway.jobs.group_membership import GroupMembership
+from galenascale.gateway.jobs.job_loader import JobLoader
+from galenascale.gateway.jobs.job_memory import JobMemory
 from galenascale.gateway.jobs.partitions import Partitions
 from galenascale.gateway.jobs.quotas import Quotas
 from galenascale.gateway.jobs.recorder import OutcomeRecorder
@@ -135,16 +137,24 @@
         context.rates = RateService(context, started_ms, peer_protocol.send_rates)
         context.peers = peer_protocol.table
         context.job_store = RelayingStore(context, store_status, session)
-        partitions = Partitions(context)
-        bodies = BodyReader(context, partitions)
+        context.job_memory = JobMemory.from_config(settings, started_ms)
+        partitions = Partitions(context, context.job_memory)
+        loader = JobLoader(partitions, context.job_memory)
+        bodies = BodyReader(context, partitions, loader)
         recorder = OutcomeRecorder(context, partitions)
         group_membership = GroupMembership(context, store_status)
         context.quotas = Quotas(context, partitions, group_membership)
         runner = JobRunner(
-            context, partitions, bodies, recorder, group_membership, started_ms
+            context,
+            partitions,
+            loader,
+            bodies,
+            recorder,
+            group_membership,
+            started_ms,
         )
         acceptor = JobAcceptor(context, partitions, started_ms)
-        jobs = JobsApi(context, partitions, acceptor, bodies, runner)
+        jobs = JobsApi(context, partitions, loader, acceptor, bodies, runner)
         authenticator = Authenticator(context)
         host = cls(
             context=context,
--- a/galenascale/gateway/jobs/acceptance.py
+++ b/galenascale/gateway/jobs/acceptance.py
@@ -1,5 +1,7 @@
 """Acceptance of submitted jobs: a job is stored before it is acknowledged."""
 
+import attrs
+
 from galenascale.errors import Execution, GalenascaleError
 from galenascale.gateway.attempts import may_have_run_error, not_run_error
 from galenascale.gateway.jobs.item_routes import check_item_routes
@@ -8,6 +10,7 @@
 from galenascale.gateway.jobs.quota_reconciler import RESERVATION_TTL_S
 from galenascale.gateway.jobs.records import compress, split_bytes
 from galenascale.gateway.jobs.scopes import QuotaScope
+from galenascale.gateway.jobs.state import JobState
 from galenascale.generated.gateway_messages import Job, JobItem, JobRecordKind
 from galenascale.store import STORE_ERRORS, StoreFenced
 
@@ -17,6 +20,8 @@
 DEFAULT_TIMEOUT_S = 4.0
 # Seconds in the Retry-After header while the store does not answer.
 RETRY_AFTER_S = 0.8
+# The same while there is no memory for another job.
+JOBS_FULL_RETRY_S = 1.0
 _RETRYABLE_ERRORS = (StoreFenced, *STORE_ERRORS)
 
 
@@ -116,9 +121,20 @@
             return None
         if not self._maybe_stored:
             check_item_routes(self._context.configuration, job)
+            self._check_memory(job)
             await self._reserve(job_id, job)
         return await self._store(submission, job)
 
+    def _check_memory(self, job):
+        """Raise RequestFailed if there is no room for the job on this host."""
+        state = JobState.from_job("", attrs.evolve(job))
+        if not self._context.job_memory.has_room(state.size()):
+            raise not_run_error(
+                "memory for accepted jobs is used up",
+                code="job_memory_full",
+                retry_after_s=JOBS_FULL_RETRY_S,
+            )
+
     async def _reserve(self, job_id, job):
         now = self._context.clock.monotonic()
         if now < self._reserved_until:
--- a/galenascale/gateway/jobs/api.py
+++ b/galenascale/gateway/jobs/api.py
@@ -12,6 +12,7 @@
     may_access,
     scoped_job_id,
 )
+from galenascale.gateway.jobs.stored_items import find_index
 from galenascale.gateway.requests import ItemResult, JobCallKind
 from galenascale.generated.gateway_messages import ItemState, JobRecordKind
 from galenascale.store import STORE_ERRORS
@@ -28,14 +29,17 @@
 MAX_JOB_PARTS = 50_000
 # Seconds in the Retry-After header while the store does not answer.
 RETRY_AFTER_S = 0.5
+# Bytes of results that are read for one call; a page holds fewer.
+MAX_RESULTS_BYTES = 1 << 20
 
 
 class JobsApi:
     """Handles the calls of callers about jobs."""
 
-    def __init__(self, context, partitions, acceptor, bodies, runner):
+    def __init__(self, context, partitions, loader, acceptor, bodies, runner):
         self._context = context
         self._partitions = partitions
+        self._loader = loader
         self._acceptor = acceptor
         self._bodies = bodies
         self._runner = runner
@@ -125,16 +129,28 @@
     async def _results(self, state, call):
         if len(state.outcomes) <= call.position and not state.finished:
             await self._wait_for_result(state, call)
-        results = [
+        results = await self._load(self._read_results(state, call.position))
+        page = self._context.dialect.encode_results(state.total, call.position, results)
+        return web.Response(body=page, content_type="application/json")
+
+    async def _read_results(self, state, position):
+        items = await self._loader.items(state)
+        results = await self._loader.results(state, position, MAX_RESULTS_BYTES)
+        return [
             ItemResult(
-                state.items[outcome.index].item_id,
+                items[outcome.index].item_id,
                 outcome.state == ItemState.COMPLETED,
-                outcome.text,
+                text,
             )
-            for outcome in state.outcomes[call.position :]
+            for outcome, text in results
         ]
-        page = self._context.dialect.encode_results(state.total, call.position, results)
-        return web.Response(body=page, content_type="application/json")
+
+    async def _load(self, reading):
+        """Return what is read; raise RequestFailed if the store fails."""
+        try:
+            return await reading
+        except STORE_ERRORS as error:
+            raise self._store_unavailable(error) from error
 
     async def _wait_for_result(self, state, call):
         clock = self._context.clock
@@ -151,7 +167,8 @@
                 return
 
     async def _item_body(self, state, call):
-        index = state.index_of(call.item_id)
+        items = await self._load(self._loader.items(state))
+        index = find_index(items, call.item_id)
         if index is None or state.cancelled:
             raise UserError("item does not exist", code="no_item", http_status=404)
         try:
--- a/galenascale/gateway/jobs/bodies.py
+++ b/galenascale/gateway/jobs/bodies.py
@@ -10,9 +10,10 @@
     # Size of the cache in bytes.
     MAX_CACHED_BYTES = 16 << 20
 
-    def __init__(self, context, partitions):
+    def __init__(self, context, partitions, loader):
         self._context = context
         self._partitions = partitions
+        self._loader = loader
         self._cached = {}
         self._cached_bytes = 0
 
@@ -46,7 +47,7 @@
         key = (state.job_id, index)
         if key in self._cached:
             return self._cached[key]
-        item = state.items[index]
+        item = (await self._loader.items(state))[index]
         number = self._partitions.for_job(state.job_id).number
         pieces = PieceRange(
             state.job.bodies_offset + item.first_record, item.records, item.body_bytes
--- a/galenascale/gateway/jobs/partitions.py
+++ b/galenascale/gateway/jobs/partitions.py
@@ -16,7 +16,7 @@
 from galenascale.gateway.jobs.state import PartitionState
 from galenascale.generated.gateway_messages import JobRecord
 from galenascale.hashing import shard_of
-from galenascale.store import STORE_ERRORS, PartitionTrimmed
+from galenascale.store import STORE_ERRORS, PartitionTrimmed, StoreUnavailable
 
 JOBS_TOPIC = "jobs"
 QUOTAS_TOPIC = "quotas"
@@ -127,6 +127,23 @@
             return None
         return insert_body(data, body)
 
+    async def read_record(self, offset):
+        """
+        Return the bytes of one record with its body.
+
+        Raise PartitionTrimmed if it is deleted, and the errors of the store.
+        """
+        result = await self._context.job_store.read(
+            self.topic, self.number, offset, max_kb=1
+        )
+        if not result.records:
+            raise StoreUnavailable("store has no such record", step="read_record")
+        _, data = result.records[0]
+        pieces = find_pieces(data)
+        if pieces is None:
+            return data
+        return insert_body(data, await read_pieces(self._context, self.number, pieces))
+
     def _drop_expired(self):
         retention_s = self._context.settings.bounds.job_retention_s + EXTRA_RETENTION_S
         now_ms = self._context.clock.wall_ms()
@@ -134,7 +151,7 @@
 
     def _apply(self, offset, record):
         try:
-            self.state.apply(record)
+            self.state.apply(record, offset)
         except DecodeError as error:
             self._log_broken(offset, error.message)
 
@@ -178,8 +195,9 @@
 class Partitions:
     """All partitions of the jobs topic, created on first use."""
 
-    def __init__(self, context):
+    def __init__(self, context, memory=None):
         self._context = context
+        self._memory = memory
         self._count = context.settings.store.partitions
         self._by_number = {}
 
@@ -191,6 +209,6 @@
         """Return a partition by its number."""
         if number not in self._by_number:
             self._by_number[number] = Partition(
-                self._context, JOBS_TOPIC, number, PartitionState()
+                self._context, JOBS_TOPIC, number, PartitionState(self._memory)
             )
         return self._by_number[number]
--- a/galenascale/gateway/jobs/quota_state.py
+++ b/galenascale/gateway/jobs/quota_state.py
@@ -45,7 +45,7 @@
         """Return True if tokens fit below a limit; 0 means no limit."""
         return limit == 0 or self.total + tokens <= limit
 
-    def apply(self, data):
+    def apply(self, data, _offset=0):
         """
         Apply the bytes of one record.
 
--- a/galenascale/gateway/jobs/stored_items.py
+++ b/galenascale/gateway/jobs/stored_items.py
@@ -3,6 +3,9 @@
 import attrs
 import orjson
 
+# Memory in bytes of a StoredItem beside its texts.
+ITEM_BYTES = 400
+
 
 @attrs.define
 class StoredItem:
@@ -54,3 +57,18 @@
             )
         )
     return tuple(packed)
+
+
+def packed_size(items):
+    """Return the memory of StoredItems in bytes, of shared headers once."""
+    blocks = {item.header_block for item in items}
+    texts = sum(len(item.item_id) + len(item.path) for item in items)
+    return len(items) * ITEM_BYTES + texts + sum(map(len, blocks))
+
+
+def find_index(items, item_id):
+    """Return the index of the StoredItem with an id, or None."""
+    for index, item in enumerate(items):
+        if item.item_id == item_id:
+            return index
+    return None
--- a/galenascale/gateway/jobs/takeover.py
+++ b/galenascale/gateway/jobs/takeover.py
@@ -13,13 +13,18 @@
 # Seconds after which a job is taken over although its host is alive, if that
 # host does not list it as running: it may not know that the job is its own.
 STALL_TIMEOUT_S = 2.5
+# Outcome of a claim that is in the store.
+CLAIMED = "claimed"
 
 
 class Takeover:
     """Scans the partitions assigned to this host for abandoned jobs."""
 
-    def __init__(self, context, partitions, group_membership, started_ms, follow_until):
+    def __init__(
+        self, context, partitions, loader, group_membership, started_ms, follow_until
+    ):
         self._context = context
+        self._loader = loader
         self._partitions = partitions
         self._group_membership = group_membership
         self._started_ms = started_ms
@@ -32,7 +37,12 @@
         self._scanned_at = float("-inf")
 
     def claim_abandoned(self, group):
-        """Start a claim of each abandoned job in a task group."""
+        """
+        Start a claim of each abandoned job in a task group.
+
+        Those for which there is no room wait until other jobs are finished, or
+        for another host.
+        """
         now = self._context.clock.monotonic()
         if now - self._scanned_at < SCAN_INTERVAL_S:
             return
@@ -40,7 +50,10 @@
         for number in self._group_membership.partitions:
             partition = self._partitions.get(number)
             for state in partition.state.jobs_by_id.values():
-                if state.job_id not in self._claiming and self._is_abandoned(state):
+                if state.job_id in self._claiming or not self._is_abandoned(state):
+                    continue
+                if self._context.job_memory.has_room(state.loaded_size()):
+                    self._context.job_memory.reserve(state)
                     self._claiming.add(state.job_id)
                     group.create_task(self._claim(partition, state))
 
@@ -71,12 +84,15 @@
 
     async def _claim(self, partition, state):
         previous_runner = state.runner
+        outcome = ""
         try:
             outcome = await self._try_claim(partition, state)
         except STORE_ERRORS as error:
             outcome = str(error)
         finally:
             self._claiming.discard(state.job_id)
+            if outcome != CLAIMED:
+                self._context.job_memory.release(state)
         self._context.log.write(
             "job_claim",
             job=state.job_id,
@@ -91,6 +107,7 @@
         await partition.refresh()
         if not self._is_abandoned(state):
             return "not abandoned"
+        await self._loader.items(state)
         claim = JobClaim(
             runner=self._context.settings.host_id, runner_started_ms=self._started_ms
         )
@@ -98,4 +115,4 @@
             encode_record(JobRecordKind.CLAIM, state.job_id, claim)
         )
         self._follow_until(state.job_id, offset)
-        return "claimed"
+        return CLAIMED
--- a/test/gateway/test_quota_state.py
+++ b/test/gateway/test_quota_state.py
@@ -216,7 +216,7 @@
         job_id, tokens = job
         if job_id in self.quota.open_jobs_by_id:
             items = [JobItem(tokens=count) for count in tokens]
-            self.jobs_by_id[job_id] = JobState(job_id, Job(items=items), "a", 1)
+            self.jobs_by_id[job_id] = JobState.from_job(job_id, Job(items=items))
             assert self.true_total() <= LIMIT
         return job_id
 
--- a/test/soak/gateway_process.py
+++ b/test/soak/gateway_process.py
@@ -56,9 +56,9 @@
 def _drop_last_outcomes():
     apply_outcomes = state._APPLY_BY_KIND[state.JobRecordKind.OUTCOMES]
 
-    def apply_all_but_last(job, body):
+    def apply_all_but_last(job, body, offset):
         if len(job.outcomes) < job.total - 1:
-            apply_outcomes(job, body)
+            apply_outcomes(job, body, offset)
 
     state._APPLY_BY_KIND[state.JobRecordKind.OUTCOMES] = apply_all_but_last
 
