--- a/galenascale/gateway/jobs/runner.py
+++ b/galenascale/gateway/jobs/runner.py
@@ -14,7 +14,8 @@
     OpenItem,
 )
 from galenascale.gateway.jobs.outcomes import RunResultHandler
-from galenascale.gateway.jobs.partitions import RETRY_INTERVAL_S, retry_until
+from galenascale.gateway.jobs.own_jobs import OwnJobs, choose_jobs
+from galenascale.gateway.jobs.partitions import retry_until
 from galenascale.gateway.jobs.progress import record_all
 from galenascale.gateway.jobs.scheduler import ItemScheduler
 from galenascale.gateway.jobs.service_choice import allows, choose_service
@@ -28,8 +29,6 @@
 # there are none.
 BUSY_TICK_S = 0.05
 IDLE_TICK_S = 0.5
-# Open items from which on no further jobs are opened.
-MAX_OPEN_ITEMS = 4000
 # What the result of a run says about its server. A failed run is not listed,
 # as the item itself may be the cause.
 SLOT_OUTCOMES = {
@@ -54,11 +53,7 @@
     ):
         self._context = context
         self._partitions = partitions
-        self._loader = loader
-        # Ids of the open jobs that this host runs, and of those that are being
-        # loaded.
-        self._own_ids = set()
-        self._loading = set()
+        self._own_jobs = OwnJobs(context, partitions, loader, started_ms, self.wake)
         self._bodies = bodies
         self._result_handler = RunResultHandler(context, recorder)
         self._group_membership = group_membership
@@ -95,7 +90,7 @@
         # An earlier call may have ended with an exception, which cancels all
         # its tasks.
         self._followers.clear()
-        self._loading.clear()
+        self._own_jobs.clear()
         for item in self._items_by_key.values():
             item.clear_run()
         async with asyncio.TaskGroup() as group:
@@ -110,7 +105,7 @@
     def _tick(self, group):
         needed = set() if self.stopping else self._needed_partitions()
         self._followers.follow(group, needed)
-        self._sync_items()
+        self._sync_items(group)
         break_off_excess_runs(self._context, self._items_by_key.values())
         self._followers.drop_read_offsets()
         if not self.stopping:
@@ -129,72 +124,28 @@
     def _needed_partitions(self):
         needed = set(self._group_membership.partitions)
         needed.update(
-            self._partitions.for_job(job_id).number for job_id in self._own_ids
+            self._partitions.for_job(job_id).number for job_id in self._own_jobs.ids
         )
         return needed
 
-    def _sync_items(self):
+    def _sync_items(self, group):
         """Update the open items to the state of the followed partitions."""
-        own_jobs = list(self._own_open_jobs())
-        self._own_ids = {state.job_id for state in own_jobs}
+        own_jobs = self._own_jobs.find(self._followers.followed_numbers())
+        opened_ids = {job_id for job_id, _ in self._items_by_key}
         wanted = set()
-        for state in self._jobs_to_open(own_jobs):
+        for state in choose_jobs(own_jobs, opened_ids):
             if state.items is None:
-                self._load(state)
+                self._own_jobs.load(group, state)
             else:
                 wanted.update((state.job_id, i) for i in state.open_indexes())
         for key in self._items_by_key.keys() - wanted:
             self._drop_item(key)
-        self._context.load.active_jobs = set(map(job_key, self._own_ids))
+        self._context.load.active_jobs = set(map(job_key, self._own_jobs.ids))
         for job_id, index in wanted - self._items_by_key.keys():
             state = self._partitions.for_job(job_id).state.jobs_by_id[job_id]
             if not self.stopping:
                 self._items_by_key[job_id, index] = self._open_item(state, index)
 
-    def _own_open_jobs(self):
-        """Yield the JobStates of open jobs that this host runs."""
-        host_id = self._context.settings.host_id
-        for number in self._followers.followed_numbers():
-            jobs_by_id = self._partitions.get(number).state.jobs_by_id
-            for state in jobs_by_id.values():
-                if state.is_open and state.is_run_by(host_id, self._started_ms):
-                    yield state
-
-    def _jobs_to_open(self, own_jobs):
-        """
-        Return the jobs of which items may run now, at least one.
-
-        Each round looks at all open items, so further jobs wait until these
-        have fewer; those that are due first come first.
-        """
-        opened = {job_id for job_id, _ in self._items_by_key}
-        jobs = [state for state in own_jobs if state.job_id in opened]
-        count = sum(state.total - len(state.outcomes) for state in jobs)
-        waiting = [state for state in own_jobs if state.job_id not in opened]
-        waiting.sort(key=lambda state: state.job.accepted_ms + state.job.due_ms)
-        for state in waiting:
-            if jobs and count >= MAX_OPEN_ITEMS:
-                break
-            jobs.append(state)
-            count += state.total - len(state.outcomes)
-        return jobs
-
-    def _load(self, state):
-        """Load the items of a job, unless that is being done."""
-        if state.job_id not in self._loading and self._group is not None:
-            self._loading.add(state.job_id)
-            self._group.create_task(self._load_items(state))
-
-    async def _load_items(self, state):
-        try:
-            await self._loader.items(state)
-        except STORE_ERRORS:
-            # The next round tries again; the loss of the store is logged.
-            await self._context.clock.sleep(RETRY_INTERVAL_S)
-        finally:
-            self._loading.discard(state.job_id)
-        self.wake()
-
     def _open_item(self, state, index):
         item = OpenItem.from_state(state, index)
         try:
--- a/galenascale/gateway/jobs/state.py
+++ b/galenascale/gateway/jobs/state.py
@@ -116,6 +116,11 @@
         """Return True if items of the job are still to be run."""
         return not self.cancelled and not self.finished
 
+    @property
+    def open_count(self):
+        """Return the number of items without an outcome."""
+        return self.total - len(self.outcomes)
+
     def is_run_by(self, host_id, started_ms):
         """Return True if a host process with this start time runs the job."""
         return self.runner == host_id and self.runner_started_ms == started_ms
--- a/test/gateway/test_job_budget.py
+++ b/test/gateway/test_job_budget.py
@@ -6,14 +6,16 @@
 """
 
 import asyncio
+import random
 
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
 from galenascale.gateway.jobs.job_memory import JobMemory
+from galenascale.gateway.jobs.own_jobs import MAX_OPEN_ITEMS, choose_jobs
 from galenascale.gateway.jobs.records import encode_record
-from galenascale.gateway.jobs.state import PartitionState
+from galenascale.gateway.jobs.state import JobState, PartitionState
 from galenascale.generated.gateway_messages import (
     ItemOutcome,
     ItemState,
@@ -184,3 +186,32 @@
         finally:
             watcher.cancel()
         assert 0 < most <= 2 * ONE_JOB_BYTES
+
+
+def make_states(counts):
+    """Return the states of jobs with so many items, due in turn."""
+    states = []
+    for number, count in enumerate(counts):
+        job = Job(items=[JobItem()] * count, accepted_ms=number, due_ms=1000)
+        states.append(JobState.from_job(f"j{number}", job))
+    return states
+
+
+@pytest.mark.parametrize(
+    ("counts", "opened", "chosen"),
+    [
+        ([10, 10], [], [0, 1]),
+        ([MAX_OPEN_ITEMS, 10, 10], [], [0]),
+        ([10, MAX_OPEN_ITEMS, 10], [], [0, 1]),
+        # What is open stays open, although another job is due before it.
+        ([10, MAX_OPEN_ITEMS], [1], [1]),
+        ([10, MAX_OPEN_ITEMS - 1, 10], [1], [0, 1]),
+        ([MAX_OPEN_ITEMS * 2], [], [0]),
+    ],
+)
+def test_jobs_are_opened_by_due_time_up_to_a_number_of_items(counts, opened, chosen):
+    """With all items open, a host looked at them all day and ran fewer."""
+    states = make_states(counts)
+    random.Random(1).shuffle(states)
+    jobs = choose_jobs(states, {f"j{number}" for number in opened})
+    assert sorted(state.job_id for state in jobs) == [f"j{n}" for n in chosen]
