--- a/galenascale/gateway/backend_connection.py
+++ b/galenascale/gateway/backend_connection.py
@@ -8,14 +8,20 @@
 
 import asyncio
 import collections
+import functools
 
 import httptools
 
 from galenascale.errors import BackendError, Execution
 from galenascale.gateway.peer_watch import PeerWatch
+from galenascale.gateway.receive_buffer import RECEIVE_BUFFER, received_parts
 from galenascale.gateway.request_sending import SendingWait, SendState
 from galenascale.gateway.response_limits import ResponseLimits
-from galenascale.gateway.response_match import ResponseMatch, match_response
+from galenascale.gateway.response_match import (
+    STATUSES_WITHOUT_BODY,
+    ResponseMatch,
+    match_response,
+)
 from galenascale.gateway.response_state import ResponseState
 from galenascale.gateway.sockets import enable_dead_peer_detection
 
@@ -26,14 +32,7 @@
 # used again: it remembers their ids.
 MAX_FAILED_IDS = 32
 STATUS_ERROR = 400
-# All connections share one receive buffer, as received bytes are parsed before
-# the event loop reads again. Parsed objects take many times the memory of the
-# bytes they come from, so the buffer is parsed in parts of MAX_PARSE_BYTES.
-_RECEIVE_BUFFER = memoryview(bytearray(1 << 16))
-MAX_PARSE_BYTES = 1 << 13
 _END_OF_RESPONSE = object()
-# Statuses of final responses without a body (RFC 9110, section 6.4.1).
-_STATUSES_WITHOUT_BODY = frozenset((204, 304))
 
 
 class BackendConnection(asyncio.BufferedProtocol):
@@ -54,9 +53,8 @@
         # Chunks of the body found in the bytes that are being parsed.
         self._body_chunks = []
         self.closed = False
-        # Ids of requests that were answered with a refusal or an error. They
-        # may be sent again, but not on this connection: a second copy of that
-        # answer would be taken for the next one.
+        # Ids of requests that got a refusal or an error. They go to other
+        # connections, as a second copy would be taken for the next answer.
         self._failed_ids = set()
         # Whether the server may answer before the kernel has sent all.
         self._is_long_request = False
@@ -78,10 +76,11 @@
     def connection_made(self, transport):
         self._transport = transport
         enable_dead_peer_detection(transport)
-        self._peer_watch = PeerWatch(asyncio.get_running_loop(), self._end_silent)
+        on_gone = functools.partial(self.fail, "server acknowledges nothing")
+        self._peer_watch = PeerWatch(asyncio.get_running_loop(), on_gone)
 
     def get_buffer(self, sizehint):
-        return _RECEIVE_BUFFER
+        return RECEIVE_BUFFER
 
     def buffer_updated(self, size):
         if self._request_id is None:
@@ -90,12 +89,12 @@
             return
         self.active_at = asyncio.get_running_loop().time()
         try:
-            for start in range(0, size, MAX_PARSE_BYTES):
-                self._parse(_RECEIVE_BUFFER[start : min(size, start + MAX_PARSE_BYTES)])
+            for part in received_parts(size):
+                self._parse(part)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
-            self._fail(f"response cannot be parsed: {error}")
+            self.fail(f"response cannot be parsed: {error}")
         except BackendError as error:
-            self._fail(error.message)
+            self.fail(error.message)
 
     def _parse(self, data):
         self._byte_limits.add_received(len(data))
@@ -111,9 +110,6 @@
         self._end_of_input(None)
         return self._sending is not None and self._request_id is not None
 
-    def _end_silent(self):
-        self._fail("server acknowledges nothing")
-
     def connection_lost(self, error):
         self._peer_watch.end()
         if self._sending is not None:
@@ -136,14 +132,14 @@
             else:
                 self._finish()
             return
-        self._fail("connection closed before the end of the response")
+        self.fail("connection closed before the end of the response")
 
     def _end_sending(self, state):
         """End a response without a length, once its request is not sent on."""
         if state is SendState.TAKEN:
             self._finish()
         else:
-            self._fail("connection was reset while the request was sent")
+            self.fail("connection was reset while the request was sent")
 
     # Parser callbacks.
 
@@ -168,7 +164,7 @@
         head = self._parse_head(status, tuple(self._response.headers))
         match = match_response(head, self._request_id, first=self.requests == 1)
         if match is ResponseMatch.SPOILED:
-            self._fail(
+            self.fail(
                 f"response with status {status} has no id or no signature",
                 code="spoiled_answer",
             )
@@ -183,7 +179,7 @@
         self.reusable = self._parser.should_keep_alive()
         self.keep_alive_s = head.keep_alive_s
         self._enqueue(head)
-        if self._method == "HEAD" or status in _STATUSES_WITHOUT_BODY:
+        if self._method == "HEAD" or status in STATUSES_WITHOUT_BODY:
             self.reusable = self.reusable and self._method != "HEAD"
             self._finish()
 
@@ -220,7 +216,8 @@
         self._enqueue_body()
         self._enqueue(_END_OF_RESPONSE)
 
-    def _fail(self, message, *, code="connection_broken"):
+    def fail(self, message, *, code="connection_broken"):
+        """Fail the request on this connection and close the connection."""
         self.reusable = False
         if self._request_id is not None:
             self._request_id = None
@@ -295,10 +292,6 @@
             and not self._transport.is_closing()
         )
 
-    def fail(self, message):
-        """Fail the request on this connection and close the connection."""
-        self._fail(message)
-
     def abort(self):
         """Close the connection at once, dropping unsent bytes."""
         self.closed = True
--- a/galenascale/gateway/jobs/item_runs.py
+++ b/galenascale/gateway/jobs/item_runs.py
@@ -70,6 +70,23 @@
     events_s: float = 0.0
 
 
+def log_item_start(context, item, server):
+    """Log that an item starts at a server."""
+    in_flight = context.load.total_at(server.server_id)
+    context.log.write(
+        "item_started",
+        job=item.state.job_id,
+        index=item.index,
+        request=item.state.items[item.index].item_id,
+        server=server.server_id,
+        online=in_flight.online,
+        batch=in_flight.batch,
+        limit=context.limits.rate_of(server),
+        resume_after=item.last_event_id,
+        due_in_s=(item.due_at_ms - context.clock.wall_ms()) / 1000,
+    )
+
+
 async def run_item(context, dispatcher, item, server, route, body):
     """
     Run an item on a server and return the RunResult.
--- a/galenascale/gateway/jobs/open_items.py
+++ b/galenascale/gateway/jobs/open_items.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from galenascale.gateway.http_heads import InvalidHead
 from galenascale.gateway.output_limits import held_size
 
 # Back-off in seconds before the next run of an item: after a refusal, and
@@ -160,3 +161,14 @@
         increment of `count`, up to MAX_BACKOFF_S. `now` is a monotonic time.
         """
         self.not_before = now + min(first_s * 2 ** max(0, count - 1), MAX_BACKOFF_S)
+
+
+def open_item(dialect, state, index):
+    """Return the OpenItem of a job, with a defect if it cannot be sent."""
+    item = OpenItem.from_state(state, index)
+    try:
+        dialect.check_item(state.items[index], state.job.host)
+    except InvalidHead as error:
+        # Another build accepted the job.
+        item.defect = error.message
+    return item
--- a/galenascale/gateway/jobs/runner.py
+++ b/galenascale/gateway/jobs/runner.py
@@ -3,15 +3,14 @@
 import asyncio
 
 from galenascale.gateway.dispatch import Dispatcher
-from galenascale.gateway.http_heads import InvalidHead
 from galenascale.gateway.jobs.followers import PartitionFollowers
 from galenascale.gateway.jobs.held_output import break_off_excess_runs
 from galenascale.gateway.jobs.item_routes import find_item_route
-from galenascale.gateway.jobs.item_runs import run_item
+from galenascale.gateway.jobs.item_runs import log_item_start, run_item
 from galenascale.gateway.jobs.open_items import (
     FAILED_BACKOFF_S,
     REFUSED_BACKOFF_S,
-    OpenItem,
+    open_item,
 )
 from galenascale.gateway.jobs.outcomes import RunResultHandler
 from galenascale.gateway.jobs.own_jobs import OwnJobs, choose_jobs
@@ -144,16 +143,9 @@
         for job_id, index in wanted - self._items_by_key.keys():
             state = self._partitions.for_job(job_id).state.jobs_by_id[job_id]
             if not self.stopping:
-                self._items_by_key[job_id, index] = self._open_item(state, index)
-
-    def _open_item(self, state, index):
-        item = OpenItem.from_state(state, index)
-        try:
-            self._context.dialect.check_item(state.items[index], state.job.host)
-        except InvalidHead as error:
-            # Another build accepted the job.
-            item.defect = error.message
-        return item
+                self._items_by_key[job_id, index] = open_item(
+                    self._context.dialect, state, index
+                )
 
     def _drop_item(self, key):
         item = self._items_by_key.pop(key)
@@ -196,21 +188,6 @@
             self._context.configuration, state.job.host, state.items[item.index].path
         )
 
-    def _log_start(self, item, server):
-        in_flight = self._context.load.total_at(server.server_id)
-        self._context.log.write(
-            "item_started",
-            job=item.state.job_id,
-            index=item.index,
-            request=item.state.items[item.index].item_id,
-            server=server.server_id,
-            online=in_flight.online,
-            batch=in_flight.batch,
-            limit=self._context.limits.rate_of(server),
-            resume_after=item.last_event_id,
-            due_in_s=(item.due_at_ms - self._context.clock.wall_ms()) / 1000,
-        )
-
     def _start(self, item, server, lease):
         """Start an item in a granted slot, if its route still allows it."""
         # The configuration may be newer than the request for the slot.
@@ -221,7 +198,7 @@
         item.server = server
         item.lease = lease
         lease.on_preempt = lambda _: self._preempt(item)
-        self._log_start(item, server)
+        log_item_start(self._context, item, server)
         item.task = self._group.create_task(self._run(item, server, route))
         # A callback, not `finally`: a task that is cancelled before its first
         # step runs none of its code.
--- a/galenascale/gateway/response_match.py
+++ b/galenascale/gateway/response_match.py
@@ -9,6 +9,8 @@
 
 # Statuses of final responses (RFC 9110, section 15).
 FINAL_STATUSES = range(200, 600)
+# Those without a body (RFC 9110, section 6.4.1).
+STATUSES_WITHOUT_BODY = frozenset((204, 304))
 
 
 class ResponseMatch(enum.Enum):
