Insert bodies into records in one place

Cause: Partition.read_record wrote again how a record whose body is in other records is completed, and JobsApi._item_body wrote again how an error of the store becomes an answer, beside _load.

Change: both reads of a partition call _insert_body; the one that follows the log also catches what is missing. _item_body calls _load.

--- a/galenascale/gateway/jobs/api.py
+++ b/galenascale/gateway/jobs/api.py
@@ -171,10 +171,7 @@
         index = find_index(items, call.item_id)
         if index is None or state.cancelled:
             raise UserError("item does not exist", code="no_item", http_status=404)
-        try:
-            body = await self._retry(lambda: self._bodies.read(state, index))
-        except STORE_ERRORS as error:
-            raise self._store_unavailable(error) from error
+        body = await self._load(self._retry(lambda: self._bodies.read(state, index)))
         return web.Response(body=body, content_type="application/octet-stream")
 
     async def _cancel(self, state, _):
--- a/galenascale/gateway/jobs/partitions.py
+++ b/galenascale/gateway/jobs/partitions.py
@@ -101,7 +101,7 @@
         for offset, data in result.records:
             if offset < self._position:
                 continue
-            record = await self._with_body(offset, data)
+            record = await self._try_insert_body(offset, data)
             # Meanwhile another call may have read on.
             if offset >= self._position:
                 self._position = offset + 1
@@ -111,21 +111,20 @@
         if self._position >= result.next_offset:
             self._caught_up_at = max(self._caught_up_at, started_at)
 
-    async def _with_body(self, offset, data):
-        """
-        Return a record with its body, if that is in other records.
-
-        Return None if they do not exist; raise the errors of the store.
-        """
-        pieces = find_pieces(data) if self.topic == JOBS_TOPIC else None
-        if pieces is None:
-            return data
+    async def _try_insert_body(self, offset, data):
+        """Return a whole record, or None if its body does not exist."""
         try:
-            body = await read_pieces(self._context, self.number, pieces)
+            return await self._insert_body(data)
         except (PartitionTrimmed, PiecesMissing) as error:
             self._log_broken(offset, error.message)
             return None
-        return insert_body(data, body)
+
+    async def _insert_body(self, data):
+        """Return a record with its body, also if that is in other records."""
+        pieces = find_pieces(data) if self.topic == JOBS_TOPIC else None
+        if pieces is None:
+            return data
+        return insert_body(data, await read_pieces(self._context, self.number, pieces))
 
     async def read_record(self, offset):
         """
@@ -139,10 +138,7 @@
         if not result.records:
             raise StoreUnavailable("store has no such record", step="read_record")
         _, data = result.records[0]
-        pieces = find_pieces(data)
-        if pieces is None:
-            return data
-        return insert_body(data, await read_pieces(self._context, self.number, pieces))
+        return await self._insert_body(data)
 
     def _drop_expired(self):
         retention_s = self._context.settings.bounds.job_retention_s + EXTRA_RETENTION_S
