Leave a Job as it is when its state is made

Cause: JobState.from_job emptied the items of the Job that it was given, so the acceptance had to copy a job only to learn its size. JobMemory counted a state in two ways, and the takeover wrote JobState.is_open again.

Change: from_job copies the Job without its items; JobMemory counts in _count; the takeover asks is_open. No behaviour changes.

--- a/galenascale/gateway/jobs/acceptance.py
+++ b/galenascale/gateway/jobs/acceptance.py
@@ -1,7 +1,5 @@
 """Acceptance of submitted jobs: a job is stored before it is acknowledged."""
 
-import attrs
-
 from galenascale.errors import Execution, GalenascaleError
 from galenascale.gateway.attempts import may_have_run_error, not_run_error
 from galenascale.gateway.jobs.item_routes import check_item_routes
@@ -127,8 +125,8 @@
 
     def _check_memory(self, job):
         """Raise RequestFailed if there is no room for the job on this host."""
-        state = JobState.from_job("", attrs.evolve(job))
-        if not self._context.job_memory.has_room(state.size()):
+        size = JobState.from_job("", job).size()
+        if not self._context.job_memory.has_room(size):
             raise not_run_error(
                 "memory for accepted jobs is used up",
                 code="job_memory_full",
--- a/galenascale/gateway/jobs/job_memory.py
+++ b/galenascale/gateway/jobs/job_memory.py
@@ -58,19 +58,23 @@
     def update(self, state):
         """Count a JobState as it is now, and unload others if need be."""
         self.remove(state)
-        size = state.size()
-        self._bytes_by_id[state.job_id] = size
-        self.held_bytes += size
+        self._count(state)
         is_own = state.is_run_by(self._host_id, self._started_ms)
         if is_own or not state.is_open:
             self.release(state)
         if is_own and state.is_open:
-            self._needed_by_id[state.job_id] = size
-            self.needed_bytes += size
+            self._needed_by_id[state.job_id] = self._bytes_by_id[state.job_id]
+            self.needed_bytes += self._needed_by_id[state.job_id]
         elif state.is_loaded:
             self._idle_by_id[state.job_id] = state
         self._unload_idle(state)
 
+    def _count(self, state):
+        """Count the memory that a JobState takes now in place of before."""
+        size = state.size()
+        self.held_bytes += size - self._bytes_by_id.get(state.job_id, 0)
+        self._bytes_by_id[state.job_id] = size
+
     def remove(self, state):
         """Stop to count a JobState."""
         self.held_bytes -= self._bytes_by_id.pop(state.job_id, 0)
@@ -85,6 +89,4 @@
                 return
             del self._idle_by_id[job_id]
             state.unload()
-            size = state.size()
-            self.held_bytes += size - self._bytes_by_id[job_id]
-            self._bytes_by_id[job_id] = size
+            self._count(state)
--- a/galenascale/gateway/jobs/state.py
+++ b/galenascale/gateway/jobs/state.py
@@ -72,12 +72,11 @@
 
     @classmethod
     def from_job(cls, job_id, job, offset=0):
-        """Return the state of a Job, which is left without its items."""
+        """Return the state of a Job."""
         items = pack_items(job.items)
-        job.items = []
         return cls(
             job_id,
-            job,
+            attrs.evolve(job, items=[]),
             array.array("q", [item.tokens for item in items]),
             items,
             job.runner,
--- a/galenascale/gateway/jobs/takeover.py
+++ b/galenascale/gateway/jobs/takeover.py
@@ -58,7 +58,7 @@
                     group.create_task(self._claim(partition, state))
 
     def _is_abandoned(self, state):
-        if state.cancelled or state.finished:
+        if not state.is_open:
             return False
         host_id = self._context.settings.host_id
         if state.is_run_by(host_id, self._started_ms):
