Check the values of an item's headers once when its head is built

Cause: build_item_headers checks each value as it encodes it, and called check_field, which checks it a second time, for the sake of the name. It runs for each item of a job at submission, when it is opened and at each run.

Change: check_name checks the name alone; check_field, with which the head is written, calls it. Errors and what is refused stay the same.

Result: the generated text and the refused items of test_http_heads.py, whole hosts and the platform's formats pass as before.

--- a/galenascale/gateway/http_heads.py
+++ b/galenascale/gateway/http_heads.py
@@ -72,10 +72,15 @@
     return target.encode()
 
 
-def check_field(name, value):
-    """Raise InvalidHead if a field, given as bytes, cannot be written."""
+def check_name(name):
+    """Raise InvalidHead for bytes that are no field name."""
     if _TOKEN.fullmatch(name) is None:
         raise InvalidHead("field name", name)
+
+
+def check_field(name, value):
+    """Raise InvalidHead if a field, given as bytes, cannot be written."""
+    check_name(name)
     if _VALUE.fullmatch(value) is None:
         raise InvalidHead(f"field {name.decode()}", value)
 
--- a/galenascale/platform/headers.py
+++ b/galenascale/platform/headers.py
@@ -7,7 +7,7 @@
     CONNECTION_FIELDS,
     LENGTH_FIELD,
     InvalidHead,
-    check_field,
+    check_name,
     encode_target,
     encode_text,
     encode_value,
@@ -220,7 +220,7 @@
             encode_text("name of a header", name),
             encode_value(f"value of header {name!r}", value),
         )
-        check_field(*header)
+        check_name(header[0])
         key = header[0].lower()
         if key in _NOT_OF_ITEMS:
             raise InvalidHead("header", name)
