Log which answers callers had not taken, and who ended their connections

A stopping host logged how many requests it cut off, but neither how many answers were untaken, how many bytes waited in the process and in the kernel, nor why a connection ended.

Change: the send queues are read in one module; `answer_cut` lines and the metric `cut_answers` name the reason (silent, unread, memory, lost) and both counts of bytes; a stop logs its connections and untaken bytes as the listener closes and at its end. No decision changes.

--- a/galenascale/gateway/bounded_connection.py
+++ b/galenascale/gateway/bounded_connection.py
@@ -5,7 +5,9 @@
 from galenascale.gateway import responses
 from galenascale.gateway.attempts import not_run_error
 from galenascale.gateway.caller_memory import HeldMemory
+from galenascale.gateway.limit_log import CutAnswer, CutReason
 from galenascale.gateway.peer_watch import PeerWatch, let_drain
+from galenascale.gateway.send_queue import UntakenBytes, read_untaken
 from galenascale.gateway.unread_answer import UnreadAnswer
 
 # Most bytes of one receive call, and so of what follows a request before
@@ -28,16 +30,18 @@
     HTTP connection whose caller holds a counted part of the memory.
 
     `on_limit` is called with the name of a limit that the caller met, and
-    this connection. `encode_refusal` returns the bytes of the response for a
-    GalenascaleError.
+    this connection; `on_cut` with the CutAnswer of a caller that did not take
+    all, and this connection. `encode_refusal` returns the bytes of the
+    response for a GalenascaleError.
     """
 
     __slots__ = (
         "held",
+        "_cut",
         "_encode_refusal",
-        "_is_aborted",
         "_limits",
         "_memory",
+        "_on_cut",
         "_on_limit",
         "_open_transport",
         "_peer_watch",
@@ -52,6 +56,7 @@
         limits,
         memory,
         on_limit,
+        on_cut=lambda cut, connection: None,
         encode_refusal=responses.encode_refusal,
         **options,
     ):
@@ -68,17 +73,18 @@
         self._limits = limits
         self._memory = memory
         self._on_limit = on_limit
+        self._on_cut = on_cut
         self._encode_refusal = encode_refusal
         now = self._loop.time()
         self.held = HeldMemory(now, now, self.force_close)
         self._unread = UnreadAnswer(
             self._loop, memory, self.held, self._abort_unread_answer
         )
-        self._peer_watch = PeerWatch(self._loop, self._abort)
+        self._peer_watch = PeerWatch(self._loop, lambda: self._abort(CutReason.SILENT))
         # The transport, also after the library has closed it.
         self._open_transport = None
-        # Whether the rest of an answer is dropped.
-        self._is_aborted = False
+        # CutAnswer of a connection that drops the rest of an answer, or None.
+        self._cut = None
         self._timer = None
 
     @property
@@ -98,13 +104,24 @@
     def connection_lost(self, exc):
         self._stop_timer()
         self._peer_watch.end()
-        if exc is None and not self._is_aborted:
+        if self._cut is None:
+            self._find_cut(exc)
+        if self._cut is not None:
+            self._on_cut(self._cut, self)
+        elif exc is None:
             let_drain(self._open_transport)
         self._unread.end()
         self.held.evicted = True
         self._memory.release(self.held)
         super().connection_lost(exc)
 
+    def _find_cut(self, exc):
+        """Note the rest of an answer that the transport has dropped."""
+        unsent = self._unread.unsent_bytes
+        if unsent:
+            kernel = read_untaken(self._open_transport).kernel
+            self._cut = CutAnswer(CutReason.LOST, UntakenBytes(unsent, kernel))
+
     # Memory.
 
     def hold(self, count):
@@ -144,11 +161,11 @@
 
     def _give_way_unread(self):
         self._on_limit("caller_memory", self)
-        self._abort()
+        self._abort(CutReason.MEMORY)
 
     def _abort_unread_answer(self):
         self._on_limit("unread_answer", self)
-        self._abort()
+        self._abort(CutReason.UNREAD)
 
     # Closing.
 
@@ -163,12 +180,19 @@
         transport = self.transport
         super().force_close()
         if transport is not None and transport.get_write_buffer_size():
-            self._loop.call_later(CLOSE_TIMEOUT_S, self._abort)
+            self._loop.call_later(CLOSE_TIMEOUT_S, self._abort, CutReason.UNREAD)
 
-    def _abort(self):
-        self._is_aborted = True
+    def _abort(self, reason):
+        """Drop what the caller has not taken."""
+        if self._cut is None:
+            self._cut = CutAnswer(reason, self.untaken)
         self._open_transport.abort()
 
+    @property
+    def untaken(self):
+        """Return the UntakenBytes of the connection."""
+        return read_untaken(self._open_transport)
+
     def _close_after(self, delay_s):
         self._stop_timer()
         self._timer = self._loop.call_later(delay_s, self.force_close)
--- a/galenascale/gateway/host_listeners.py
+++ b/galenascale/gateway/host_listeners.py
@@ -69,22 +69,28 @@
     `internal` are the InternalHandlers. Raise OSError if listening fails.
     """
     limits = ConnectionLimits.from_config(context.settings)
-    on_limit = LimitLog(context.log, context.clock, context.metrics).record
-    await _listen_internally(stack, context.settings, internal, limits, on_limit)
+    limit_log = LimitLog(context.log, context.clock, context.metrics)
+    await _listen_internally(stack, context.settings, internal, limits, limit_log)
 
     server = CallerServer(
         handle_caller,
         lambda: context.configuration.caller_limits,
-        ListenerBudget(context.caller_memory, limits.callers, on_limit),
+        _make_budget(context.caller_memory, limits.callers, limit_log),
     )
     address = context.settings.caller_listen
     return server, await listen(stack, server, address, limits.backlog)
 
 
-async def _listen_internally(stack, settings, internal, limits, on_limit):
+def _make_budget(memory, max_connections, limit_log):
+    return ListenerBudget(
+        memory, max_connections, limit_log.record, limit_log.record_cut
+    )
+
+
+async def _listen_internally(stack, settings, internal, limits, limit_log):
     """Listen for others than callers; they have a memory of their own."""
     memory = CallerMemory.from_config(settings)
-    budget = ListenerBudget(memory, limits.internal, on_limit)
+    budget = _make_budget(memory, limits.internal, limit_log)
     handlers_by_address = {
         settings.ready_listen: internal.handle_ready,
         settings.peer_listen: internal.handle_peer,
--- a/galenascale/gateway/listeners.py
+++ b/galenascale/gateway/listeners.py
@@ -28,6 +28,8 @@
     max_connections: int
     # Called with the name of a limit that a caller met, and its connection.
     on_limit: object
+    # Called with the CutAnswer of a caller, and its connection.
+    on_cut: object = lambda cut, connection: None
 
 
 class CallerServer(web.Server):
@@ -51,6 +53,7 @@
             limits=self._limits(),
             memory=self._budget.memory,
             on_limit=self._budget.on_limit,
+            on_cut=self._budget.on_cut,
             auto_decompress=False,
             logger=_MUTED_LOGGER,
         )
@@ -80,6 +83,11 @@
             )
         )
 
+    def untaken_answers(self):
+        """Return the UntakenBytes of the connections that have any."""
+        states = [connection.untaken for connection in self.connections]
+        return [state for state in states if state.total]
+
     def close_idle(self):
         """
         Close the connections on which no request is being handled.
--- a/galenascale/gateway/metrics.py
+++ b/galenascale/gateway/metrics.py
@@ -65,6 +65,11 @@
             "Requests refused or closed by a limit on callers, by limit.",
             ("limit",),
         )
+        self.cut_answers = self._counter(
+            "cut_answers",
+            "Connections that ended before their answers were taken, by reason.",
+            ("reason",),
+        )
         self.caller_body_bytes = self._gauge(
             "caller_body_bytes", "Memory that callers make the host hold."
         )
--- a/galenascale/gateway/peer_watch.py
+++ b/galenascale/gateway/peer_watch.py
@@ -8,13 +8,12 @@
 """
 
 import contextlib
-import fcntl
 import socket
 import struct
-import termios
 
 import attrs
 
+from galenascale.gateway.send_queue import unacknowledged_bytes, untaken_bytes
 from galenascale.gateway.sockets import USER_TIMEOUT_MS
 
 # Seconds after a write at which bytes that wait are noticed; well before the
@@ -31,7 +30,6 @@
 # Retransmits and probes in struct tcp_info (linux/tcp.h), and milliseconds
 # since the last acknowledgement.
 _TCP_INFO = struct.Struct("=2xBB52xI")
-_QUEUE_SIZE = struct.Struct("i")
 
 
 @attrs.frozen
@@ -44,20 +42,6 @@
     silent_s: float
 
 
-def unacknowledged_bytes(sock):
-    """Return the bytes in the send queue of the kernel, 0 if it is unknown."""
-    queued = _QUEUE_SIZE.pack(0)
-    with contextlib.suppress(OSError, ValueError):
-        queued = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, queued)
-    return _QUEUE_SIZE.unpack(queued)[0]
-
-
-def untaken_bytes(transport):
-    """Return the bytes written to a transport that its peer has not taken."""
-    sock = transport.get_extra_info("socket")
-    return transport.get_write_buffer_size() + unacknowledged_bytes(sock)
-
-
 def read_ack_state(sock):
     """Return the AckState of a socket, or None if the kernel tells none."""
     try:
--- a/galenascale/gateway/request_sending.py
+++ b/galenascale/gateway/request_sending.py
@@ -11,7 +11,7 @@
 import enum
 import socket
 
-from galenascale.gateway.peer_watch import untaken_bytes
+from galenascale.gateway.send_queue import untaken_bytes
 
 # Seconds between two looks at a request that is still being taken.
 CHECK_INTERVAL_S = 0.02
--- a/galenascale/gateway/stopping.py
+++ b/galenascale/gateway/stopping.py
@@ -68,6 +68,7 @@
         hand_over = asyncio.ensure_future(self._hand_over(end_at))
         await asyncio.sleep(min(ACCEPT_PERIOD_S, grace_s / 2))
         self.caller_listener.close()
+        self._log_state("stop_listener_closed")
         while clock.monotonic() < end_at:
             # Connections that were accepted last appear later, and requests
             # that were read last are not in flight yet.
@@ -79,12 +80,24 @@
         # This host announces that it leaves even if the jobs could not be
         # handed over.
         self.discovery.leave()
-        self.context.log.write(
+        self._log_state(
             "stopped",
             elapsed_s=round(clock.monotonic() - began_at, 3),
             cut_off=self.request_handler.in_flight,
         )
 
+    def _log_state(self, event, **fields):
+        """Log a step of the stop, and what callers have not taken yet."""
+        untaken = self.caller_server.untaken_answers()
+        self.context.log.write(
+            event,
+            **fields,
+            connections=len(self.caller_server.connections),
+            untaken_answers=len(untaken),
+            process_bytes=sum(each.process for each in untaken),
+            kernel_bytes=sum(each.kernel or 0 for each in untaken),
+        )
+
     async def _hand_over(self, end_at):
         jobs = await self.runner.hand_over(end_at - HAND_OVER_MARGIN_S)
         # Announce leaving only now: the progress of the jobs is recorded, so
--- a/galenascale/gateway/unread_answer.py
+++ b/galenascale/gateway/unread_answer.py
@@ -1,6 +1,6 @@
 """The part of an answer that a caller has not taken yet."""
 
-from galenascale.gateway.peer_watch import untaken_bytes
+from galenascale.gateway.send_queue import untaken_bytes
 
 # Seconds between two checks whether an answer is being taken.
 CHECK_INTERVAL_S = 1.0
@@ -31,6 +31,11 @@
         self._unsent_bytes = 0
         self._untaken_bytes = 0
 
+    @property
+    def unsent_bytes(self):
+        """Return the bytes that the process held at the last count."""
+        return self._unsent_bytes
+
     def begin(self, transport, on_evict):
         """Begin to watch a transport that holds unsent bytes."""
         self._transport = transport
--- a/test/gateway/test_caller_connection.py
+++ b/test/gateway/test_caller_connection.py
@@ -33,7 +33,10 @@
     port: int = 0
     memory: CallerMemory = attrs.field(factory=lambda: CallerMemory(MEGABYTE))
     met_limits: list = attrs.field(factory=list)
+    # CutAnswers of callers that did not take all.
+    cuts: list = attrs.field(factory=list)
     bodies: list = attrs.field(factory=list)
+    server: object = None
     # Set to let requests to /wait end.
     released: asyncio.Event = attrs.field(factory=asyncio.Event)
 
@@ -47,6 +50,11 @@
             return web.Response(body=bytes(32 * MEGABYTE))
         return web.Response(body=request.path.encode() + b" " + body)
 
+    @property
+    def connections(self):
+        """Return the open connections."""
+        return self.server.connections
+
     async def connect(self):
         """Return the (reader, writer) of a new connection."""
         return await asyncio.open_connection("127.0.0.1", self.port)
@@ -60,9 +68,11 @@
         listener.memory,
         max_connections,
         lambda limit, connection: listener.met_limits.append(limit),
+        lambda cut, connection: listener.cuts.append(cut),
     )
     async with contextlib.AsyncExitStack() as stack:
         server = CallerServer(listener.answer, lambda: limits, budget)
+        listener.server = server
         stack.push_async_callback(server.shutdown, 0.1)
         opened = await listen(stack, server, "127.0.0.1:0", 100)
         listener.port = opened.sockets[0].getsockname()[1]
--- a/test/gateway/test_peer_watch.py
+++ b/test/gateway/test_peer_watch.py
@@ -21,8 +21,8 @@
     AckState,
     SilenceDetector,
     read_ack_state,
-    untaken_bytes,
 )
+from galenascale.gateway.send_queue import untaken_bytes
 from galenascale.platform.headers import parse_response_head
 from test.gateway.fleet import HOST_NAME, gateway_fleet
 
