Close connections once their callers have acknowledged the answers

Cause: an answer counted as taken once the kernel had accepted its last byte. The connection was closed then, and a stopping host ended. What the kernel holds is lost if input is unread at the close, as the kernel resets the connection, and wherever sockets do not outlive their process. A kept connection counted as idle while the kernel still held its last answer.

Change: after a last answer or a refusal the sending side is ended, input is read and dropped, and the connection closes once the kernel reports that all is acknowledged; where it reports nothing, at the caller's own close or after 2 s. The decision (answer_delivery.py) has no I/O. A stopping host waits for these connections. A caller that takes less than 16 KB in 10 s is given up as before.

--- a/galenascale/gateway/bounded_connection.py
+++ b/galenascale/gateway/bounded_connection.py
@@ -6,6 +6,7 @@
 from galenascale.gateway.attempts import not_run_error
 from galenascale.gateway.caller_memory import HeldMemory
 from galenascale.gateway.limit_log import CutAnswer, CutReason
+from galenascale.gateway.lingering_close import LingeringClose
 from galenascale.gateway.peer_watch import PeerWatch, let_drain
 from galenascale.gateway.send_queue import UntakenBytes, read_untaken
 from galenascale.gateway.unread_answer import UnreadAnswer
@@ -20,9 +21,8 @@
 READ_BUFFER_BYTES = 8 << 10
 # Retry-After in seconds while the memory or the connections are used up.
 OVERLOAD_RETRY_S = 0.5
-# Seconds for which a connection that closes waits until its last bytes are
-# taken.
-CLOSE_TIMEOUT_S = 2.0
+# Seconds for which a refused caller may take its refusal.
+REFUSAL_TIMEOUT_S = 2.0
 
 
 class BoundedConnection(web.RequestHandler):
@@ -40,6 +40,7 @@
         "_cut",
         "_encode_refusal",
         "_limits",
+        "_lingering",
         "_memory",
         "_on_cut",
         "_on_limit",
@@ -76,11 +77,14 @@
         self._on_cut = on_cut
         self._encode_refusal = encode_refusal
         now = self._loop.time()
-        self.held = HeldMemory(now, now, self.force_close)
+        self.held = HeldMemory(now, now, self.close_now)
         self._unread = UnreadAnswer(
             self._loop, memory, self.held, self._abort_unread_answer
         )
         self._peer_watch = PeerWatch(self._loop, lambda: self._abort(CutReason.SILENT))
+        self._lingering = LingeringClose(
+            self._loop, lambda: self._abort(CutReason.UNREAD)
+        )
         # The transport, also after the library has closed it.
         self._open_transport = None
         # CutAnswer of a connection that drops the rest of an answer, or None.
@@ -89,8 +93,8 @@
 
     @property
     def is_closing(self):
-        """Return True if no further request is read."""
-        return self.transport is None or self.transport.is_closing()
+        """Return True if the connection waits for nothing but its end."""
+        return self._open_transport.is_closing()
 
     def connection_made(self, transport):
         super().connection_made(transport)
@@ -104,6 +108,7 @@
     def connection_lost(self, exc):
         self._stop_timer()
         self._peer_watch.end()
+        self._lingering.end()
         if self._cut is None:
             self._find_cut(exc)
         if self._cut is not None:
@@ -140,7 +145,7 @@
     def pause_writing(self):
         """Count what the caller does not take, and wait until it does."""
         super().pause_writing()
-        self._unread.begin(self.transport, self._give_way_unread)
+        self._unread.begin(self._open_transport, self._give_way_unread)
         self.count_unsent()
 
     def resume_writing(self):
@@ -173,14 +178,36 @@
         """Answer with an error before a request is handled, and close."""
         if self.transport is not None:
             self.transport.write(self._encode_refusal(error))
-        self.force_close()
+        self.close_when_taken(REFUSAL_TIMEOUT_S)
 
     def force_close(self):
-        """Close; drop what the caller does not take soon."""
+        """Read no more, and close; wait for a caller that is still reading."""
         transport = self.transport
+        if transport is None or transport.is_closing() or not self.untaken.total:
+            super().force_close()
+        else:
+            self.close_when_taken()
+
+    def close_when_taken(self, limit_s=None):
+        """
+        Read no more, and close once the caller has taken what was written.
+
+        `limit_s` bounds the seconds for a caller that takes it slowly.
+        """
+        transport, self.transport = self.transport, None
+        # This marks the connection, and closes nothing without a transport.
+        super().force_close()
+        if transport is None or transport.is_closing():
+            return
+        if not transport.get_write_buffer_size():
+            self.held.on_evict = self.close_now
+        self._peer_watch.begin(transport)
+        self._lingering.begin(transport, limit_s)
+
+    def close_now(self):
+        """Close, and leave to the kernel what the caller has not taken."""
         super().force_close()
-        if transport is not None and transport.get_write_buffer_size():
-            self._loop.call_later(CLOSE_TIMEOUT_S, self._abort, CutReason.UNREAD)
+        self._open_transport.close()
 
     def _abort(self, reason):
         """Drop what the caller has not taken."""
--- a/galenascale/gateway/caller_connection.py
+++ b/galenascale/gateway/caller_connection.py
@@ -207,14 +207,16 @@
 
     def _end_request(self, keep_alive):
         self._memory.release(self.held)
-        self.held.begin_step(self.force_close, self._loop.time())
+        self.held.begin_step(self.close_now, self._loop.time())
         if self.held.evicted:
             # Others need its place; the library would wait for its body.
-            self.force_close()
+            self.close_now()
         elif self._payload is not None and not self._payload.is_eof():
             self._answered = True
         elif keep_alive:
             self._begin_next()
+        else:
+            self.close_when_taken()
 
     def _begin_next(self):
         """Go on with what followed the last request."""
--- a/galenascale/gateway/unread_answer.py
+++ b/galenascale/gateway/unread_answer.py
@@ -1,20 +1,17 @@
 """The part of an answer that a caller has not taken yet."""
 
+from galenascale.gateway.answer_delivery import ReadProgress
 from galenascale.gateway.send_queue import untaken_bytes
 
 # Seconds between two checks whether an answer is being taken.
 CHECK_INTERVAL_S = 1.0
-# A caller that takes fewer bytes in so many seconds is given up.
-MIN_TAKEN_BYTES = 16 << 10
-UNREAD_TIMEOUT_S = 10.0
 
 
 class UnreadAnswer:
     """
     Counts the unsent bytes of a connection, and gives up on idle readers.
 
-    `on_timeout` is called if the caller takes less than MIN_TAKEN_BYTES in
-    UNREAD_TIMEOUT_S.
+    `on_timeout` is called if the caller takes too little, by ReadProgress.
     """
 
     def __init__(self, loop, memory, held, on_timeout):
@@ -24,9 +21,7 @@
         self._on_timeout = on_timeout
         self._transport = None
         self._timer = None
-        # Bytes taken since a loop time in seconds.
-        self._taken_bytes = 0
-        self._counted_since = 0.0
+        self._progress = None
         # Bytes that the process holds, and those with what the kernel holds.
         self._unsent_bytes = 0
         self._untaken_bytes = 0
@@ -40,14 +35,11 @@
         """Begin to watch a transport that holds unsent bytes."""
         self._transport = transport
         self._untaken_bytes = untaken_bytes(transport)
-        self._count_anew(self._loop.time())
-        self._held.begin_step(on_evict, self._counted_since)
+        now = self._loop.time()
+        self._progress = ReadProgress(now)
+        self._held.begin_step(on_evict, now)
         self._check_later()
 
-    def _count_anew(self, now):
-        self._taken_bytes = 0
-        self._counted_since = now
-
     def count(self, limit_bytes):
         """Hold the bytes that are unsent now."""
         if self._transport is None:
@@ -70,12 +62,10 @@
         taken = self._take_progress()
         if taken:
             self._held.record_progress(taken, now)
-        if self._taken_bytes >= MIN_TAKEN_BYTES:
-            self._count_anew(now)
-        elif now - self._counted_since >= UNREAD_TIMEOUT_S:
+        if self._progress.is_stalled(taken, now):
             self._on_timeout()
-            return
-        self._check_later()
+        else:
+            self._check_later()
 
     def _release_sent(self):
         unsent = self._transport.get_write_buffer_size()
@@ -88,7 +78,6 @@
         untaken = untaken_bytes(self._transport)
         taken = max(0, self._untaken_bytes - untaken)
         self._untaken_bytes = untaken
-        self._taken_bytes += taken
         return taken
 
     def _check_later(self):
--- a/test/gateway/test_caller_connection.py
+++ b/test/gateway/test_caller_connection.py
@@ -11,7 +11,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from galenascale.gateway import bounded_connection, unread_answer
+from galenascale.gateway import answer_delivery, bounded_connection, unread_answer
 from galenascale.gateway.caller_memory import MEGABYTE, CallerMemory
 from galenascale.gateway.configuration import CallerLimits
 from galenascale.gateway.connection_limits import ConnectionLimits
@@ -304,7 +304,7 @@
 async def test_caller_that_reads_nothing_is_reset(monkeypatch):
     """Its answer holds memory until then."""
     monkeypatch.setattr(unread_answer, "CHECK_INTERVAL_S", 0.05)
-    monkeypatch.setattr(unread_answer, "UNREAD_TIMEOUT_S", 0.2)
+    monkeypatch.setattr(answer_delivery, "UNREAD_TIMEOUT_S", 0.2)
     async with running_listener() as listener:
         reader, writer = await listener.connect()
         reader._transport.pause_reading()
