Answer with short pages of results while a host stops

Cause: a stopping host answered with pages as long as ever, though the caller may read a page as slowly as it likes and the host has seconds left. What the kernel does not take stays in the process and is cut off at its end.

Change: from SIGTERM on a page holds 32 KB of results (one result at least), which the kernel takes at once.

--- a/galenascale/gateway/jobs/api.py
+++ b/galenascale/gateway/jobs/api.py
@@ -31,6 +31,9 @@
 RETRY_AFTER_S = 0.5
 # Bytes of results that are read for one call; a page holds fewer.
 MAX_RESULTS_BYTES = 1 << 20
+# The same while the host stops: the kernel's buffers hold the whole page, so
+# it does not depend on the time left how slowly the caller may read it.
+STOPPING_RESULTS_BYTES = 32 << 10
 
 
 class JobsApi:
@@ -43,6 +46,11 @@
         self._acceptor = acceptor
         self._bodies = bodies
         self._runner = runner
+        self._max_results_bytes = MAX_RESULTS_BYTES
+
+    def begin_stop(self):
+        """Answer with short pages from now on."""
+        self._max_results_bytes = STOPPING_RESULTS_BYTES
 
     async def submit(self, exchange, route):
         """Store a submitted job, start to run it and return the response."""
@@ -135,7 +143,7 @@
 
     async def _read_results(self, state, position):
         items = await self._loader.items(state)
-        results = await self._loader.results(state, position, MAX_RESULTS_BYTES)
+        results = await self._loader.results(state, position, self._max_results_bytes)
         return [
             ItemResult(
                 items[outcome.index].item_id,
--- a/galenascale/gateway/request_handler.py
+++ b/galenascale/gateway/request_handler.py
@@ -31,13 +31,18 @@
         self._jobs = jobs
         self._authenticator = authenticator
         # StopWindow of a host that stops.
-        self.stop_window = None
+        self._stop_window = None
         self.in_flight = 0
 
     @property
     def stopping(self):
         """Return True once the host stops."""
-        return self.stop_window is not None
+        return self._stop_window is not None
+
+    def begin_stop(self, window):
+        """Take only requests that end within a StopWindow."""
+        self._stop_window = window
+        self._jobs.begin_stop()
 
     async def handle(self, request):
         """Handle one HTTP request; called by the HTTP library."""
@@ -129,7 +134,7 @@
 
     def _refuse_if_stopping(self, plan):
         """Raise RequestFailed (503) if the stop might cut a request off."""
-        window = self.stop_window
+        window = self._stop_window
         now = self._context.clock.monotonic()
         if window is not None and window.would_cut(now, plan.deadline):
             raise not_run_error(
--- a/galenascale/gateway/stopping.py
+++ b/galenascale/gateway/stopping.py
@@ -59,7 +59,7 @@
         grace_s = self.context.settings.bounds.stop_grace_s
         window = StopWindow.from_grace(began_at, grace_s)
         end_at = window.ends_at
-        self.request_handler.stop_window = window
+        self.request_handler.begin_stop(window)
         self.context.ownership.stop_owning()
         self.context.rates.on_owners_changed()
         self.context.log.write(
