Watch peers by the send queue where the kernel gives no TCP_INFO

On one whose TCP_INFO is all zeros, peers that had gone silent with unacknowledged bytes were never noticed: the user timeout was lifted, and the zeros looked like those of a live peer.

Cause: the watch of peers knew one source. Without it the kernel's user timeout decided, which also counts the time in which a live peer has no room.

Change: an answer of zeros counts as none. Then the bytes in flight decide: none are in flight while the peer has no room; if some are, and neither their number nor what is untaken moves for 1.5 s, the peer is gone.

--- a/galenascale/gateway/send_queue.py
+++ b/galenascale/gateway/send_queue.py
@@ -7,6 +7,9 @@
 import attrs
 
 _QUEUE_SIZE = struct.Struct("i")
+# Request for the bytes in the send queue that were never sent
+# (linux/sockios.h).
+_SIOCOUTQNSD = 0x894B
 
 
 @attrs.frozen
@@ -26,11 +29,24 @@
 
 def unacknowledged_bytes(sock):
     """Return the bytes in the send queue of the kernel, None if unknown."""
+    return _ask_kernel(sock, termios.TIOCOUTQ)
+
+
+def bytes_in_flight(sock):
+    """Return the bytes sent and not acknowledged, None if unknown."""
+    queued = unacknowledged_bytes(sock)
+    unsent = _ask_kernel(sock, _SIOCOUTQNSD)
+    if queued is None or unsent is None:
+        return None
+    return max(0, queued - unsent)
+
+
+def _ask_kernel(sock, request):
     try:
-        queued = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, _QUEUE_SIZE.pack(0))
+        size = fcntl.ioctl(sock.fileno(), request, _QUEUE_SIZE.pack(0))
     except (OSError, ValueError):
         return None
-    return _QUEUE_SIZE.unpack(queued)[0]
+    return _QUEUE_SIZE.unpack(size)[0]
 
 
 def read_untaken(transport):
--- a/test/gateway/test_peer_watch.py
+++ b/test/gateway/test_peer_watch.py
@@ -8,21 +8,25 @@
 import asyncio
 import contextlib
 import socket
+from types import SimpleNamespace
 
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
+from galenascale.gateway import peer_watch, send_queue
 from galenascale.gateway.backend_connection import BackendConnection
 from galenascale.gateway.peer_watch import (
     CHECK_INTERVAL_S,
     SILENCE_S,
     UNANSWERED_S,
     AckState,
+    PeerWatch,
+    QueueDetector,
     SilenceDetector,
     read_ack_state,
 )
-from galenascale.gateway.send_queue import untaken_bytes
+from galenascale.gateway.send_queue import bytes_in_flight, untaken_bytes
 from galenascale.platform.headers import parse_response_head
 from test.gateway.fleet import HOST_NAME, gateway_fleet
 
@@ -166,6 +170,97 @@
     )
 
 
+# Steps of a peer: how long it has no room in its buffer, and the bytes that it
+# acknowledges then.
+READS = st.lists(st.tuples(st.floats(0.0, 30.0), st.integers(1, 1 << 20)), max_size=9)
+
+
+@given(READS)
+def test_peer_without_room_is_not_gone_by_its_queue(reads):
+    """What it has room for is acknowledged at once: nothing is in flight."""
+    detector = QueueDetector()
+    untaken = sum(count for _, count in reads)
+    now = 0.0
+    for pause_s, count in reads:
+        until_s = now + pause_s
+        while now < until_s:
+            assert not detector.is_gone(0, untaken, now)
+            now += CHECK_INTERVAL_S
+        untaken -= count
+        assert not detector.is_gone(min(count, untaken), untaken, now)
+
+
+@given(READS, st.integers(1, 1 << 20), st.lists(st.integers(0, 999), max_size=20))
+def test_peer_that_acknowledges_nothing_is_gone_by_its_queue(reads, in_flight, written):
+    """Also while more is written to it."""
+    detector = QueueDetector()
+    now = 0.0
+    for pause_s, count in reads:
+        detector.is_gone(0, count, now)
+        now += pause_s
+    silent_from = now
+    untaken = in_flight
+    while not detector.is_gone(in_flight, untaken, now):
+        untaken += written.pop() if written else 0
+        now += CHECK_INTERVAL_S
+        assert now - silent_from <= SILENCE_S + 2 * CHECK_INTERVAL_S
+    assert now - silent_from >= SILENCE_S - CHECK_INTERVAL_S
+
+
+def tell_nothing(*_):
+    """Stand for a question that the kernel does not answer."""
+
+
+def hide_ack_state(monkeypatch):
+    """Let the kernel answer without TCP_INFO."""
+    monkeypatch.setattr(peer_watch, "read_ack_state", tell_nothing)
+
+
+def hide_everything(monkeypatch):
+    """Let it tell neither that nor the size of its queue."""
+    hide_ack_state(monkeypatch)
+    monkeypatch.setattr(send_queue, "_ask_kernel", tell_nothing)
+
+
+# Guards callers that pause against kernels that tell less of them.
+@pytest.mark.parametrize("hide", [lambda _: None, hide_ack_state, hide_everything])
+@pytest.mark.parametrize("size", [30_000, 1_000_000])
+async def test_caller_that_pauses_gets_a_whole_answer(monkeypatch, hide, size):
+    """The user timeout ended it after 1.5 s without TCP_INFO."""
+    hide(monkeypatch)
+    async with gateway_fleet() as fleet:
+        for runner in fleet.runners_of("app"):
+            runner.behaviour.body = b"x" * size
+        with slow_socket(16384) as sock:
+            await ask(fleet, sock, "/once/a", "Connection: close")
+            data = await read_slowly(sock, 1, pause_s=3.0)
+            data += await read_slowly(sock, size, pause_s=0)
+            assert data.count(b"x") >= size
+
+
+async def test_kernel_that_answers_with_zeros_tells_nothing():
+    """Such an answer looked like that of a peer that is never silent."""
+    sock = SimpleNamespace(getsockopt=lambda level, option, size: bytes(size))
+    assert read_ack_state(sock) is None
+
+
+async def test_peer_is_gone_by_its_queue_without_tcp_info(monkeypatch):
+    """Where TCP_INFO told nothing, a silent peer was not noticed."""
+    hide_ack_state(monkeypatch)
+    monkeypatch.setattr(peer_watch, "bytes_in_flight", lambda sock: 1000)
+    gone = asyncio.Event()
+    with slow_socket() as listener:
+        listener.bind(("127.0.0.1", 0))
+        listener.listen()
+        _, writer = await asyncio.open_connection(*listener.getsockname())
+        writer.write(b"x" * (8 << 20))
+        watch = PeerWatch(asyncio.get_running_loop(), gone.set)
+        watch.begin(writer.transport)
+        await asyncio.wait_for(gone.wait(), 2 * SILENCE_S)
+        watch.end()
+        writer.transport.abort()
+
+
 async def test_kernel_tells_what_a_peer_has_acknowledged():
     """The layout of the kernel's answer is known by offsets only."""
     loop = asyncio.get_running_loop()
@@ -185,5 +280,7 @@
             await asyncio.sleep(0.1)
             assert untaken_bytes(writer.transport) > 1 << 20
             assert read_ack_state(peer).is_unanswered is False
+            # The peer has no room, and has acknowledged what it had room for.
+            assert bytes_in_flight(sock) == 0
         writer.transport.abort()
         del reader
