Give the kernel what is left of answers as a stop ends

What callers saw: a caller that reads only as a stop is over got 103 of 150 KB of a plain answer; the rest ended with the process.

Cause: the process dropped what its own buffers held. The kernel delivers what it has after the end of a process, and takes 47 KB at once of a peer with a small buffer unless the send buffer is larger.

What is left then is logged as `answer_cut` with reason `stopped`.

--- a/galenascale/gateway/bounded_connection.py
+++ b/galenascale/gateway/bounded_connection.py
@@ -8,7 +8,11 @@
 from galenascale.gateway.limit_log import CutAnswer, CutReason
 from galenascale.gateway.lingering_close import LingeringClose
 from galenascale.gateway.peer_watch import PeerWatch, let_drain
-from galenascale.gateway.send_queue import UntakenBytes, read_untaken
+from galenascale.gateway.send_queue import (
+    UntakenBytes,
+    grow_send_buffer,
+    read_untaken,
+)
 from galenascale.gateway.unread_answer import UnreadAnswer
 
 # Most bytes of one receive call, and so of what follows a request before
@@ -209,6 +213,18 @@
         super().force_close()
         self._open_transport.close()
 
+    def leave_to_kernel(self):
+        """Let the kernel deliver what it takes after the process has ended."""
+        let_drain(self._open_transport)
+        if self.untaken.process:
+            grow_send_buffer(self._open_transport)
+
+    def drop_unsent(self):
+        """Record what the process still holds, as it ends."""
+        untaken = self.untaken
+        if untaken.process:
+            self._on_cut(CutAnswer(CutReason.STOPPED, untaken), self)
+
     def _abort(self, reason):
         """Drop what the caller has not taken."""
         if self._cut is None:
--- a/galenascale/gateway/listeners.py
+++ b/galenascale/gateway/listeners.py
@@ -88,6 +88,16 @@
         states = [connection.untaken for connection in self.connections]
         return [state for state in states if state.total]
 
+    async def leave_to_kernel(self, wait_s):
+        """Give the kernel what it takes in `wait_s` seconds; drop the rest."""
+        if not self.connections:
+            return
+        for connection in self.connections:
+            connection.leave_to_kernel()
+        await asyncio.sleep(wait_s)
+        for connection in self.connections:
+            connection.drop_unsent()
+
     def close_idle(self):
         """
         Close the connections on which no request is being handled.
--- a/galenascale/gateway/send_queue.py
+++ b/galenascale/gateway/send_queue.py
@@ -1,6 +1,8 @@
 """Bytes that were written to a connection and not acknowledged by its peer."""
 
+import contextlib
 import fcntl
+import socket
 import struct
 import termios
 
@@ -10,6 +12,10 @@
 # Request for the bytes in the send queue that were never sent
 # (linux/sockios.h).
 _SIOCOUTQNSD = 0x894B
+# Largest send buffer in bytes that Linux grants by default, and what it makes
+# of it.
+MAX_SEND_BUFFER_BYTES = 212_992
+_GRANTED_BYTES = 2 * MAX_SEND_BUFFER_BYTES
 
 
 @attrs.frozen
@@ -59,3 +65,12 @@
 def untaken_bytes(transport):
     """Return the bytes known to be untaken by the peer of a transport."""
     return read_untaken(transport).total
+
+
+def grow_send_buffer(transport):
+    """Let the kernel take more of what the process holds."""
+    sock = transport.get_extra_info("socket")
+    # The peer may have closed the connection.
+    with contextlib.suppress(OSError):
+        if sock.getsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF) < _GRANTED_BYTES:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, MAX_SEND_BUFFER_BYTES)
--- a/galenascale/gateway/stopping.py
+++ b/galenascale/gateway/stopping.py
@@ -17,6 +17,8 @@
 # running here.
 HAND_OVER_MARGIN_S = 1.0
 POLL_INTERVAL_S = 0.05
+# Seconds for which the kernel takes what is left of answers at the cutoff.
+FLUSH_S = 0.05
 
 
 @attrs.frozen
@@ -76,6 +78,7 @@
             await asyncio.sleep(POLL_INTERVAL_S)
             if not self.caller_server.connections and hand_over.done():
                 break
+        await self.caller_server.leave_to_kernel(FLUSH_S)
         hand_over.cancel()
         # This host announces that it leaves even if the jobs could not be
         # handed over.
--- a/galenascale/standins/runner.py
+++ b/galenascale/standins/runner.py
@@ -162,6 +162,7 @@
         if request.header("X-Galenascale-Model") is not None:
             return await self._stream(request, behaviour, reader, writer)
         await asyncio.sleep(behaviour.processing_time_s)
+        behaviour.body = behaviour.body_by_path.get(request.target, behaviour.body)
         if behaviour.echo_request_id and behaviour.status == 200:
             behaviour.body = b"answer to " + request.request_id.encode()
         if behaviour.omit_content_length:
--- a/galenascale/standins/runner_behaviour.py
+++ b/galenascale/standins/runner_behaviour.py
@@ -14,6 +14,8 @@
     event_interval_s: float = 0.01
     # Body of a response that is not streamed, and seconds until it is sent.
     body: bytes = b"done"
+    # Other bodies, by target.
+    body_by_path: dict = attrs.field(factory=dict)
     processing_time_s: float = 0.0
     status: int = 200
     # Respond with 503 without running the request.
--- a/test/gateway/host_process.py
+++ b/test/gateway/host_process.py
@@ -49,14 +49,18 @@
 
 
 @contextlib.asynccontextmanager
-async def running_host(tmp_path, caller_memory_mb, max_descriptors=0, limits=None):
+async def running_host(
+    tmp_path, caller_memory_mb, max_descriptors=0, limits=None, bounds=None
+):
     """
     Yield a fleet and the Host of its only process, once that is ready.
 
-    `limits` are those on callers that differ from the fleet's usual ones.
+    `limits` are those on callers, and `bounds` the limits in time, that differ
+    from the fleet's usual ones.
     """
     fleet = GatewayFleet()
     fleet.limits |= limits or {}
+    fleet.bounds |= bounds or {}
     try:
         await fleet.start(hosts=0)
         settings = fleet.settings(1)
--- a/test/gateway/test_cut_answers.py
+++ b/test/gateway/test_cut_answers.py
@@ -30,6 +30,11 @@
     connection._give_way_unread()
 
 
+def stop(connection):
+    """Do what the end of a stop does."""
+    connection.drop_unsent()
+
+
 def lose(connection):
     """Do what a reset by the caller does."""
     connection.transport.abort()
@@ -42,6 +47,7 @@
         (take_nothing, CutReason.UNREAD),
         (need_memory, CutReason.MEMORY),
         (lose, CutReason.LOST),
+        (stop, CutReason.STOPPED),
     ],
 )
 async def test_cut_answer_names_its_reason_and_bytes(end, reason):
