Let serve wait for what the kernel holds of its answers

What callers saw: a `serve` process that stops closes the connections of callers that still read, plain and by TLS, and ends.

A request of a stop was in flight until the buffers of the process were empty, and the listener closed by no more than that. What the kernel holds is lost where sockets do not outlive the process, and the rest of an answer by TLS was cut off by the library's own shutdown.

Change: both count what is not acknowledged; the listener waits for it within its timeout of 5 s.

--- a/galenascale/http_api/listener.py
+++ b/galenascale/http_api/listener.py
@@ -17,6 +17,7 @@
 
 # Callers that read slowly get this long when the listener closes.
 SHUTDOWN_TIMEOUT_S = 5.0
+POLL_INTERVAL_S = 0.02
 # Time for which the rest of a refused body is read and dropped.
 LINGERING_TIME_S = 2.0
 
@@ -91,10 +92,21 @@
             yield server.sockets[0].getsockname()[1]
         finally:
             server.close()
+            await _wait_until_taken(runner.server)
     finally:
         await runner.cleanup()
 
 
+async def _wait_until_taken(server):
+    """Return once callers have taken their answers, or after a timeout."""
+    loop = asyncio.get_running_loop()
+    give_up_at = loop.time() + SHUTDOWN_TIMEOUT_S
+    while loop.time() < give_up_at:
+        if not any(connection.untaken.total for connection in server.connections):
+            return
+        await asyncio.sleep(POLL_INTERVAL_S)
+
+
 def _connection_limits(limits):
     """Return the CallerLimits of a connection by the settings' limits."""
     return CallerLimits(
--- a/galenascale/stopping.py
+++ b/galenascale/stopping.py
@@ -7,6 +7,7 @@
 
 from galenascale import codec
 from galenascale.errors import GalenascaleError
+from galenascale.gateway.send_queue import untaken_bytes
 from galenascale.generated.messages import HandOverReply, HandOverRequest
 from galenascale.logs import get_logger
 
@@ -59,7 +60,7 @@
             if not response.prepared:
                 await response.prepare(request)
             await response.write_eof()
-            while self.started and _unsent_bytes(request.transport):
+            while self.started and _untaken_bytes(request.transport):
                 await self._host.clock.sleep(POLL_S)
 
     def hurry(self):
@@ -189,7 +190,8 @@
             yield request
 
 
-def _unsent_bytes(transport):
+def _untaken_bytes(transport):
+    """Return the bytes that a caller has not acknowledged."""
     if transport is None or transport.is_closing():
         return 0
-    return transport.get_write_buffer_size()
+    return untaken_bytes(transport)
