Give slow callers of tests one module, and sent bytes back in one place

Sockets with small windows, requests and readers of slow callers stood in two test modules, and the run of a long job in two. UnreadAnswer gave sent bytes back in two places.

--- a/galenascale/gateway/unread_answer.py
+++ b/galenascale/gateway/unread_answer.py
@@ -47,14 +47,14 @@
         self._untaken_bytes = max(self._untaken_bytes, untaken_bytes(self._transport))
         unsent = self._transport.get_write_buffer_size()
         grown = unsent - self._unsent_bytes
+        if grown <= 0:
+            self._release_sent()
+            return
         self._unsent_bytes = unsent
-        if grown > 0:
-            # An answer fits beside another one of its size.
-            limit_bytes = max(limit_bytes, unsent)
-            now = self._loop.time()
-            self._memory.add_unmoved(self._held, grown, limit_bytes, now)
-        else:
-            self._memory.release(self._held, -grown)
+        # An answer fits beside another one of its size.
+        limit_bytes = max(limit_bytes, unsent)
+        now = self._loop.time()
+        self._memory.add_unmoved(self._held, grown, limit_bytes, now)
 
     def _check(self):
         now = self._loop.time()
--- a/test/gateway/test_peer_watch.py
+++ b/test/gateway/test_peer_watch.py
@@ -6,8 +6,6 @@
 """
 
 import asyncio
-import contextlib
-import socket
 from types import SimpleNamespace
 
 import pytest
@@ -28,50 +26,18 @@
 )
 from galenascale.gateway.send_queue import bytes_in_flight, untaken_bytes
 from galenascale.platform.headers import parse_response_head
-from test.gateway.fleet import HOST_NAME, gateway_fleet
+from test.gateway.fleet import gateway_fleet
+from test.gateway.slow_callers import (
+    READ_BYTES,
+    connect,
+    read_slowly,
+    send_request,
+    slow_socket,
+)
 
 # Size of an answer or a body in bytes, and how a slow peer reads it: 64 KB/s.
 SIZE = 250_000
-READ_BYTES = 8192
 PAUSE_S = 0.125
-# Segments of Ethernet; those of the loopback device hide small windows.
-SEGMENT_BYTES = 1460
-
-
-def slow_socket(receive_bytes=0):
-    """Return a socket like that of a slow caller on a usual link."""
-    sock = socket.socket()
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, SEGMENT_BYTES)
-    if receive_bytes:
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_bytes)
-    sock.setblocking(False)
-    return sock
-
-
-async def read_slowly(sock, until_bytes, pause_s=PAUSE_S, size=READ_BYTES):
-    """Return what comes until an end, an error or so many bytes."""
-    loop = asyncio.get_running_loop()
-    data = b""
-    with contextlib.suppress(ConnectionError, TimeoutError):
-        while len(data) < until_bytes and (piece := await loop.sock_recv(sock, size)):
-            data += piece
-            await asyncio.sleep(pause_s)
-    return data
-
-
-async def ask(fleet, sock, path, *lines):
-    """Send a request on a new connection of a socket."""
-    loop = asyncio.get_running_loop()
-    await loop.sock_connect(sock, ("127.0.0.1", fleet.ports["caller"]))
-    head = [
-        f"POST {path} HTTP/1.1",
-        f"Host: {HOST_NAME}",
-        "X-Galenascale-Attempt-Id: slow",
-        "X-Galenascale-Deadline-Ms: 5000",
-        "Content-Length: 0",
-        *lines,
-    ]
-    await loop.sock_sendall(sock, "\r\n".join([*head, "", ""]).encode())
 
 
 @pytest.mark.parametrize("lines", [(), ("Connection: close",)])
@@ -82,8 +48,9 @@
         for runner in fleet.runners_of("app"):
             runner.behaviour.body = b"x" * SIZE
         with slow_socket(receive_bytes) as sock:
-            await ask(fleet, sock, "/once/a", *lines)
-            data = await read_slowly(sock, SIZE)
+            await connect(fleet, sock)
+            await send_request(sock, "/once/a", *lines)
+            data = await read_slowly(sock, SIZE, PAUSE_S)
             assert data.startswith(b"HTTP/1.1 200 ")
             assert data.count(b"x") >= SIZE
 
@@ -232,9 +199,10 @@
         for runner in fleet.runners_of("app"):
             runner.behaviour.body = b"x" * size
         with slow_socket(16384) as sock:
-            await ask(fleet, sock, "/once/a", "Connection: close")
+            await connect(fleet, sock)
+            await send_request(sock, "/once/a", "Connection: close")
             data = await read_slowly(sock, 1, pause_s=3.0)
-            data += await read_slowly(sock, size, pause_s=0)
+            data += await read_slowly(sock, size)
             assert data.count(b"x") >= size
 
 
--- a/test/gateway/test_readers_in_stop.py
+++ b/test/gateway/test_readers_in_stop.py
@@ -14,10 +14,9 @@
 import httptools
 import pytest
 
-from test.gateway.fleet import HOST_NAME
 from test.gateway.host_process import running_host
-from test.gateway.test_jobs import TOKENS, make_job, wait_for_results
-from test.gateway.test_peer_watch import slow_socket
+from test.gateway.slow_callers import connect, run_job, send_request, slow_socket
+from test.gateway.test_jobs import TOKENS
 
 GRACE_S = 8.0
 LOSS_SLACK_S = 0.2
@@ -109,15 +108,14 @@
     async def connect(self, fleet):
         """Return a connection that was opened before the stop."""
         sock = slow_socket(self.receive_bytes)
-        address = ("127.0.0.1", fleet.ports["caller"])
-        await asyncio.get_running_loop().sock_connect(sock, address)
+        await connect(fleet, sock)
         return sock
 
     async def play(self, sock, number, began_at):
         """Ask and read; return the Reply."""
         loop = asyncio.get_running_loop()
         await _sleep_until(began_at + self.asked_at)
-        await loop.sock_sendall(sock, self._request(number))
+        await self._ask(sock, number)
         sent_at = loop.time()
         reply = Reply(self)
         is_first = True
@@ -138,18 +136,15 @@
         reply.elapsed_s = loop.time() - sent_at
         return reply
 
-    def _request(self, number):
+    async def _ask(self, sock, number):
         method = "GET" if self.path.startswith("/lots") else "POST"
-        lines = [
-            f"{method} {self.path} HTTP/1.1",
-            f"Host: {HOST_NAME}",
-            f"X-Galenascale-Attempt-Id: reader-{number}",
-            "X-Galenascale-Deadline-Ms: 4500",
-            "Content-Length: 0",
-        ]
+        lines = []
         if self.path.startswith("/chat"):
-            lines += [f"{name}: {value}" for name, value in TOKENS.items()]
-        return "\r\n".join([*lines, "", ""]).encode()
+            lines = [f"{name}: {value}" for name, value in TOKENS.items()]
+        request_id = f"reader-{number}"
+        await send_request(
+            sock, self.path, *lines, request_id=request_id, method=method
+        )
 
 
 async def _sleep_until(time_s):
@@ -158,14 +153,7 @@
 
 async def _prepare(fleet):
     """Run a job, and let servers answer as the callers expect."""
-    for runner in fleet.runners_of("llm"):
-        runner.behaviour.events = EVENTS
-        runner.behaviour.event_interval_s = 0.0
-    headers = TOKENS | {"X-Galenascale-Token-Usage": "9,9000"}
-    job = make_job(ITEMS, headers=headers)
-    reply = await fleet.request("/jobs/x", request_id="job-1", data=job)
-    assert reply.status == 202
-    await wait_for_results(fleet, "job-1", ITEMS)
+    await run_job(fleet, ITEMS, EVENTS)
     for runner in fleet.runners_of("llm"):
         runner.behaviour.events = 20
         runner.behaviour.event_interval_s = 0.02
--- a/test/http_api/test_slow_readers.py
+++ b/test/http_api/test_slow_readers.py
@@ -6,7 +6,6 @@
 """
 
 import asyncio
-import socket
 
 import pytest
 from aiohttp import web
@@ -15,7 +14,7 @@
 from galenascale.generated.messages import LimitSettings, TlsSettings
 from galenascale.http_api import start_listener
 from galenascale.tls import ServerTls, make_client_context
-from test.gateway.test_peer_watch import SEGMENT_BYTES
+from test.gateway.slow_callers import slow_socket
 from test.test_tls import make_pair
 
 # Bytes of answers that the kernel takes at once, or not.
@@ -38,10 +37,7 @@
 
 async def connect(port, context):
     """Return the (reader, writer) of a caller with little room."""
-    sock = socket.socket()
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, SEGMENT_BYTES)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BYTES)
-    sock.setblocking(False)
+    sock = slow_socket(RECEIVE_BYTES)
     await asyncio.get_running_loop().sock_connect(sock, ("127.0.0.1", port))
     name = "127.0.0.1" if context else None
     return await asyncio.open_connection(
