Ignore progress of items that a job does not have

What hosts saw: a record of progress with a changed index was kept for as long as the job, however many came. Nobody reads such progress.

Cause: outcomes were checked against the number of items, progress was not.

--- a/galenascale/gateway/jobs/state.py
+++ b/galenascale/gateway/jobs/state.py
@@ -235,7 +235,8 @@
 
 def _apply_progress(state, body, _):
     for progress in decode_body(JobProgress, body).items:
-        if progress.index in state.outcomes_by_index:
+        valid = 0 <= progress.index < state.total
+        if not valid or progress.index in state.outcomes_by_index:
             continue
         known = state.progress_by_index.get(progress.index)
         if known is None or known.last_event_id < progress.last_event_id:
