Leave impossible counts out of a peer's load

What hosts saw: a datagram with a negative count of requests brought the sum of all peers at a server to 0, which dropped the sum; the next report, or the loss of a peer, ended with KeyError in the exchange of statuses. Other hosts' load was miscounted until then.

Cause: counts were taken as they came.

Three new cases of test_gossip.py failed before and pass.

--- a/galenascale/gateway/load.py
+++ b/galenascale/gateway/load.py
@@ -32,6 +32,11 @@
         """Return the sum of both kinds."""
         return self.online + self.batch
 
+    @property
+    def is_possible(self):
+        """Return True if neither count is negative, and one is not 0."""
+        return self.online >= 0 and self.batch >= 0 and self.total > 0
+
     def add(self, other, sign):
         """Add other counts, or subtract them if `sign` is -1."""
         self.online += sign * other.online
@@ -92,8 +97,17 @@
         return self._local_by_key
 
     def set_peer_report(self, host_id, in_flight_by_key, now):
-        """Replace the last report of a peer's own requests and items."""
+        """
+        Replace the last report of a peer's own requests and items.
+
+        Counts that cannot be are left out.
+        """
         self.remove_peer(host_id)
+        in_flight_by_key = {
+            key: in_flight
+            for key, in_flight in in_flight_by_key.items()
+            if in_flight.is_possible
+        }
         self._reports_by_host[host_id] = _PeerReport(now, in_flight_by_key)
         for key, in_flight in in_flight_by_key.items():
             self._peers_by_key.setdefault(key, InFlightCounts()).add(in_flight, 1)
--- a/test/gateway/test_gossip.py
+++ b/test/gateway/test_gossip.py
@@ -125,3 +125,21 @@
     load.end("s1")
     load.end("s1", batch=True)
     assert load.total_at("s1") == InFlightCounts()
+
+
+# Guards a host against an error at a later report, which ended the look at its
+# peers.
+@pytest.mark.parametrize(
+    "counts",
+    [InFlightCounts(-2, 0), InFlightCounts(0, 0), InFlightCounts(-3, 1)],
+)
+def test_impossible_counts_of_a_peer_are_left_out(counts):
+    """They brought the sum of all peers to 0, so it was dropped too soon."""
+    load = FleetLoad("own")
+    key = hash_key("s1")
+    load.set_peer_report("a", {key: InFlightCounts(2, 0)}, 10.0)
+    load.set_peer_report("b", {key: counts}, 10.0)
+    assert load.total_at("s1").online == 2
+    load.remove_peer("a")
+    load.remove_peer("b")
+    assert load.total_at("s1").total == 0
