Drop slot messages whose host is no address

What hosts saw: one datagram with a changed address closed the socket of the exchange between hosts for good (a byte 0 or a character outside ASCII), or made the event loop look a name up. Such a host hears and tells nothing more of peers, slots and limits until it is started anew.

Cause: the address in a slot message was the destination of the reply as it came. The check of addresses in statuses let IPv6 zones pass, which may be any text.

Change: such messages are dropped where they arrive; an address with a zone is none.

The four cases of test_message_with_a_broken_address_is_dropped failed before and pass.

--- a/galenascale/gateway/peers.py
+++ b/galenascale/gateway/peers.py
@@ -10,7 +10,7 @@
 from galenascale.gateway.ownership import OwnerCandidate
 from galenascale.gateway.paced_sender import PacedSender
 from galenascale.gateway.peer_table import PeerTable
-from galenascale.gateway.sockets import split_address
+from galenascale.gateway.sockets import is_ip_address, split_address
 from galenascale.generated.gateway_messages import (
     HostStatus,
     ServerInFlight,
@@ -80,8 +80,9 @@
         now = self._clock.monotonic()
         for status in batch.statuses:
             self._apply(status, now)
-        if batch.slots:
-            self._context.slots.receive(batch.slots, addr[0])
+        slots = [message for message in batch.slots if _has_valid_host(message)]
+        if slots:
+            self._context.slots.receive(slots, addr[0])
         if batch.rates:
             self._context.rates.receive(batch.rates, addr[0])
 
@@ -244,6 +245,11 @@
         ]
 
 
+def _has_valid_host(message):
+    """Return True if a SlotMessage names no host, or one to send to."""
+    return not message.host or is_ip_address(message.host)
+
+
 def _encode_messages(messages):
     """Yield the address and bytes of each datagram of StatusMessages."""
     encoded_by_statuses = {}
--- a/galenascale/gateway/sockets.py
+++ b/galenascale/gateway/sockets.py
@@ -17,6 +17,7 @@
 # Most bytes of one receive call. The event loop asks for 256 KB each time and
 # allocates them, however few have arrived.
 RECEIVE_BYTES = 1 << 16
+IPV4 = 4
 # Addresses whose check is cached.
 MAX_CACHED_ADDRESSES = 1 << 13
 
@@ -55,10 +56,11 @@
 def is_ip_address(text):
     """Return True for an IP address; a name would have to be looked up."""
     try:
-        ipaddress.ip_address(text)
+        address = ipaddress.ip_address(text)
     except ValueError:
         return False
-    return True
+    # The zone of an IPv6 address may be text that no socket takes.
+    return address.version == IPV4 or not address.scope_id
 
 
 def split_address(address):
--- a/test/gateway/test_mutated_messages.py
+++ b/test/gateway/test_mutated_messages.py
@@ -18,6 +18,7 @@
 from galenascale.gateway.jobs.state import PartitionState
 from galenascale.generated.gateway_messages import (
     BlockRecord,
+    HostStatus,
     ItemOutcome,
     ItemProgress,
     ItemState,
@@ -28,6 +29,9 @@
     JobProgress,
     JobRecordKind,
     RelayedState,
+    SlotMessage,
+    SlotMessageKind,
+    StatusBatch,
 )
 from test.gateway.fleet import gateway_fleet
 from test.gateway.mutations import ROUNDS, mutate
@@ -79,10 +83,36 @@
         tracemalloc.stop()
         assert after - before < MAX_GROWTH_BYTES
         assert not any(task.done() for task in host.background.tasks)
+        assert not protocol._transport.is_closing()
         reply = await fleet.request("/plain/a", request_id="after")
         assert reply.status == 200
 
 
+# Guards the exchange with all hosts against one text that is no address.
+@pytest.mark.parametrize("host", ["a.example", "h\u00f6st", "\x00", "::1%\u00e9"])
+async def test_message_with_a_broken_address_is_dropped(host):
+    """The socket of the exchange closed for good, or looked the name up."""
+    async with gateway_fleet(hosts=2) as fleet:
+        protocol = fleet.hosts[0].discovery.peer_protocol
+        sent = []
+        send = protocol._send
+
+        def record(address, data):
+            sent.append(address)
+            send(address, data)
+
+        protocol._send = record
+        message = SlotMessage(kind=int(SlotMessageKind.ASK), host=host, run=1)
+        status = HostStatus(host_id="x", address=host, sequence=1)
+        data = encode(StatusBatch(statuses=[status], slots=[message]))
+        protocol.datagram_received(data, ("127.0.0.2", 1))
+        await asyncio.sleep(0.1)
+        assert host not in sent
+        now = protocol._clock.monotonic()
+        assert host not in protocol.table.addresses(now)
+        assert not protocol._transport.is_closing()
+
+
 def job_records():
     """Return valid records about one job, each kind once."""
     items = [JobItem(item_id=f"i{n}", path="/jobs/a", tokens=9) for n in range(3)]
