Tell answers that break off from those that callers lose

An answer that the host drops because its stream has no end was logged as `answer_cut` with reason `lost`, like one that the caller or the kernel ended. It has a reason of its own now, and nothing is logged if the caller had taken all that was written.

--- a/galenascale/gateway/bounded_connection.py
+++ b/galenascale/gateway/bounded_connection.py
@@ -114,17 +114,17 @@
         self._peer_watch.end()
         self._lingering.end()
         if self._cut is None:
-            self._find_cut(exc)
-        if self._cut is not None:
+            self._find_cut()
+        if self._cut is not None and self._cut.untaken.total:
             self._on_cut(self._cut, self)
-        elif exc is None:
+        if self._cut is None and exc is None:
             let_drain(self._open_transport)
         self._unread.end()
         self.held.evicted = True
         self._memory.release(self.held)
         super().connection_lost(exc)
 
-    def _find_cut(self, exc):
+    def _find_cut(self):
         """Note the rest of an answer that the transport has dropped."""
         unsent = self._unread.unsent_bytes
         if unsent:
@@ -208,6 +208,10 @@
         self._peer_watch.begin(transport)
         self._lingering.begin(transport, limit_s)
 
+    def break_off(self):
+        """Drop an answer that cannot be completed."""
+        self._abort(CutReason.BROKEN)
+
     def close_now(self):
         """Close, and leave to the kernel what the caller has not taken."""
         super().force_close()
--- a/galenascale/gateway/limit_log.py
+++ b/galenascale/gateway/limit_log.py
@@ -17,6 +17,8 @@
     UNREAD = "unread"
     # Other callers needed the memory.
     MEMORY = "memory"
+    # The answer itself could not be completed.
+    BROKEN = "broken"
     # The caller or the kernel ended the connection.
     LOST = "lost"
     # The host stopped.
--- a/galenascale/gateway/responses.py
+++ b/galenascale/gateway/responses.py
@@ -110,13 +110,8 @@
 
     def abort(self):
         """Close the connection, so that the response is visibly incomplete."""
-        abort_connection(self._request)
-
-
-def abort_connection(request):
-    """Close the connection of a request without completing a response."""
-    if request.transport is not None:
-        request.transport.abort()
+        if self._request.transport is not None:
+            self._request.protocol.break_off()
 
 
 def enable_silence_detection(request):
--- a/test/gateway/test_cut_answers.py
+++ b/test/gateway/test_cut_answers.py
@@ -30,6 +30,11 @@
     connection._give_way_unread()
 
 
+def break_off(connection):
+    """Do what an answer without an end does."""
+    connection.break_off()
+
+
 def stop(connection):
     """Do what the end of a stop does."""
     connection.drop_unsent()
@@ -48,6 +53,7 @@
         (need_memory, CutReason.MEMORY),
         (lose, CutReason.LOST),
         (stop, CutReason.STOPPED),
+        (break_off, CutReason.BROKEN),
     ],
 )
 async def test_cut_answer_names_its_reason_and_bytes(end, reason):
