--- a/review/harness3.py
+++ b/review/harness3.py
@@ -116,6 +116,7 @@
             "X-Galenascale-Response-Signature: signed",
             "Content-Type: text/event-stream",
             "Transfer-Encoding: chunked",
+            *request.extra_header_lines,
         ]
         writer.write("\r\n".join([*lines, "", ""]).encode())
         first = int(request.header("Last-Event-Id") or 0) + 1
