--- a/review/harness3.py
+++ b/review/harness3.py
@@ -28,6 +28,8 @@
 ROOT = Path(__file__).resolve().parent.parent
 HOST_NAME = "front.example"
 HELD, BROKEN, NOT_RUN = 0, 1, 2
+# Stand-ins listen on 127.0.0.1, gateways on the addresses after it.
+MAX_ADDRESSES = 8
 
 
 def trouble():
@@ -36,12 +38,14 @@
 
 
 def free_port(kind=socket.SOCK_STREAM):
-    """Return a port that is free on all loopback addresses."""
+    """Return a port that is free at the loopback addresses of a case."""
     while True:
         port = random.randrange(20000, 31000)
-        with socket.socket(socket.AF_INET, kind) as sock:
+        with contextlib.ExitStack() as stack:
             try:
-                sock.bind(("0.0.0.0", port))
+                for number in range(1, MAX_ADDRESSES + 1):
+                    sock = stack.enter_context(socket.socket(socket.AF_INET, kind))
+                    sock.bind((f"127.0.0.{number}", port))
             except OSError:
                 continue
             return port
