--- a/review/12/case.py
+++ b/review/12/case.py
@@ -8,7 +8,8 @@
 from review import harness3 as harness
 from review.harness3 import BROKEN, HELD, NOT_RUN, TextRunner
 
-# Requests per second that each server takes from all machines together.
+# Requests per second that each server takes from all machines together, until
+# the first jobs are done.
 LIMIT = 20
 ZONES = ("a", "b", "c")
 RUNNERS_IN_ZONE = 3
@@ -23,10 +24,13 @@
 
 
 class LimitedRunner(TextRunner):
-    """Names its limit in each answer."""
+    """Names its limit in each answer while it is in need."""
+
+    is_in_need = True
 
     async def _answer(self, request, reader, writer):
-        request.extra_header_lines = (f"Server-Limit: {LIMIT}",)
+        if self.is_in_need:
+            request.extra_header_lines = (f"Server-Limit: {LIMIT}",)
         return await super()._answer(request, reader, writer)
 
 
@@ -80,6 +84,8 @@
     await asyncio.sleep(FIRST_JOBS_S)
     if await count_missing(fleet, record, first):
         return NOT_RUN
+    for runner in runners:
+        runner.is_in_need = False
     live = fleet.gateways
     if harness.trouble():
         *live, lost = fleet.gateways
