Log which obstacle keeps servers idle while requests wait

An owner of slots that keeps idle servers idle left no line that tells a limit from a lack of slots, of memory or a reserve: pool_full shows free slots alone.

servers_idle names the obstacle of each server, its tokens and those needed, the limit and its age, and the standing of the owner; the metric galenascale_idle_servers_total counts them. The choice of a server and the line use one function, ServerSlots.obstacle. Log lines of a pool, the summary of its queue and the hold for memory move to modules of their own.

--- a/galenascale/gateway/metrics.py
+++ b/galenascale/gateway/metrics.py
@@ -50,6 +50,11 @@
             "Requests and items that limits of servers affected, by how.",
             ("effect",),
         )
+        self.idle_servers = self._counter(
+            "idle_servers",
+            "Times a request waited for seconds beside idle servers, by obstacle.",
+            ("obstacle",),
+        )
         self.beyond_share = self._counter(
             "beyond_share",
             "Requests and items beyond their tenants' shares of slots, by effect.",
--- a/galenascale/gateway/server_limits.py
+++ b/galenascale/gateway/server_limits.py
@@ -90,9 +90,13 @@
         """Return True if something was learned of a run of a server."""
         return run_key in self._limits_by_run
 
+    def find(self, entry):
+        """Return what is known of a server's ServerLimit, or None."""
+        return self._limits_by_run.get(entry.run_key) if self else None
+
     def rate_of(self, entry):
         """Return a server's requests per second, or None without a limit."""
-        limit = self._limits_by_run.get(entry.run_key) if self else None
+        limit = self.find(entry)
         return None if limit is None else limit.requests_per_s
 
     def observe(self, entry, named, sent_at, now):
--- a/galenascale/gateway/slots/owner.py
+++ b/galenascale/gateway/slots/owner.py
@@ -1,5 +1,6 @@
 """Serving of slot requests for the pools that this host owns."""
 
+import functools
 import math
 
 import attrs
@@ -21,12 +22,11 @@
 )
 from galenascale.gateway.slots.owner_records import (
     count_effects,
-    log_pressure,
-    log_speeds,
     record_outcome,
 )
 from galenascale.gateway.slots.pace import LimitPart
 from galenascale.gateway.slots.pool import LEASE_S, SlotPool
+from galenascale.gateway.slots.pool_log import PoolLog
 from galenascale.gateway.slots.pool_servers import grantable_servers
 from galenascale.gateway.slots.runs import Run
 from galenascale.gateway.slots.tenant_shares import weights_by_key
@@ -45,22 +45,17 @@
 # Seconds after a report from another pool of the service for which its sender
 # counts as owner of that pool, and for which an idle pool reports too.
 PEER_REPORT_MAX_AGE_S = 1.0
-# Seconds between two log lines about a pool in which requests wait.
-PRESSURE_INTERVAL_S = 0.5
-# Seconds between two log lines about servers that differ in speed.
-SPEEDS_INTERVAL_S = 10.0
 
 
 class _OwnedPool:
     """A pool that this host owns; times are monotonic seconds."""
 
-    def __init__(self, rng, now):
-        self.slots = SlotPool(rng)
+    def __init__(self, context, pool, now):
+        self.slots = SlotPool(context.rng)
+        self.log = PoolLog(context, pool, now)
         self.learning_until = now + LEARNING_PERIOD_S
         self.reported_free_slots = None
         self.reported_at = float("-inf")
-        self.logged_at = float("-inf")
-        self.speeds_logged_at = now
         # When a host last treated this one as a substitute owner.
         self.substitute_at = float("-inf")
         # When another pool of the service last reported its free slots.
@@ -125,7 +120,7 @@
     def _get_or_create(self, pool, now):
         owned = self._owned_by_key.get(pool.key)
         if owned is None:
-            owned = self._owned_by_key[pool.key] = _OwnedPool(self._context.rng, now)
+            owned = self._owned_by_key[pool.key] = _OwnedPool(self._context, pool, now)
             self._refresh(pool, owned, now)
             self._context.log.write(
                 "pool_owned", service=pool.service, failure_domain=pool.failure_domain
@@ -248,27 +243,17 @@
                 continue
             self._refresh(pool, owned, now)
             self._send_decisions(pool, owned.slots.tick(now), now)
-            self._log_pressure(pool, owned, now)
-            self._log_speeds(pool, owned, now)
+            owned.log.write(
+                owned.slots, functools.partial(self._standing, pool, owned), now
+            )
             if self._pool_map.is_own(pool, now):
                 self._report_free_slots(pool, owned, now)
 
-    def _log_pressure(self, pool, owned, now):
-        pressure = owned.slots.pressure()
-        if pressure is None or now - owned.logged_at < PRESSURE_INTERVAL_S:
-            return
-        owned.logged_at = now
-        log_pressure(self._context, pool, pressure)
-
-    def _log_speeds(self, pool, owned, now):
-        if now - owned.speeds_logged_at < SPEEDS_INTERVAL_S:
-            return
-        owned.speeds_logged_at = now
-        log_speeds(self._context, pool, owned.slots.slowest_servers(now))
-
     def _refresh(self, pool, owned, now):
         context = self._context
-        part = self._own_part(pool, owned) if context.limits else LimitPart()
+        part = LimitPart()
+        if context.limits:
+            part = LimitPart.from_standing(self._standing(pool, owned))
         learning = now < owned.learning_until
         owned.slots.leave_domain = context.settings.leave_domain
         owned.slots.shares.set_weights(weights_by_key(context.settings.tenant_weights))
@@ -277,10 +262,9 @@
             by_speed=context.settings.server_speeds,
         )
 
-    def _own_part(self, pool, owned):
-        """Return the LimitPart of servers that this host may grant."""
-        hosts = owned.slots.host_count()
-        return LimitPart.from_standing(self._pool_map.standing(pool, hosts))
+    def _standing(self, pool, owned):
+        """Return this host's Standing as owner of a pool."""
+        return self._pool_map.standing(pool, owned.slots.host_count())
 
     def _report_free_slots(self, pool, owned, now):
         free_slots = owned.slots.free_slots()
--- a/galenascale/gateway/slots/pace.py
+++ b/galenascale/gateway/slots/pace.py
@@ -67,6 +67,10 @@
         rate = max(requests_per_s, MIN_REQUESTS_PER_S) * part.rate_part
         return cls(rate, part.burst_requests + rate * part.burst_s)
 
+    def tokens_needed(self, *, batch):
+        """Return the tokens with which a request or an item may start."""
+        return BATCH_TOKENS if batch else ONLINE_TOKENS
+
 
 @attrs.define
 class PaceBucket:
@@ -95,6 +99,10 @@
         # Many small refills may stay a rounding error below a whole number.
         return self.bucket.tokens + 1e-9
 
+    def allows(self, *, batch):
+        """Return True if there are tokens for a request or an item."""
+        return self.tokens >= self.pace.tokens_needed(batch=batch)
+
     def spend(self):
         """Take a token for a run, also if there is none."""
         self.bucket.tokens = max(-MAX_DEBT, self.bucket.tokens - 1.0)
--- a/galenascale/gateway/slots/pool.py
+++ b/galenascale/gateway/slots/pool.py
@@ -13,25 +13,22 @@
 from galenascale.gateway.slots.decisions import (
     FreeSlots,
     Grant,
-    Pressure,
     Queued,
     Refused,
 )
+from galenascale.gateway.slots.idle_servers import find_idle_servers
 from galenascale.gateway.slots.preemption import (
     item_to_preempt,
     preempt,
     preempt_excess_items,
     repeat_preemptions,
 )
+from galenascale.gateway.slots.pressure import find_pressure
 from galenascale.gateway.slots.run_times import RunTimes
 from galenascale.gateway.slots.runs import Run, RunTable
 from galenascale.gateway.slots.server_slots import ServerSlots
 from galenascale.gateway.slots.sibling_pools import SiblingPools
-from galenascale.gateway.slots.tenant_shares import (
-    NO_TENANT,
-    TenantShares,
-    largest_users,
-)
+from galenascale.gateway.slots.tenant_shares import TenantShares, largest_users
 from galenascale.gateway.slots.wait_queue import WaitQueue
 
 # Seconds after which a run or a request is dropped unless its host renews it;
@@ -120,21 +117,22 @@
 
     def pressure(self):
         """Return the Pressure while a request waits, else None."""
-        if not (self._online_queue or self._batch_queue):
-            return None
-        held = largest_users(self._runs.online_by_tenant())
-        tenant, tenant_slots = next(iter(held.items()), (NO_TENANT, 0))
-        return Pressure(
-            slots=self._servers.slots,
-            online=self._runs.online,
-            batch=self._runs.batch,
-            waiting_online=len(self._online_queue),
-            waiting_batch=len(self._batch_queue),
-            beyond_share=len(self._online_excess(list(self._online_queue))),
-            largest_tenant=tenant,
-            largest_tenant_slots=tenant_slots,
+        return find_pressure(
+            self._servers.slots,
+            self._runs,
+            self._online_queue,
+            self._batch_queue,
+            len(self._online_excess(list(self._online_queue))),
         )
 
+    def idle_servers(self, now):
+        """Return the IdleServers while a request waits beside some."""
+        queue = self._online_queue or self._batch_queue
+        if not queue:
+            return None
+        first = queue.in_order(now)[0]
+        return find_idle_servers(self._servers, first, self.reserve(), now)
+
     def update_free_slots(self, pool_key, free_slots, now):
         """Store another pool's free slots; return the decisions."""
         self._siblings.update(pool_key, free_slots, now)
--- a/galenascale/gateway/slots/server_slots.py
+++ b/galenascale/gateway/slots/server_slots.py
@@ -5,11 +5,9 @@
 
 import attrs
 
-from galenascale.gateway.slots.pace import (
-    BATCH_TOKENS,
-    ONLINE_TOKENS,
-    PaceBucket,
-)
+from galenascale.gateway.slots.idle_servers import Obstacle
+from galenascale.gateway.slots.memory_hold import MemoryHold
+from galenascale.gateway.slots.pace import PaceBucket
 from galenascale.gateway.slots.server_speeds import ServerSpeeds
 
 # Seconds for which a server that refused a run gets no other one: it has more
@@ -53,9 +51,7 @@
         self._refused_until_by_key = {}
         self._speeds = ServerSpeeds()
         self._by_speed = True
-        # Request for which a server is held until it fits, and its key.
-        self._held_for = None
-        self._held_key = None
+        self._hold = MemoryHold()
 
     def set(self, servers, by_speed=True):
         """Set the PoolServers that may be granted; faster ones `by_speed`."""
@@ -123,12 +119,15 @@
 
     def has_tokens(self, key):
         """Return True unless a server's limit forbids a request now."""
+        return self._allows(key, batch=False)
+
+    def _allows(self, key, *, batch):
         bucket = self._buckets_by_key.get(key)
-        return bucket is None or bucket.tokens >= ONLINE_TOKENS
+        return bucket is None or bucket.allows(batch=batch)
 
     def _limit_weight(self, server, batch):
         """
-        Return the weight of a server beside limited ones, 0 without tokens.
+        Return the weight of a server beside limited ones.
 
         Requests go to servers without a limit first, so that tokens are left
         for a time in which all slots are in use. Items go to limited servers
@@ -137,8 +136,6 @@
         bucket = self._buckets_by_key.get(server.key)
         if bucket is None:
             return UNLIMITED_BATCH_WEIGHT if batch else 1.0
-        if bucket.tokens < (BATCH_TOKENS if batch else ONLINE_TOKENS):
-            return 0.0
         return 1.0 if batch else bucket.fullness
 
     def spend(self, key):
@@ -176,11 +173,9 @@
 
     def hold_memory(self, request):
         """Leave the server with the most free memory to a request."""
-        held = self._held_for
-        is_held = held is not None and held.run_id == request.run_id
-        if not is_held or self._held_key not in self._servers_by_key:
-            self._held_for = request
-            self._held_key = self._roomiest(request)
+        is_listed = self._hold.server_key in self._servers_by_key
+        if not self._hold.is_for(request) or not is_listed:
+            self._hold.set(request, self._roomiest(request))
 
     def _roomiest(self, request):
         """Return the key of the server with the most free memory, or None."""
@@ -194,18 +189,37 @@
 
     def release_hold(self, queues):
         """Leave the held server to all once its request is in no queue."""
-        held = self._held_for
-        if held is not None and not any(held.run_id in queue for queue in queues):
-            self._held_for = None
-            self._held_key = None
-
-    def _is_held(self, key, request):
-        """Return True if a server is held for another request."""
-        held = self._held_for
-        if held is None or key != self._held_key or held.run_id == request.run_id:
-            return False
-        # No request waits for an item.
-        return request.batch or not held.batch
+        self._hold.release_unless_in(queues)
+
+    def obstacle(self, key, request, now):
+        """Return the Obstacle that keeps a request from a server, or None."""
+        if self._free_on(self._servers_by_key[key]) <= 0:
+            return Obstacle.FULL
+        if key in request.avoid:
+            return Obstacle.AVOIDED
+        if not self.has_memory(key, request):
+            return Obstacle.MEMORY
+        if self._hold.keeps_from(key, request):
+            return Obstacle.HELD
+        if not self._allows(key, batch=request.batch):
+            return Obstacle.LIMIT
+        if now < self._refused_until_by_key.get(key, now):
+            return Obstacle.REFUSED
+        return None
+
+    def free_by_key(self):
+        """Return the free slots of the servers that have some, by key."""
+        free_by_key = {
+            key: self._free_on(server) for key, server in self._servers_by_key.items()
+        }
+        return {key: free for key, free in free_by_key.items() if free > 0}
+
+    def pace_of(self, key, request):
+        """Return the tokens of a server and those needed; None without any."""
+        bucket = self._buckets_by_key.get(key)
+        if bucket is None:
+            return None, None
+        return bucket.tokens, bucket.pace.tokens_needed(batch=request.batch)
 
     def best(self, request, now):
         """
@@ -217,19 +231,10 @@
         best_score = 0.0
         slowness_by_key = self._slowness_by_key(now)
         for server in self._servers_by_key.values():
-            free = self._free_on(server)
-            if free <= 0 or server.key in request.avoid:
-                continue
-            if not self.has_memory(server.key, request):
-                continue
-            if self._is_held(server.key, request):
+            if self.obstacle(server.key, request, now) is not None:
                 continue
             weight = self._limit_weight(server, request.batch) if self._limited else 1.0
-            if not weight:
-                continue
-            if now < self._refused_until_by_key.get(server.key, now):
-                continue
-            score = free / server.slots * server.quality * weight
+            score = self._free_on(server) / server.slots * server.quality * weight
             score /= slowness_by_key.get(server.key, 1.0)
             score += JITTER * self._rng.random()
             if score > best_score:
@@ -255,7 +260,7 @@
     def is_held_back(self, avoid):
         """Return True if a limit alone keeps free slots of a server idle."""
         return any(
-            bucket.tokens < ONLINE_TOKENS
+            not bucket.allows(batch=False)
             and key not in avoid
             and self._free_on(self._servers_by_key[key]) > 0
             for key, bucket in self._buckets_by_key.items()
--- a/galenascale/gateway/slots/wait_queue.py
+++ b/galenascale/gateway/slots/wait_queue.py
@@ -25,6 +25,8 @@
     give_up_at: float = float("inf")
     # Monotonic time in seconds of the host's last message about the request.
     seen_at: float = 0.0
+    # Monotonic time in seconds at which its first message arrived.
+    queued_at: float = 0.0
     # Key of the tenant; 0 if there are no tenants.
     tenant: int = 0
     # Tokens that the run is to generate; 0 if unknown.
@@ -89,6 +91,8 @@
 
     def add(self, request):
         """Add a request, or replace the earlier one of the same run."""
+        known = self._by_run_id.get(request.run_id)
+        request.queued_at = request.seen_at if known is None else known.queued_at
         self._by_run_id[request.run_id] = request
 
     def remove(self, run_id):
--- a/test/gateway/test_engine_memory.py
+++ b/test/gateway/test_engine_memory.py
@@ -134,11 +134,11 @@
     for number in range(4):
         pool.submit(SlotRequest("a", number, memory_tokens=SHORT), 0.0)
     pool.submit(SlotRequest("b", 50, start_by=1.0, memory_tokens=1900), 0.0)
-    gone = pool._servers._held_key
+    gone = pool._servers._hold.server_key
     left = 3 - gone
     pool.set_servers([PoolServer(left, SLOTS, memory_tokens=2 * SHORT)])
     pool.tick(0.1)
-    assert pool._servers._held_key == left
+    assert pool._servers._hold.server_key == left
 
 
 def test_requests_without_tokens_need_slots_only():
--- /dev/null
+++ b/test/gateway/test_starts_of_items.py
@@ -0,0 +1,85 @@
+"""
+Items that wait beside idle servers.
+
+Guards items against a start that needs more than its source can ever hold: the
+tokens of a limit that an owner may grant a part of, or the slots of a pool.
+"""
+
+import random
+
+import attrs
+from hypothesis import strategies as st
+
+from galenascale.gateway.ownership import Standing
+from galenascale.gateway.slots.decisions import Grant, PoolServer
+from galenascale.gateway.slots.idle_servers import Obstacle
+from galenascale.gateway.slots.pace import (
+    LimitPart,
+    Pace,
+)
+from galenascale.gateway.slots.pool import SlotPool
+from galenascale.gateway.slots.wait_queue import SlotRequest
+
+LOST_THIRD = Standing(responsive_ahead=0, reached=2, known=3)
+TICK_S = 0.05
+
+
+@st.composite
+def standings(draw):
+    """Draw the Standing of an owner: hosts reached, lost and before it."""
+    known = draw(st.integers(1, 300))
+    reached = draw(st.integers(1, known))
+    return Standing(draw(st.sampled_from([0, 0, 0, 1, 2, 5])), reached, known)
+
+
+limits = st.one_of(
+    st.just(0.0), st.floats(0.001, 1.0), st.floats(1.0, 50.0), st.just(1e6)
+)
+
+
+@attrs.define
+class Owner:
+    """A pool of one limited server, with time and the number of starts."""
+
+    pace: Pace
+    now: float = 0.0
+    starts: int = 0
+    pool: SlotPool = attrs.field(factory=lambda: SlotPool(random.Random(7)))
+
+    @classmethod
+    def from_standing(cls, standing, limit, slots=8):
+        """Return an owner with a Standing that just learned of a limit."""
+        owner = cls(Pace.from_limit(limit, LimitPart.from_standing(standing)))
+        owner.set_server(slots)
+        return owner
+
+    def set_server(self, slots=8):
+        """Set the only server."""
+        self.pool.set_servers([PoolServer(1, slots, pace=self.pace)])
+
+    def start_one(self, *, batch, give_up_s):
+        """Return the seconds until a request or item starts and ends."""
+        begun_at = self.now
+        self.starts += 1
+        while self.now - begun_at <= give_up_s:
+            request = SlotRequest("a", self.starts, batch)
+            decisions = self.pool.submit(request, self.now)
+            if any(isinstance(decision, Grant) for decision in decisions):
+                self.pool.end(request.run_id, self.now)
+                return self.now - begun_at
+            self.now += min(1.0, give_up_s / 20)
+        raise AssertionError(f"{give_up_s} s without a start at {self.pace}")
+
+
+def test_owner_says_what_keeps_a_server_idle():
+    """Guards operators, who could not tell a limit from a lack of slots."""
+    owner = Owner.from_standing(LOST_THIRD, 0.0)
+    owner.pool.submit(SlotRequest("a", 1, batch=True), 0.0)
+    owner.pool.submit(SlotRequest("a", 1, batch=True), 1.5)
+    idle = owner.pool.idle_servers(1.5)
+    assert idle.batch
+    assert idle.waited_s == 1.5
+    (server,) = idle.servers
+    assert server.obstacle is Obstacle.LIMIT
+    assert server.free == 8
+    assert server.tokens < server.needed_tokens
