Let items start with all tokens that an owner of slots can hold

Cause: an item needs BATCH_TOKENS (2.0), but the bucket of an owner shrinks with the share of hosts that it reaches: 1.33 tokens with two of three, 1 as a substitute. No time and no rate fills it to 2. The limit ends only with an answer that names none, and no answer comes while nothing is sent.

Change: an item needs at most what the bucket holds when it is full. It still takes one token, so that what an owner lets pass does not change, and its answers end the limit.

--- a/galenascale/gateway/slots/pace.py
+++ b/galenascale/gateway/slots/pace.py
@@ -68,8 +68,13 @@
         return cls(rate, part.burst_requests + rate * part.burst_s)
 
     def tokens_needed(self, *, batch):
-        """Return the tokens with which a request or an item may start."""
-        return BATCH_TOKENS if batch else ONLINE_TOKENS
+        """
+        Return the tokens with which a request or an item may start.
+
+        An owner that grants a part of a limit may never hold BATCH_TOKENS. All
+        that it can hold is enough for an item then.
+        """
+        return min(BATCH_TOKENS, self.burst) if batch else ONLINE_TOKENS
 
 
 @attrs.define
--- a/test/gateway/test_starts_of_items.py
+++ b/test/gateway/test_starts_of_items.py
@@ -8,12 +8,16 @@
 import random
 
 import attrs
+import pytest
+from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from galenascale.gateway.ownership import Standing
 from galenascale.gateway.slots.decisions import Grant, PoolServer
 from galenascale.gateway.slots.idle_servers import Obstacle
 from galenascale.gateway.slots.pace import (
+    MAX_DEBT,
+    MIN_REQUESTS_PER_S,
     LimitPart,
     Pace,
 )
@@ -71,6 +75,39 @@
         raise AssertionError(f"{give_up_s} s without a start at {self.pace}")
 
 
+@pytest.mark.parametrize("batch", [False, True], ids=["request", "item"])
+@given(standing=standings(), limit=limits, debt=st.integers(0, 3))
+@settings(max_examples=150, deadline=None)
+def test_something_starts_within_a_bound_and_never_too_much(
+    batch, standing, limit, debt
+):
+    """
+    Guards both sides of a limit: never stuck, and never above it.
+
+    The bound is the time in which its rate pays all debt and fills the bucket.
+    """
+    owner = Owner.from_standing(standing, limit)
+    for _ in range(debt):
+        owner.pool._servers.refill(owner.now)
+        owner.pool._servers.spend(1)
+    rate = max(limit, MIN_REQUESTS_PER_S) * owner.pace.requests_per_s
+    rate /= max(limit, MIN_REQUESTS_PER_S)
+    bound_s = (MAX_DEBT + owner.pace.burst) / rate + TICK_S
+    for _ in range(4):
+        owner.start_one(batch=batch, give_up_s=1.1 * bound_s)
+    assert owner.starts <= owner.pace.burst + rate * owner.now + 1e-6
+
+
+@pytest.mark.parametrize("limit", [0.0, 2.5, 20.0])
+@pytest.mark.parametrize("reached", [1, 2, 3])
+@pytest.mark.parametrize("ahead", [0, 1, 3])
+def test_item_starts_though_a_part_of_the_hosts_is_lost(limit, reached, ahead):
+    """An item needed two tokens, of a bucket that holds 1.33 or 1."""
+    owner = Owner.from_standing(Standing(ahead, reached, 3), limit)
+    seconds = 2 * (MAX_DEBT + owner.pace.burst) / owner.pace.requests_per_s
+    assert owner.start_one(batch=True, give_up_s=seconds) <= seconds
+
+
 def test_owner_says_what_keeps_a_server_idle():
     """Guards operators, who could not tell a limit from a lack of slots."""
     owner = Owner.from_standing(LOST_THIRD, 0.0)
