Offer other pools the slots in which items may start

Items that wait in a full pool never left for a pool whose servers were idle, if these had named limits.

Cause: the offer was counted in tokens less the reserve of slots. With a bucket that never holds 2 tokens, or one server in the pool, it was 0 for ever, while the pool itself starts items by its free slots and by the tokens of an item.

Change: the offer is what the pool would start itself. Reports of a pool move to a module of their own.

Measured: test_pool_offers_others_what_it_would_start_itself (5 of 6 cases) and test_item_leaves_a_full_pool_for_an_idle_one fail before.

--- a/galenascale/gateway/slots/pace.py
+++ b/galenascale/gateway/slots/pace.py
@@ -7,6 +7,8 @@
 chosen so that the sum stays within what a server in need bears.
 """
 
+import math
+
 import attrs
 
 from galenascale.rate_limit import RateBucket
@@ -108,6 +110,11 @@
         """Return True if there are tokens for a request or an item."""
         return self.tokens >= self.pace.tokens_needed(batch=batch)
 
+    def starts(self, *, batch):
+        """Return how many requests or items may start now."""
+        spare = self.tokens - self.pace.tokens_needed(batch=batch)
+        return max(0, math.floor(spare) + 1)
+
     def spend(self):
         """Take a token for a run, also if there is none."""
         self.bucket.tokens = max(-MAX_DEBT, self.bucket.tokens - 1.0)
--- a/galenascale/gateway/slots/pool.py
+++ b/galenascale/gateway/slots/pool.py
@@ -11,24 +11,23 @@
 import math
 
 from galenascale.gateway.slots.decisions import (
-    FreeSlots,
     Grant,
     Queued,
     Refused,
 )
 from galenascale.gateway.slots.idle_servers import find_idle_servers
+from galenascale.gateway.slots.pool_reports import find_free_slots, find_pressure
 from galenascale.gateway.slots.preemption import (
     item_to_preempt,
     preempt,
     preempt_excess_items,
     repeat_preemptions,
 )
-from galenascale.gateway.slots.pressure import find_pressure
 from galenascale.gateway.slots.run_times import RunTimes
 from galenascale.gateway.slots.runs import Run, RunTable
 from galenascale.gateway.slots.server_slots import ServerSlots
 from galenascale.gateway.slots.sibling_pools import SiblingPools
-from galenascale.gateway.slots.tenant_shares import TenantShares, largest_users
+from galenascale.gateway.slots.tenant_shares import TenantShares
 from galenascale.gateway.slots.wait_queue import WaitQueue
 
 # Seconds after which a run or a request is dropped unless its host renews it;
@@ -94,16 +93,8 @@
 
     def free_slots(self):
         """Return the FreeSlots to report to other pools."""
-        free = max(0, self._servers.startable_count() - len(self._online_queue))
-        return FreeSlots(
-            free=free,
-            free_for_batch=max(0, free - self.reserve()),
-            preemptible=sum(
-                self._servers.has_tokens(run.server_key)
-                for run in self._runs.preemptible()
-            ),
-            slots_by_tenant=largest_users(self._runs.online_by_tenant()),
-        )
+        waiting = len(self._online_queue)
+        return find_free_slots(self._servers, self._runs, waiting, self.reserve())
 
     def add_forecast(self, free_slots, now):
         """Set the forecast wait in FreeSlots, as far as it is known."""
--- a/galenascale/gateway/slots/server_slots.py
+++ b/galenascale/gateway/slots/server_slots.py
@@ -99,24 +99,24 @@
         servers = self._servers_by_key.values()
         return sum(max(0, self._free_on(server)) for server in servers)
 
-    def startable_count(self):
-        """Return the free slots in which a request may start now."""
+    def startable_count(self, *, batch=False):
+        """Return the free slots in which a request, or item, may start now."""
         if not self._buckets_by_key:
             return self.free_count()
         return sum(
-            max(0, min(self._free_on(server), self._whole_tokens(key)))
-            for key, server in self._servers_by_key.items()
+            min(free, self._startable_on(key, batch))
+            for key, free in self.free_by_key().items()
         )
 
+    def _startable_on(self, key, batch):
+        bucket = self._buckets_by_key.get(key)
+        return math.inf if bucket is None else bucket.starts(batch=batch)
+
     def _free_on(self, server):
         return server.slots - max(
             server.reported_runs, self._runs.counts_at(server.key).total
         )
 
-    def _whole_tokens(self, key):
-        bucket = self._buckets_by_key.get(key)
-        return math.inf if bucket is None else math.floor(bucket.tokens)
-
     def has_tokens(self, key):
         """Return True unless a server's limit forbids a request now."""
         return self._allows(key, batch=False)
--- a/test/gateway/test_starts_of_items.py
+++ b/test/gateway/test_starts_of_items.py
@@ -13,7 +13,7 @@
 from hypothesis import strategies as st
 
 from galenascale.gateway.ownership import Standing
-from galenascale.gateway.slots.decisions import Grant, PoolServer
+from galenascale.gateway.slots.decisions import Forwarded, Grant, PoolServer
 from galenascale.gateway.slots.idle_servers import Obstacle
 from galenascale.gateway.slots.pace import (
     MAX_DEBT,
@@ -120,3 +120,33 @@
     assert server.obstacle is Obstacle.LIMIT
     assert server.free == 8
     assert server.tokens < server.needed_tokens
+
+
+@pytest.mark.parametrize("standing", [LOST_THIRD, Standing(0, 3, 3), Standing(1, 1, 3)])
+@pytest.mark.parametrize("slots", [2, 8])
+def test_pool_offers_others_what_it_would_start_itself(standing, slots):
+    """An idle pool of one limited server never offered a slot for items."""
+    owner = Owner.from_standing(standing, 2.0, slots)
+    # The bucket is made, and filled.
+    for owner.now in (0.0, 1000.0):
+        owner.pool.tick(owner.now)
+    offered = owner.pool.free_slots().free_for_batch
+    started = 0
+    while owner.pool.submit(SlotRequest("a", started, batch=True), owner.now) and (
+        started < len(owner.pool._runs)
+    ):
+        started += 1
+    assert 0 < offered <= started
+
+
+def test_item_leaves_a_full_pool_for_an_idle_one():
+    """Guards items against waiting beside the idle servers of other pools."""
+    pool = SlotPool(random.Random(7))
+    pool.set_servers([PoolServer(1, 1)])
+    pool.submit(SlotRequest("a", 1), 0.0)
+    idle = Owner.from_standing(LOST_THIRD, 2.0)
+    for idle.now in (0.0, 1000.0):
+        idle.pool.tick(idle.now)
+    pool.update_free_slots(7, idle.pool.free_slots(), 0.0)
+    decisions = pool.submit(SlotRequest("a", 2, batch=True), 0.0)
+    assert any(isinstance(decision, Forwarded) for decision in decisions)
