Let items run in a pool of one slot

The items of a service never ran in a failure domain in which a single slot is left.

Cause: a slot is kept free for the next request, whatever the size of the pool.

Change: a pool of one slot keeps none; an item there is interrupted for a request, as on any server that is full.

Measured: test_item_starts_in_a_pool_of_any_size[1] fails before.

--- a/galenascale/gateway/slots/pool.py
+++ b/galenascale/gateway/slots/pool.py
@@ -217,9 +217,11 @@
         """
         Return the number of free slots that are kept for online requests.
 
-        The number of running requests fluctuates by its square root.
+        The number of running requests fluctuates by its square root. A pool
+        of one slot keeps none: an item there makes room for a request.
         """
-        return math.ceil(math.sqrt(self._runs.online + 1))
+        reserve = math.ceil(math.sqrt(self._runs.online + 1))
+        return min(reserve, max(0, self._servers.slots - 1))
 
     def _schedule(self, now):
         """Return the decisions on requests that need not wait any longer."""
