Offer slots by the tokens of items only while a pool is idle

Change: the former count, unless the pool runs and waits for no request. It is the same then for owners that grant whole limits.

--- a/galenascale/gateway/slots/pool_reports.py
+++ b/galenascale/gateway/slots/pool_reports.py
@@ -37,12 +37,17 @@
     preemptible = [
         run for run in runs.preemptible() if servers.has_tokens(run.server_key)
     ]
-    free_for_batch = min(
-        servers.free_count() - reserve, servers.startable_count(batch=True)
-    )
+    free = max(0, servers.startable_count() - waiting)
+    free_for_batch = max(0, free - reserve)
+    if not (waiting or runs.online):
+        # All slots are free for items, also where each server has tokens for
+        # one run only.
+        idle = servers.free_count() - reserve
+        startable = min(idle, servers.startable_count(batch=True))
+        free_for_batch = max(free_for_batch, startable)
     return FreeSlots(
-        free=max(0, servers.startable_count() - waiting),
-        free_for_batch=max(0, free_for_batch - waiting),
+        free=free,
+        free_for_batch=free_for_batch,
         preemptible=len(preemptible),
         slots_by_tenant=largest_users(runs.online_by_tenant()),
     )
