--- a/galenascale/gateway/jobs/partitions.py
+++ b/galenascale/gateway/jobs/partitions.py
@@ -118,6 +118,22 @@
         except (PartitionTrimmed, PiecesMissing) as error:
             self._log_broken(offset, error.message)
             return None
+        except STORE_ERRORS as error:
+            self._log_unread(offset, data, error)
+            raise
+
+    def _log_unread(self, offset, data, error):
+        pieces = find_pieces(data)
+        self._context.log.write(
+            "job_record_unread",
+            "warning",
+            topic=self.topic,
+            partition=self.number,
+            offset=offset,
+            body_bytes=pieces and pieces.size,
+            pieces=pieces and pieces.count,
+            reason=error.message,
+        )
 
     async def _insert_body(self, data):
         """Return a record with its body, also if that is in other records."""
