Write and read records of the store within the same bounds

Cause: a stopping host put the output of all unfinished items of a job into one record, whatever its size, and a body is read with one call, of which the client takes 4 MB. The read fails as if the store were away and is repeated for ever.

Change: store_sizes.py has the bounds for writers and readers.

--- a/galenascale/gateway/host_listeners.py
+++ b/galenascale/gateway/host_listeners.py
@@ -6,11 +6,7 @@
 from galenascale.gateway.caller_body import CallerBody
 from galenascale.gateway.caller_memory import CallerMemory
 from galenascale.gateway.connection_limits import ConnectionLimits
-from galenascale.gateway.jobs.relaying_store import (
-    MAX_CALL_BYTES,
-    STORE_CALL_PATH,
-    answer_store_call,
-)
+from galenascale.gateway.jobs.relaying_store import STORE_CALL_PATH, answer_store_call
 from galenascale.gateway.limit_log import LimitLog
 from galenascale.gateway.listeners import (
     CallerServer,
@@ -21,6 +17,7 @@
 from galenascale.gateway.peer_state import handle_state_request
 from galenascale.gateway.responses import error_response
 from galenascale.gateway.sockets import split_address
+from galenascale.gateway.store_sizes import MAX_CALL_BYTES
 
 
 class InternalHandlers:
--- a/galenascale/gateway/jobs/acceptance.py
+++ b/galenascale/gateway/jobs/acceptance.py
@@ -9,6 +9,7 @@
 from galenascale.gateway.jobs.records import compress, split_bytes
 from galenascale.gateway.jobs.scopes import QuotaScope
 from galenascale.gateway.jobs.state import JobState
+from galenascale.gateway.store_sizes import record_limit
 from galenascale.generated.gateway_messages import Job, JobItem, JobRecordKind
 from galenascale.store import STORE_ERRORS, StoreFenced
 
@@ -177,7 +178,7 @@
     """Set the positions of the bodies in a job; return their records."""
     records = []
     for item, stored in zip(submission.items, job.items, strict=True):
-        pieces = split_bytes(compress(item.body), store_settings.record_bytes)
+        pieces = split_bytes(compress(item.body), record_limit(store_settings))
         stored.body_bytes = len(item.body)
         stored.first_record = len(records)
         stored.records = len(pieces)
--- a/galenascale/gateway/jobs/partitions.py
+++ b/galenascale/gateway/jobs/partitions.py
@@ -14,6 +14,7 @@
 )
 from galenascale.gateway.jobs.records import encode_body
 from galenascale.gateway.jobs.state import PartitionState
+from galenascale.gateway.store_sizes import record_limit
 from galenascale.generated.gateway_messages import JobRecord
 from galenascale.hashing import shard_of
 from galenascale.store import STORE_ERRORS, PartitionTrimmed, StoreUnavailable
@@ -186,7 +187,7 @@
         """
         body = encode_body(message)
         record = encode(JobRecord(kind=int(kind), job_id=job_id, body=body))
-        if len(record) <= self._context.settings.store.record_bytes:
+        if len(record) <= record_limit(self._context.settings.store):
             return record
         pieces = await append_bytes(self._context, self.number, body)
         return encode_pointer(kind, job_id, pieces)
--- a/galenascale/gateway/jobs/pieces.py
+++ b/galenascale/gateway/jobs/pieces.py
@@ -11,12 +11,11 @@
 from galenascale.codec import decode, encode
 from galenascale.errors import DecodeError
 from galenascale.gateway.jobs.records import group_by_size, split_bytes
+from galenascale.gateway.store_sizes import READ_KB, append_limit, record_limit
 from galenascale.generated.gateway_messages import JobRecord
 from galenascale.store import StoreFenced, StoreUnavailable
 
 BODIES_TOPIC = "bodies"
-# Largest append in bytes; hosts relay calls of at most 1 MB for each other.
-MAX_APPEND_BYTES = 960 << 10
 # KB that a read requests beyond the bytes, for record framing and rounding.
 _READ_OVERHEAD_KB = 2
 # Most records of a PieceRange that is read.
@@ -49,8 +48,7 @@
     Return the offset of the first. Raise the errors of the store, and
     StoreFenced if another writer was between.
     """
-    limit = min(context.settings.store.call_bytes, MAX_APPEND_BYTES)
-    groups = group_by_size(pieces, limit)
+    groups = group_by_size(pieces, append_limit(context.settings.store))
     store = context.job_store
     first = await store.append(BODIES_TOPIC, partition, groups[0])
     end = first + len(groups[0])
@@ -62,7 +60,7 @@
 
 async def append_bytes(context, partition, data):
     """Append bytes in pieces and return their PieceRange; raise its errors."""
-    pieces = split_bytes(data, context.settings.store.record_bytes)
+    pieces = split_bytes(data, record_limit(context.settings.store))
     try:
         first = await append_pieces(context, partition, pieces)
     except StoreFenced as error:
@@ -79,17 +77,20 @@
     never there, and StoreUnavailable if the store does not return them.
     """
     parts = []
+    missing_bytes = pieces.size
     while len(parts) < pieces.count:
+        missing_kb = max(0, missing_bytes) // 1024 + _READ_OVERHEAD_KB
         result = await context.job_store.read(
             BODIES_TOPIC,
             partition,
             pieces.first_offset + len(parts),
-            max_kb=pieces.size // 1024 + _READ_OVERHEAD_KB,
+            max_kb=min(missing_kb, READ_KB),
         )
         if not result.records:
             raise PiecesMissing("store has no such records", step="read_pieces")
         wanted = result.records[: pieces.count - len(parts)]
         parts.extend(record for _, record in wanted)
+        missing_bytes -= sum(len(record) for _, record in wanted)
     return b"".join(parts)
 
 
--- a/galenascale/gateway/jobs/recorder.py
+++ b/galenascale/gateway/jobs/recorder.py
@@ -3,7 +3,13 @@
 import asyncio
 
 from galenascale.gateway.jobs.partitions import RETRY_INTERVAL_S
+from galenascale.gateway.jobs.records import group_by_size
 from galenascale.gateway.jobs.scopes import QuotaScope
+from galenascale.gateway.store_sizes import (
+    MAX_PROGRESS_BYTES,
+    PROGRESS_GROUP_BYTES,
+    record_limit,
+)
 from galenascale.generated.gateway_messages import (
     ItemOutcome,
     ItemProgress,
@@ -89,18 +95,10 @@
             del self._pending_by_job[job_id]
 
     async def _write(self, job_id, outcomes):
-        limit = self._context.settings.store.record_bytes // 2
+        limit = record_limit(self._context.settings.store) // 2
         partition = self._partitions.for_job(job_id)
-        group = []
-        size = 0
-        for outcome in outcomes:
-            if group and size + len(outcome.text) > limit:
-                await self._append(partition, job_id, group)
-                group = []
-                size = 0
-            group.append(outcome)
-            size += len(outcome.text)
-        await self._append(partition, job_id, group)
+        for group in group_by_size(outcomes, limit, _text_bytes):
+            await self._append(partition, job_id, group)
 
     async def _append(self, partition, job_id, group):
         record = await partition.prepare(
@@ -124,18 +122,38 @@
             self._context.quotas.release(scope, job_id, tokens)
 
     async def record_progress(self, job_id, items):
-        """Write the output of unfinished items; raise the store's errors."""
+        """
+        Write the output of unfinished items; raise the store's errors.
+
+        Output that is too long for a record is left out; the item begins anew.
+        """
         unrecorded = [item for item in items if item.unrecorded_events]
-        if not unrecorded:
-            return
-        progress = [
-            ItemProgress(item.index, item.last_event_id, item.text())
-            for item in unrecorded
+        recordable = [
+            item for item in unrecorded if item.held_bytes <= MAX_PROGRESS_BYTES
         ]
+        if len(recordable) < len(unrecorded):
+            left_out = len(unrecorded) - len(recordable)
+            self._context.log.write("progress_too_long", job=job_id, items=left_out)
         partition = self._partitions.for_job(job_id)
+        groups = group_by_size(recordable, PROGRESS_GROUP_BYTES, _held_bytes)
+        for group in groups:
+            await self._append_progress(partition, job_id, group)
+
+    async def _append_progress(self, partition, job_id, items):
+        progress = [
+            ItemProgress(item.index, item.last_event_id, item.text()) for item in items
+        ]
         record = await partition.prepare(
             JobRecordKind.PROGRESS, job_id, JobProgress(items=progress)
         )
         await partition.append(record)
-        for item, recorded in zip(unrecorded, progress, strict=True):
+        for item, recorded in zip(items, progress, strict=True):
             item.recorded_event_id = recorded.last_event_id
+
+
+def _held_bytes(item):
+    return item.held_bytes
+
+
+def _text_bytes(outcome):
+    return len(outcome.text)
--- a/galenascale/gateway/jobs/records.py
+++ b/galenascale/gateway/jobs/records.py
@@ -67,18 +67,19 @@
     return [data[start : start + size] for start in range(0, len(data), size)] or [b""]
 
 
-def group_by_size(records, limit):
+def group_by_size(entries, limit, size_of=len):
     """
-    Return the records in groups of at most `limit` bytes, in their order.
+    Return entries in groups of at most `limit` bytes, in their order.
 
-    A record that is larger than the limit forms a group of its own.
+    `size_of` returns the bytes of one. One that is larger than the limit forms
+    a group of its own; no entries form no group.
     """
-    groups = [[]]
+    groups = []
     size = 0
-    for record in records:
-        if groups[-1] and size + len(record) > limit:
+    for entry in entries:
+        if not groups or size + size_of(entry) > limit:
             groups.append([])
             size = 0
-        groups[-1].append(record)
-        size += len(record)
+        groups[-1].append(entry)
+        size += size_of(entry)
     return groups
--- a/galenascale/gateway/jobs/relaying_store.py
+++ b/galenascale/gateway/jobs/relaying_store.py
@@ -9,6 +9,7 @@
 from galenascale.gateway.jobs.partitions import JOBS_TOPIC, QUOTAS_TOPIC
 from galenascale.gateway.jobs.pieces import BODIES_TOPIC
 from galenascale.gateway.sockets import peer_url
+from galenascale.gateway.store_sizes import MAX_READ_BYTES, READ_KB
 from galenascale.generated.gateway_messages import (
     StoreAnswer,
     StoreCall,
@@ -30,10 +31,6 @@
 # longest store call of the relaying host plus the delay between the hosts.
 ANSWER_TIMEOUT_S = 2.5
 CONNECT_TIMEOUT_S = 0.5
-# Largest relayed call in bytes that a host accepts.
-MAX_CALL_BYTES = 1 << 20
-# Largest answer in bytes to a relayed call: one read of the store.
-MAX_ANSWER_BYTES = 4 << 20
 
 
 class RelayingStore:
@@ -64,7 +61,7 @@
         answer = await self._call(call)
         return answer.offset
 
-    async def read(self, topic, partition, offset, *, wait_s=0.0, max_kb=1024):
+    async def read(self, topic, partition, offset, *, wait_s=0.0, max_kb=READ_KB):
         """
         Return the ReadResult with the records from an offset on.
 
@@ -130,7 +127,7 @@
                 url, data=encode(call), timeout=timeout
             ) as response:
                 if response.status == 200:
-                    body = await read_limited_body(response, MAX_ANSWER_BYTES)
+                    body = await read_limited_body(response, MAX_READ_BYTES)
                     answer = decode(StoreAnswer, body)
                 else:
                     answer = _not_done(
--- a/galenascale/platform/store.py
+++ b/galenascale/platform/store.py
@@ -8,6 +8,7 @@
 
 from galenascale.errors import DecodeError
 from galenascale.gateway.http_bodies import read_limited_body
+from galenascale.gateway.store_sizes import MAX_READ_BYTES, READ_KB
 from galenascale.platform.fields import get_field, parse_json_object
 from galenascale.platform.records import (
     decode_keyed_record,
@@ -35,9 +36,6 @@
 # A host must meet its time limits again 3 s after the end of a store outage,
 # so a read that began during the outage has to time out well before that.
 LONG_POLL_GRACE_S = 1.0
-# Largest response of the store: a page of the latest records has 1 MB, and a
-# read may return one record more than was asked for.
-MAX_RESPONSE_BYTES = 4 << 20
 # Statuses with which the store rejects a call without applying it.
 _REJECTED_STATUSES = frozenset((429, 503, 507))
 # Statuses with which it rejects the call as such, whoever makes it.
@@ -97,7 +95,7 @@
         return await self.append(topic, 0, [encode_keyed_record(key, value or b"")])
 
     async def read(
-        self, topic, partition, offset, *, wait_s=0.0, max_kb=1024, timeout_s=None
+        self, topic, partition, offset, *, wait_s=0.0, max_kb=READ_KB, timeout_s=None
     ):
         """
         Return the ReadResult of the records from an offset on.
@@ -216,7 +214,7 @@
             async with self._session.request(
                 method, self._url + path, params=params, data=body, timeout=timeout
             ) as response:
-                body = await read_limited_body(response, MAX_RESPONSE_BYTES)
+                body = await read_limited_body(response, MAX_READ_BYTES)
                 return _Response(response.status, body)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             raise StoreUnavailable(
