Let a record that cannot be read hold up its own job alone

One record whose body the store does not return stopped all records behind it, for all jobs of the partition; the store keeps records of earlier builds for minutes.

Cause: a failed read of a body counts as a store that is away.

Change: what a host does with such a record is one decision. While the store returns the partition, but not the body, four times in a row, progress is skipped (the items begin anew), and other records are set aside with what follows of their job: the others go on, calls about that job get 503 here, and the body is read again each 2 s. A store that is away is waited for as before. Progress above 4 MB, which earlier builds wrote, is skipped unread.

--- a/galenascale/gateway/jobs/acceptance.py
+++ b/galenascale/gateway/jobs/acceptance.py
@@ -11,7 +11,7 @@
 from galenascale.gateway.jobs.state import JobState
 from galenascale.gateway.store_sizes import record_limit
 from galenascale.generated.gateway_messages import Job, JobItem, JobRecordKind
-from galenascale.store import STORE_ERRORS, StoreFenced
+from galenascale.store import STORE_ERRORS, StoreFenced, StoreUnavailable
 
 # Share of the caller's timeout for which writes to the store are retried.
 TIMEOUT_SHARE = 0.7
@@ -118,6 +118,10 @@
             await self._partition.refresh()
         if job_id in jobs_by_id:
             return None
+        if self._partition.is_unsure_of(job_id):
+            # It may be stored.
+            self._maybe_stored = True
+            raise StoreUnavailable("records of the job are not returned")
         if not self._maybe_stored:
             check_item_routes(self._context.configuration, job)
             self._check_memory(job)
--- a/galenascale/gateway/jobs/api.py
+++ b/galenascale/gateway/jobs/api.py
@@ -15,7 +15,7 @@
 from galenascale.gateway.jobs.stored_items import find_index
 from galenascale.gateway.requests import ItemResult, JobCallKind
 from galenascale.generated.gateway_messages import ItemState, JobRecordKind
-from galenascale.store import STORE_ERRORS
+from galenascale.store import STORE_ERRORS, StoreUnavailable
 
 # Maximum age in seconds of a partition's known state with which a call is
 # answered without reading the store. Results that one host has returned must
@@ -29,6 +29,7 @@
 MAX_JOB_PARTS = 50_000
 # Seconds in the Retry-After header while the store does not answer.
 RETRY_AFTER_S = 0.5
+_NOT_READ = StoreUnavailable("records of the job are not returned")
 # Bytes of results that are read for one call; a page holds fewer.
 MAX_RESULTS_BYTES = 1 << 20
 # The same while the host stops: the kernel's buffers hold the whole page, so
@@ -120,6 +121,8 @@
         except STORE_ERRORS as error:
             if job_id not in jobs_by_id:
                 raise self._store_unavailable(error) from error
+        if partition.is_unsure_of(job_id):
+            raise self._store_unavailable(_NOT_READ)
         return jobs_by_id.get(job_id)
 
     async def _retry(self, step):
--- a/galenascale/gateway/jobs/partitions.py
+++ b/galenascale/gateway/jobs/partitions.py
@@ -14,6 +14,12 @@
 )
 from galenascale.gateway.jobs.records import encode_body
 from galenascale.gateway.jobs.state import PartitionState
+from galenascale.gateway.jobs.unread_records import (
+    UnreadRecords,
+    Verdict,
+    describe,
+    is_excess_progress,
+)
 from galenascale.gateway.store_sizes import record_limit
 from galenascale.generated.gateway_messages import JobRecord
 from galenascale.hashing import shard_of
@@ -60,6 +66,7 @@
         self._lock = asyncio.Lock()
         # Monotonic time at which the latest read that reached the end started.
         self._caught_up_at = float("-inf")
+        self._unread = UnreadRecords()
 
     @property
     def position(self):
@@ -99,48 +106,100 @@
         except PartitionTrimmed as error:
             self._position = max(self._position, error.first_kept_offset)
             return
+        await self._read_again()
         for offset, data in result.records:
-            if offset < self._position:
-                continue
-            record = await self._try_insert_body(offset, data)
-            # Meanwhile another call may have read on.
             if offset >= self._position:
-                self._position = offset + 1
-                if record is not None:
-                    self._apply(offset, record)
+                await self._take(offset, data)
         self._drop_expired()
         if self._position >= result.next_offset:
             self._caught_up_at = max(self._caught_up_at, started_at)
 
-    async def _try_insert_body(self, offset, data):
-        """Return a whole record, or None if its body does not exist."""
+    async def _take(self, offset, data):
+        """Apply a record, skip it, or set it aside."""
+        if self._unread.concerns(data):
+            self._set_aside(offset, data)
+            return
         try:
-            return await self._insert_body(data)
-        except (PartitionTrimmed, PiecesMissing) as error:
-            self._log_broken(offset, error.message)
-            return None
+            record = await self._insert_body(data)
+        except (PartitionTrimmed, *STORE_ERRORS) as error:
+            verdict = self._unread.judge(offset, data, error)
+            self._log_unread(offset, data, error, verdict)
+            if verdict is Verdict.RETRY:
+                raise
+            if verdict is Verdict.SET_ASIDE:
+                self._set_aside(offset, data)
+                return
+            record = None
+        # Meanwhile another call may have read on.
+        if offset >= self._position:
+            self._position = offset + 1
+            if record is not None:
+                self._apply(offset, record)
+
+    def _set_aside(self, offset, data):
+        if offset >= self._position:
+            self._position = offset + 1
+            self._unread.set_aside(offset, data, self._context.clock.monotonic())
+
+    def is_unsure_of(self, job_id):
+        """Return True while records of a job are missing here."""
+        return job_id in self._unread.records_by_job_id
+
+    async def _read_again(self):
+        """Read the bodies again that jobs wait for."""
+        for job_id in self._unread.take_due(self._context.clock.monotonic()):
+            while (waiting := self._unread.first(job_id)) is not None:
+                if not await self._apply_late(job_id, *waiting):
+                    break
+
+    async def _apply_late(self, job_id, offset, data):
+        """Apply a record that was set aside; return False if it waits on."""
+        record = None
+        try:
+            record = await self._insert_body(data)
         except STORE_ERRORS as error:
-            self._log_unread(offset, data, error)
-            raise
-
-    def _log_unread(self, offset, data, error):
+            if not isinstance(error, PiecesMissing):
+                return False
+            self._log_unread(offset, data, error, Verdict.SKIP)
+        except PartitionTrimmed as error:
+            self._log_unread(offset, data, error, Verdict.SKIP)
+        # Meanwhile another call may have applied it.
+        if self._unread.first(job_id) == (offset, data):
+            self._unread.remove_first(job_id)
+            if record is not None:
+                self._apply(offset, record)
+        return True
+
+    def _log_unread(self, offset, data, error, verdict):
+        if verdict is Verdict.SKIP:
+            self._log_broken(offset, error.message)
+            return
         pieces = find_pieces(data)
+        _, job_id = describe(data)
         self._context.log.write(
             "job_record_unread",
             "warning",
             topic=self.topic,
             partition=self.number,
             offset=offset,
+            job=job_id,
+            verdict=verdict.value,
             body_bytes=pieces and pieces.size,
             pieces=pieces and pieces.count,
             reason=error.message,
         )
 
     async def _insert_body(self, data):
-        """Return a record with its body, also if that is in other records."""
+        """
+        Return a record with its body, also if that is in other records.
+
+        Raise PartitionTrimmed, PiecesMissing and the errors of the store.
+        """
         pieces = find_pieces(data) if self.topic == JOBS_TOPIC else None
         if pieces is None:
             return data
+        if is_excess_progress(data):
+            raise PiecesMissing("progress is too long to be read", step="read_pieces")
         return insert_body(data, await read_pieces(self._context, self.number, pieces))
 
     async def read_record(self, offset):
--- a/galenascale/gateway/store_sizes.py
+++ b/galenascale/gateway/store_sizes.py
@@ -19,6 +19,8 @@
 # item that is recorded. Earlier builds read a body with one call.
 PROGRESS_GROUP_BYTES = 1 << 20
 MAX_PROGRESS_BYTES = 3 << 20
+# Largest body with progress, in bytes, that is read.
+MAX_PROGRESS_BODY_BYTES = 4 << 20
 
 
 def record_limit(store_settings):
