Log which weights a request expected when its server counts as gone

server_gone did not tell another server at an address from other weights of the same server.

The stand-in for a backend server names weights now.

--- a/galenascale/gateway/dispatch.py
+++ b/galenascale/gateway/dispatch.py
@@ -31,7 +31,7 @@
     repeatable: bool
     # Called with the server if its response announces that it is leaving.
     on_leaving: object
-    # Called with the server if another one answers at its address.
+    # Called with the Attempt and the ResponseHead if another server answers.
     on_gone: object
     # Called with the Attempt and the ResponseHead of the server itself.
     on_head: object
@@ -39,6 +39,8 @@
     held: object
     # Whether the response was read to its end and the connection is reusable.
     complete: bool = False
+    # The CallerRequest.
+    request: object = None
 
     async def read_head(self):
         """Return the ResponseHead; raise BackendError if it is incomplete."""
@@ -46,7 +48,7 @@
         if head.leaving:
             self.on_leaving(self.server)
         if head.misdirected:
-            self.on_gone(self.server)
+            self.on_gone(self, head)
         else:
             self.on_head(self, head)
         return head
@@ -140,10 +142,18 @@
             # Triggers a message that tells the other hosts.
             context.load.mark_changed()
 
-    def _mark_gone(self, server):
+    def _mark_gone(self, attempt, head):
         context = self._context
+        server = attempt.server
         context.health.mark_gone(server.incarnation, context.clock.monotonic())
-        context.log.write("server_gone", "warning", server=server.server_id)
+        context.log.write(
+            "server_gone",
+            "warning",
+            server=server.server_id,
+            request=attempt.request.request_id,
+            expected_version=attempt.request.expected_version,
+            weights_version=head.weights_version,
+        )
 
     def _record_limit(self, attempt, head):
         """Record the limit that a server names in an answer, or its end."""
@@ -214,6 +224,7 @@
             self._mark_gone,
             self._record_limit,
             context.held_answers,
+            request=request,
         )
         context.reachability.add(attempt)
         try:
--- a/galenascale/gateway/requests.py
+++ b/galenascale/gateway/requests.py
@@ -39,6 +39,8 @@
     max_output_tokens: int = 0
     # Ids of the parts of the prompt that other requests may share.
     shared_parts: tuple[str, ...] = ()
+    # Version of the weights that the server must have; None for any.
+    expected_version: str | None = None
 
     @property
     def memory_tokens(self):
@@ -68,12 +70,15 @@
     signed: bool = False
     # Whether the server states that it did not run the request.
     not_run: bool = False
-    # Whether another server than the addressed one has the address.
+    # Whether the server states that the request is for another one: its
+    # address is that of the addressed one, or its weights are others.
     misdirected: bool = False
     # Whether the server is leaving and accepts no further requests.
     leaving: bool = False
     # NamedLimit of the server on its request rate; None if it names none.
     limit: object = None
+    # Version of the server's weights; None if not stated.
+    weights_version: int | None = None
     # Idle time in seconds after which the server closes the connection.
     keep_alive_s: float | None = None
     # Content length in bytes; None if not stated.
--- a/galenascale/platform/adapter.py
+++ b/galenascale/platform/adapter.py
@@ -29,6 +29,7 @@
     build_backend_headers = staticmethod(headers.build_backend_headers)
     build_item_headers = staticmethod(headers.build_item_headers)
     check_item = staticmethod(headers.check_item)
+    parse_expected_version = staticmethod(headers.parse_expected_version)
     parse_output_tokens = staticmethod(headers.parse_output_tokens)
     parse_shared_parts = staticmethod(headers.parse_shared_parts)
     parse_response_head = staticmethod(headers.parse_response_head)
--- a/galenascale/platform/headers.py
+++ b/galenascale/platform/headers.py
@@ -30,6 +30,9 @@
 _NOT_RUN = b"x-galenascale-not-executed"
 _SIGNATURE = b"x-galenascale-response-signature"
 _LEAVING = b"server-leaving"
+# Version of the weights that a request expects, and that a server has.
+_EXPECTED_VERSION = b"x-galenascale-expect-version"
+_WEIGHTS_VERSION = b"x-galenascale-weight-versions"
 # Requests per second that the server takes from all hosts together.
 _LIMIT = b"server-limit"
 _RATE = re.compile(r"[0-9]{1,15}(\.[0-9]{1,15})?")
@@ -110,9 +113,23 @@
         prompt_tokens=_parse_token_count(tokens, 0),
         max_output_tokens=_parse_token_count(tokens, 1),
         shared_parts=parse_shared_parts(headers),
+        expected_version=parse_expected_version(headers),
     )
 
 
+def parse_expected_version(headers):
+    """
+    Return the version of the weights that a request expects, as text.
+
+    None if it expects none.
+    """
+    for name, value in headers:
+        # Servers may read an underscore in a header name as a hyphen.
+        if name.lower().replace(b"_", b"-") == _EXPECTED_VERSION:
+            return value.decode("latin-1").strip()
+    return None
+
+
 def parse_shared_parts(headers):
     """Return the ids of the prompt's parts that other requests may share."""
     value = find_header(headers, _PROMPT_PARTS)
@@ -255,6 +272,7 @@
     """Return the ResponseHead of a backend server's response."""
     keep_alive = _KEEP_ALIVE_TIMEOUT.search(find_header(headers, b"keep-alive") or b"")
     length = find_header(headers, b"content-length")
+    version = find_header(headers, _WEIGHTS_VERSION)
     return ResponseHead(
         status=status,
         headers=strip_hop_by_hop_headers(headers),
@@ -264,6 +282,7 @@
         misdirected=status == _MISDIRECTED,
         leaving=find_header(headers, _LEAVING) == b"1",
         limit=parse_limit(headers),
+        weights_version=None if version is None else parse_whole_number(version),
         keep_alive_s=float(keep_alive[1]) if keep_alive else None,
         length=None if length is None else parse_whole_number(length),
     )
--- a/galenascale/standins/runner.py
+++ b/galenascale/standins/runner.py
@@ -35,7 +35,7 @@
         # Connections that the client closed before the end of a response.
         self.early_disconnects = 0
         self.endless_responses_aborted = 0
-        # Requests for another server that had the address.
+        # Requests for another server that had the address, or other weights.
         self.misdirected = 0
         self.sequence = 0
         self.started_ms = 1
@@ -115,8 +115,11 @@
         request.extra_header_lines += tuple(
             f"Server-Limit: {limit}" for limit in behaviour.limits
         )
-        target = request.header("X-Galenascale-Target-Instance")
-        if target and target != self.server_id:
+        if behaviour.weights is not None:
+            request.extra_header_lines += (
+                f"X-Galenascale-Weight-Versions: {behaviour.weights}",
+            )
+        if self._is_misdirected(request, behaviour):
             self.misdirected += 1
             _write_whole(writer, request, 421, b"", signed=False)
             return True
@@ -132,6 +135,14 @@
         finally:
             self.running -= 1
 
+    def _is_misdirected(self, request, behaviour):
+        target = request.header("X-Galenascale-Target-Instance")
+        expected = request.header("X-Galenascale-Expect-Version")
+        is_other_version = behaviour.weights is not None and (
+            expected not in (None, str(behaviour.weights))
+        )
+        return is_other_version or bool(target and target != self.server_id)
+
     async def _run(self, request, behaviour, reader, writer):
         if behaviour.hang:
             await reader.read()
--- a/galenascale/standins/runner_behaviour.py
+++ b/galenascale/standins/runner_behaviour.py
@@ -46,5 +46,8 @@
     leaving: bool = False
     # Values of the header Server-Limit, sent with each response.
     limits: tuple[str, ...] = ()
+    # Version of the weights, named in each response; requests that expect
+    # another one are not run.
+    weights: int | None = None
     # Sent instead of the usual response.
     endless: EndlessResponse | None = None
