Tell answers about a request from those about its server

Cause: any answer 421 counted as that of another server at the address, though one to a request that expects a version says nothing of the server. It was told to the owner of the slots, which granted nothing there. The items were due first and got the first slots each 10 s.

Change: answer_meaning.py says for each answer whether it speaks of the request or of the server, for online requests and items alike. Items now report another server at an address too, and a run that was rejected for itself no longer pauses its server.

--- a/galenascale/gateway/attempt_log.py
+++ b/galenascale/gateway/attempt_log.py
@@ -26,3 +26,10 @@
         outcome=outcome,
         status=response.head.status if response else None,
     )
+
+
+def attempt_outcome(response, served):
+    """Return how an attempt that got a whole response ended, for the log."""
+    if served:
+        return "answered"
+    return "refused" if response.head.not_run else "failed"
--- a/galenascale/gateway/attempts.py
+++ b/galenascale/gateway/attempts.py
@@ -67,6 +67,8 @@
     had_connection_failure: bool = False
     # Server incarnations that are skipped until the next backoff.
     refused: set = attrs.field(factory=set)
+    # Server incarnations that have other weights than the request expects.
+    other_weights: frozenset = frozenset()
 
     def remaining_s(self, now):
         """Return the seconds until the deadline."""
@@ -81,7 +83,11 @@
 
     def excludes(self, incarnation):
         """Return True if the request must not be sent to a server now."""
-        return incarnation in self.tried or incarnation in self.refused
+        return (
+            incarnation in self.tried
+            or incarnation in self.refused
+            or incarnation in self.other_weights
+        )
 
     def record_send(self, incarnation):
         """Record an attempt that the server may run."""
@@ -128,6 +134,18 @@
         self.refused.clear()
         return backoff_s
 
+    def make_version_error(self, retry_after_s):
+        """Return the error while no server has the expected weights."""
+        reason = "no backend server has the expected version of the weights"
+        if self.runs:
+            return may_have_run_error(reason, code="may_have_run")
+        return not_run_error(
+            reason,
+            code="version_not_served",
+            http_status=421,
+            retry_after_s=retry_after_s,
+        )
+
     def make_error(self, reason, now, retry_after_s=None):
         """Return the final error, which states if the request may have run."""
         if self.runs:
--- a/galenascale/gateway/context.py
+++ b/galenascale/gateway/context.py
@@ -4,6 +4,7 @@
 
 from galenascale.gateway.caller_memory import CallerMemory
 from galenascale.gateway.output_limits import MAX_HELD_ANSWER_BYTES, HeldBytes
+from galenascale.gateway.weight_versions import WeightVersions
 
 
 @attrs.define
@@ -25,6 +26,8 @@
     pool: object
     ownership: object = None
     reachability: object = None
+    # WeightVersions of the servers.
+    versions: WeightVersions = attrs.field(factory=WeightVersions)
     # ServerLimits: request rates that backend servers name.
     limits: object = None
     admission: object = None
--- a/galenascale/gateway/dispatch.py
+++ b/galenascale/gateway/dispatch.py
@@ -7,6 +7,7 @@
 
 from galenascale.errors import BackendError, Execution
 from galenascale.gateway import limit_exchange
+from galenascale.gateway.answer_meaning import Meaning, find_meaning
 from galenascale.gateway.balancing import Candidate, choose_candidate
 from galenascale.gateway.http_heads import InvalidHead, encode_request_head
 from galenascale.gateway.slots.leases import is_paced
@@ -39,15 +40,17 @@
     held: object
     # Whether the response was read to its end and the connection is reusable.
     complete: bool = False
-    # The CallerRequest.
+    # The CallerRequest, and the Meaning of the answer once its head was read.
     request: object = None
+    meaning: Meaning | None = None
 
     async def read_head(self):
         """Return the ResponseHead; raise BackendError if it is incomplete."""
         head = await self.connection.read()
+        self.meaning = find_meaning(head, self.request)
         if head.leaving:
             self.on_leaving(self.server)
-        if head.misdirected:
+        if self.meaning is Meaning.OTHER_SERVER:
             self.on_gone(self, head)
         else:
             self.on_head(self, head)
@@ -151,15 +154,30 @@
             "warning",
             server=server.server_id,
             request=attempt.request.request_id,
-            expected_version=attempt.request.expected_version,
-            weights_version=head.weights_version,
         )
 
-    def _record_limit(self, attempt, head):
-        """Record the limit that a server names in an answer, or its end."""
+    def _record_head(self, attempt, head):
+        """Record the weights and the limit that a server names, or its end."""
+        self._record_weights(attempt, head)
         if head.limit is not None or self._context.limits:
             limit_exchange.record_answer(self._context, attempt, head)
 
+    def _record_weights(self, attempt, head):
+        context = self._context
+        request = attempt.request
+        context.versions.observe(
+            attempt.server.incarnation, head, request, context.clock.monotonic()
+        )
+        if attempt.meaning is Meaning.OTHER_WEIGHTS:
+            context.log.write(
+                "weights_differ",
+                "debug",
+                server=attempt.server.server_id,
+                request=request.request_id,
+                expected_version=request.expected_version,
+                weights_version=head.weights_version,
+            )
+
     def _raise_on_obstacle(self, server, plan, lease, now):
         """Raise BackendError (not run) if nothing may be sent now."""
         context = self._context
@@ -214,6 +232,7 @@
             context.pool.release(server, connection)
             raise
         plan.record_send(server.incarnation)
+        context.versions.record_send(server.incarnation, request.expected_version, now)
         context.load.start(server.server_id, batch=self._batch)
         attempt = Attempt(
             server,
@@ -222,7 +241,7 @@
             plan.route.repeatable,
             self._mark_leaving,
             self._mark_gone,
-            self._record_limit,
+            self._record_head,
             context.held_answers,
             request=request,
         )
--- a/galenascale/gateway/forwarded_request.py
+++ b/galenascale/gateway/forwarded_request.py
@@ -5,7 +5,7 @@
 
 from galenascale.errors import BackendError
 from galenascale.gateway.admission import fingerprint
-from galenascale.gateway.attempt_log import log_attempt
+from galenascale.gateway.attempt_log import attempt_outcome, log_attempt
 from galenascale.gateway.attempts import MIN_REMAINING_S, RequestFailed
 from galenascale.gateway.configuration import RequestKind
 from galenascale.gateway.crashes import InterruptedRun, block_reason
@@ -70,7 +70,7 @@
                 await self._record_broken_run(selected, error)
                 self._raise_if_not_resumable(error)
                 continue
-            self._log_attempt(selected, _attempt_outcome(response, served), response)
+            self._log_attempt(selected, attempt_outcome(response, served), response)
             if served:
                 return response
 
@@ -90,7 +90,7 @@
                 unanswered = self._context.unanswered
                 with unanswered.watch(attempt.connection, self._part_keys):
                     response, served = await self._read_response(attempt)
-                selected.outcome = slot_outcome(response, served)
+                selected.outcome = slot_outcome(attempt.meaning, response, served)
         return response, served
 
     def _raise_if_not_resumable(self, error):
@@ -116,6 +116,9 @@
             if not plan.may_run():
                 raise plan.make_error("no further attempt is allowed", now)
             self._raise_if_blocked(now)
+            self._selector.leave_out_other_weights(
+                plan, self._services, self._request.expected_version
+            )
             try:
                 selected = await self._selector.select(
                     self._route,
@@ -291,10 +294,3 @@
             await self._caller.start(head)
         if data:
             await self._caller.send(data)
-
-
-def _attempt_outcome(response, served):
-    """Return how an attempt that got a whole response ended, for the log."""
-    if served:
-        return "answered"
-    return "refused" if response.head.not_run else "failed"
--- a/galenascale/gateway/host.py
+++ b/galenascale/gateway/host.py
@@ -181,6 +181,7 @@
             self.context.pool.close_server(entry.incarnation)
         if change == "removed":
             self.context.health.remove(entry.incarnation)
+            self.context.versions.remove(entry.incarnation)
             self.context.reachability.forget(entry.incarnation)
             self.context.limits.remove(entry)
         self.context.log.write(
--- a/galenascale/gateway/jobs/item_runs.py
+++ b/galenascale/gateway/jobs/item_runs.py
@@ -6,6 +6,7 @@
 import attrs
 
 from galenascale.errors import BackendError
+from galenascale.gateway.answer_meaning import Meaning, refusal_outcome
 from galenascale.gateway.attempts import AttemptPlan
 from galenascale.gateway.crashes import InterruptedRun
 from galenascale.gateway.dispatch import read_refusal
@@ -13,6 +14,7 @@
 from galenascale.gateway.output_limits import UNSTATED_TOKENS, OutputLimit
 from galenascale.gateway.requests import CallerRequest
 from galenascale.gateway.suspect_exchange import record_start
+from galenascale.generated.gateway_messages import SlotOutcome
 
 # Longest run in seconds. No caller sets a deadline for an item; a longer run
 # is considered stuck.
@@ -49,6 +51,16 @@
 _USELESS_CODES = frozenset(("server_silent", "no_new_event", "output_too_long"))
 
 
+# What the outcome of a run says about its server. A failed run is not listed,
+# as the item itself may be the cause.
+SLOT_OUTCOMES = {
+    # It could not be reached.
+    "refused": SlotOutcome.REFUSED,
+    "broken": SlotOutcome.FAILED,
+    "silent": SlotOutcome.FAILED,
+}
+
+
 @attrs.frozen
 class RunResult:
     """
@@ -59,16 +71,26 @@
     - completed: all output was received;
     - cannot_be_done: the server states that the item cannot be processed;
     - failed: the server ran the item and failed;
-    - refused: the server did not run the item;
+    - refused: the server has no room, or another one has its address;
+    - unsuitable: the server does not run such an item, as its weights differ;
     - broken: the connection broke, or the answer is none to an item;
     - silent: no event came for PROGRESS_TIMEOUT_S.
     """
 
     outcome: str
     reason: str = ""
+    # SlotOutcome of a run that the server refused.
+    slot_outcome: SlotOutcome | None = None
     # Seconds from the first event to the end of a completed run.
     events_s: float = 0.0
 
+    @property
+    def server_outcome(self):
+        """Return the SlotOutcome that tells of its server."""
+        if self.slot_outcome is not None:
+            return self.slot_outcome
+        return SLOT_OUTCOMES.get(self.outcome, SlotOutcome.SERVED)
+
 
 def log_item_start(context, item, server):
     """Log that an item starts at a server."""
@@ -171,7 +193,13 @@
     max_bytes = context.settings.held_answer_bytes
     if head.not_run:
         await read_refusal(context, attempt, max_bytes)
-        return RunResult("refused", f"status {head.status}")
+        if attempt.meaning is Meaning.REJECTED:
+            item.avoid(attempt.server, context.clock.monotonic())
+        return RunResult(
+            "unsuitable" if attempt.meaning.is_of_request else "refused",
+            f"status {head.status}",
+            refusal_outcome(attempt.meaning),
+        )
     async with _progress_timeout(now()):
         await attempt.read_body(max_bytes)
     if head.status == STATUS_UNPROCESSABLE:
--- a/galenascale/gateway/jobs/open_items.py
+++ b/galenascale/gateway/jobs/open_items.py
@@ -33,6 +33,8 @@
     index: int
     # Why its request cannot be sent; empty if it can.
     defect: str = ""
+    # Version of the weights that its server must have; None for any.
+    expected_version: str | None = None
     # The present Route of the item; None if there is none.
     route: object = None
     # Data of the events received so far, and the id of the last one.
@@ -167,7 +169,8 @@
     """Return the OpenItem of a job, with a defect if it cannot be sent."""
     item = OpenItem.from_state(state, index)
     try:
-        dialect.check_item(state.items[index], state.job.host)
+        headers = dialect.check_item(state.items[index], state.job.host)
+        item.expected_version = dialect.parse_expected_version(headers)
     except InvalidHead as error:
         # Another build accepted the job.
         item.defect = error.message
--- a/galenascale/gateway/jobs/outcomes.py
+++ b/galenascale/gateway/jobs/outcomes.py
@@ -57,7 +57,7 @@
                 self.finish(item, ItemState.GIVEN_UP, "too many failed runs")
             else:
                 item.back_off(now, FAILED_BACKOFF_S, item.failures)
-        elif result.outcome in ("refused", "silent"):
+        elif result.outcome in ("refused", "unsuitable", "silent"):
             item.back_off(now, REFUSED_BACKOFF_S, 1)
         else:
             item.broken_runs += 1
--- a/galenascale/gateway/jobs/runner.py
+++ b/galenascale/gateway/jobs/runner.py
@@ -28,13 +28,6 @@
 # there are none.
 BUSY_TICK_S = 0.05
 IDLE_TICK_S = 0.5
-# What the result of a run says about its server. A failed run is not listed,
-# as the item itself may be the cause.
-SLOT_OUTCOMES = {
-    "refused": SlotOutcome.REFUSED,
-    "broken": SlotOutcome.FAILED,
-    "silent": SlotOutcome.FAILED,
-}
 
 
 class JobRunner:
@@ -173,6 +166,8 @@
             )
             if service is None or not self._scheduler.may_start(item, now):
                 continue
+            if not self._scheduler.suits_a_server(item, service, now):
+                continue
             if fits_engines(
                 self._context.configuration, (service,), item.memory_tokens
             ):
@@ -254,7 +249,7 @@
                 estimate = self._scheduler.estimates.of_route(route.name)
                 estimate.add_run(result.events_s * 1000, item.events)
             self._result_handler.handle(item, server, route, result)
-            return SLOT_OUTCOMES.get(result.outcome, SlotOutcome.SERVED)
+            return result.server_outcome
         return SlotOutcome.UNUSED
 
     async def hand_over(self, deadline):
--- a/galenascale/gateway/jobs/scheduler.py
+++ b/galenascale/gateway/jobs/scheduler.py
@@ -44,6 +44,27 @@
         """
         return item.task is None and item.not_before <= now
 
+    def suits_a_server(self, item, service, now):
+        """
+        Return True if a server of a service may run an item now.
+
+        Slots are requested only for such items, so that others, however many
+        and however early due, do not keep those behind them from free slots.
+        """
+        if item.expected_version is None and not item.avoided_until:
+            return True
+        return any(
+            self._suits(item, server, now)
+            for server in self._context.servers.usable(service, now)
+        )
+
+    def _suits(self, item, server, now):
+        """Return True unless a server is of no use to an item now."""
+        if item.avoids(server, now):
+            return False
+        versions = self._context.versions
+        return not versions.excludes(server.incarnation, item.expected_version, now)
+
     def update(self, waiting_by_service):
         """Set the waiting items and adjust the slot requests to them."""
         for service in waiting_by_service:
@@ -134,7 +155,7 @@
             item
             for item in queue.waiting
             if self.may_start(item, now)
-            and not item.avoids(server, now)
+            and self._suits(item, server, now)
             and item.memory_tokens <= lease.memory_tokens
         ]
         of_tenant = (
--- a/galenascale/gateway/server_selection.py
+++ b/galenascale/gateway/server_selection.py
@@ -10,6 +10,7 @@
 import attrs
 
 from galenascale.errors import BackendError
+from galenascale.gateway.answer_meaning import Meaning, refusal_outcome
 from galenascale.gateway.configuration import RequestKind
 from galenascale.gateway.load import hash_key
 from galenascale.gateway.servers import find_by_key
@@ -95,6 +96,30 @@
             self._context.metrics.slots.labels("own_choice").inc()
         return SelectedServer(candidate, self._context.clock.monotonic(), lease)
 
+    def leave_out_other_weights(self, plan, services, expected):
+        """
+        Leave servers out that have other weights than a request expects.
+
+        `expected` is the version, or None for any. Raise RequestFailed if all
+        servers have others.
+        """
+        if expected is None:
+            return
+        context = self._context
+        now = context.clock.monotonic()
+        waits_by_incarnation = {
+            entry.incarnation: context.versions.retry_after_s(
+                entry.incarnation, expected, now
+            )
+            for service in services
+            for entry in context.servers.usable(service, now)
+        }
+        plan.other_weights = frozenset(
+            incarnation for incarnation, wait in waits_by_incarnation.items() if wait
+        )
+        if waits_by_incarnation and all(waits_by_incarnation.values()):
+            raise plan.make_version_error(min(waits_by_incarnation.values()))
+
     def _has_limited_server(self, service, plan):
         """Return True if a server that may be tried has named a limit."""
         limits = self._context.limits
@@ -201,17 +226,17 @@
     }
 
 
-def slot_outcome(response, served):
+def slot_outcome(meaning, response, served):
     """
     Return what a response tells the owner of the slot about the server.
 
-    `response` is None for a streamed one; `served` is False for one that
-    another server may replace.
+    `meaning` is the Meaning of its head. `response` is None for a streamed
+    one; `served` is False for one that another server may replace.
     """
     if response is None:
         return SlotOutcome.SERVED
-    if response.head.misdirected:
-        return SlotOutcome.GONE
+    if meaning is not Meaning.RAN:
+        return refusal_outcome(meaning)
     if response.head.status >= 500:
         return SlotOutcome.FAILED
     return SlotOutcome.SERVED if served else SlotOutcome.REFUSED
--- a/galenascale/platform/headers.py
+++ b/galenascale/platform/headers.py
@@ -33,6 +33,8 @@
 # Version of the weights that a request expects, and that a server has.
 _EXPECTED_VERSION = b"x-galenascale-expect-version"
 _WEIGHTS_VERSION = b"x-galenascale-weight-versions"
+# Characters of an expected version that are read; no version has as many.
+_MAX_VERSION_TEXT = 64
 # Requests per second that the server takes from all hosts together.
 _LIMIT = b"server-limit"
 _RATE = re.compile(r"[0-9]{1,15}(\.[0-9]{1,15})?")
@@ -126,7 +128,7 @@
     for name, value in headers:
         # Servers may read an underscore in a header name as a hyphen.
         if name.lower().replace(b"_", b"-") == _EXPECTED_VERSION:
-            return value.decode("latin-1").strip()
+            return value.decode("latin-1").strip()[:_MAX_VERSION_TEXT]
     return None
 
 
@@ -247,9 +249,13 @@
 
 
 def check_item(item, host):
-    """Raise InvalidHead if the request that runs an item cannot be sent."""
+    """
+    Return the headers of the request that runs an item.
+
+    Raise InvalidHead if it cannot be sent.
+    """
     encode_target(item.path)
-    build_item_headers(item, host)
+    return build_item_headers(item, host)
 
 
 def parse_limit(headers):
