Check once a round whether a server suits the items of a version

Found on reading the change: each of up to 4,000 open items that expect a version was compared with each server, twenty times a second.

--- a/galenascale/gateway/jobs/item_runs.py
+++ b/galenascale/gateway/jobs/item_runs.py
@@ -72,7 +72,7 @@
     - cannot_be_done: the server states that the item cannot be processed;
     - failed: the server ran the item and failed;
     - refused: the server has no room, or another one has its address;
-    - unsuitable: the server does not run such an item, as its weights differ;
+    - unsuitable: the server has other weights, or rejects the item as such;
     - broken: the connection broke, or the answer is none to an item;
     - silent: no event came for PROGRESS_TIMEOUT_S.
     """
--- a/galenascale/gateway/jobs/open_items.py
+++ b/galenascale/gateway/jobs/open_items.py
@@ -151,6 +151,13 @@
         """Return True if the item should not be sent to a server now."""
         return now < self.avoided_until.get(server.incarnation, now)
 
+    def avoids_any(self, now):
+        """Return True if the item should not be sent to some server now."""
+        for incarnation, until in list(self.avoided_until.items()):
+            if until <= now:
+                del self.avoided_until[incarnation]
+        return bool(self.avoided_until)
+
     def avoid(self, server, now):
         """Send the item to other servers for AVOID_SERVER_S."""
         self.avoided_until[server.incarnation] = now + AVOID_SERVER_S
--- a/galenascale/gateway/jobs/scheduler.py
+++ b/galenascale/gateway/jobs/scheduler.py
@@ -37,6 +37,9 @@
         # Called with (item, server, lease).
         self._on_start = on_start
         self._queues_by_service = {}
+        # Whether a server suits the items of this round that avoid none, by
+        # service and expected version.
+        self._suitable_by_version = {}
         self.estimates = RunLengthEstimates()
 
     def may_start(self, item, now):
@@ -54,8 +57,18 @@
         Slots are requested only for such items, so that others, however many
         and however early due, do not keep those behind them from free slots.
         """
-        if item.expected_version is None and not item.avoided_until:
+        if item.avoids_any(now):
+            return self._find_suitable(item, service, now)
+        if item.expected_version is None:
             return True
+        # Thousands of items may expect the same version.
+        key = (service, item.expected_version)
+        if key not in self._suitable_by_version:
+            self._suitable_by_version[key] = self._find_suitable(item, service, now)
+        return self._suitable_by_version[key]
+
+    def _find_suitable(self, item, service, now):
+        """Return True if an item may be sent to a server of a service."""
         return any(
             self._suits(item, server, now)
             for server in self._context.servers.usable(service, now)
@@ -69,7 +82,12 @@
         return not versions.excludes(server.incarnation, item.expected_version, now)
 
     def update(self, waiting_by_service):
-        """Set the waiting items and adjust the slot requests to them."""
+        """
+        Set the waiting items and adjust the slot requests to them.
+
+        This ends the round in which `suits_a_server` was asked.
+        """
+        self._suitable_by_version.clear()
         for service in waiting_by_service:
             self._queues_by_service.setdefault(service, _ServiceQueue())
         for service, queue in self._queues_by_service.items():
