--- a/galenascale/gateway/jobs/open_items.py
+++ b/galenascale/gateway/jobs/open_items.py
@@ -153,6 +153,8 @@
 
     def avoids_any(self, now):
         """Return True if the item should not be sent to some server now."""
+        if not self.avoided_until:
+            return False
         for incarnation, until in list(self.avoided_until.items()):
             if until <= now:
                 del self.avoided_until[incarnation]
--- a/galenascale/gateway/slots/pool_reports.py
+++ b/galenascale/gateway/slots/pool_reports.py
@@ -34,20 +34,18 @@
     `servers` and `runs` are the ServerSlots and the RunTable of the pool,
     `waiting` and `reserve` numbers of slots for its online requests.
     """
-    preemptible = [
-        run for run in runs.preemptible() if servers.has_tokens(run.server_key)
-    ]
     free = max(0, servers.startable_count() - waiting)
     free_for_batch = max(0, free - reserve)
-    if not (waiting or runs.online):
+    if servers.has_limits and not (waiting or runs.online):
         # All slots are free for items, also where each server has tokens for
         # one run only.
         idle = servers.free_count() - reserve
         startable = min(idle, servers.startable_count(batch=True))
         free_for_batch = max(free_for_batch, startable)
+    preemptible = sum(servers.has_tokens(run.server_key) for run in runs.preemptible())
     return FreeSlots(
         free=free,
         free_for_batch=free_for_batch,
-        preemptible=len(preemptible),
+        preemptible=preemptible,
         slots_by_tenant=largest_users(runs.online_by_tenant()),
     )
--- a/galenascale/gateway/slots/server_slots.py
+++ b/galenascale/gateway/slots/server_slots.py
@@ -193,15 +193,21 @@
 
     def obstacle(self, key, request, now):
         """Return the Obstacle that keeps a request from a server, or None."""
-        if self._free_on(self._servers_by_key[key]) <= 0:
+        server = self._servers_by_key[key]
+        if self._free_on(server) <= 0:
             return Obstacle.FULL
+        return self._obstacle_on_free(server, request, now)
+
+    def _obstacle_on_free(self, server, request, now):
+        """Return what `obstacle` does, for a server with a free slot."""
+        key = server.key
         if key in request.avoid:
             return Obstacle.AVOIDED
         if not self.has_memory(key, request):
             return Obstacle.MEMORY
-        if self._hold.keeps_from(key, request):
+        if self._hold.request is not None and self._hold.keeps_from(key, request):
             return Obstacle.HELD
-        if not self._allows(key, batch=request.batch):
+        if self._buckets_by_key and not self._allows(key, batch=request.batch):
             return Obstacle.LIMIT
         if now < self._refused_until_by_key.get(key, now):
             return Obstacle.REFUSED
@@ -209,10 +215,11 @@
 
     def free_by_key(self):
         """Return the free slots of the servers that have some, by key."""
-        free_by_key = {
-            key: self._free_on(server) for key, server in self._servers_by_key.items()
+        return {
+            key: free
+            for key, server in self._servers_by_key.items()
+            if (free := self._free_on(server)) > 0
         }
-        return {key: free for key, free in free_by_key.items() if free > 0}
 
     def pace_of(self, key, request):
         """Return the tokens of a server and those needed; None without any."""
@@ -231,10 +238,11 @@
         best_score = 0.0
         slowness_by_key = self._slowness_by_key(now)
         for server in self._servers_by_key.values():
-            if self.obstacle(server.key, request, now) is not None:
+            free = self._free_on(server)
+            if free <= 0 or self._obstacle_on_free(server, request, now):
                 continue
             weight = self._limit_weight(server, request.batch) if self._limited else 1.0
-            score = self._free_on(server) / server.slots * server.quality * weight
+            score = free / server.slots * server.quality * weight
             score /= slowness_by_key.get(server.key, 1.0)
             score += JITTER * self._rng.random()
             if score > best_score:
