Ask for the obstacle at free servers alone

Obstacle.FULL was never reported, as only servers with free slots are asked, and the check stood in two methods.

Change: one method, for servers with a free slot. A test computes its rate without multiplying and dividing by the same number; its bound is the same.

--- a/galenascale/gateway/slots/idle_servers.py
+++ b/galenascale/gateway/slots/idle_servers.py
@@ -6,9 +6,8 @@
 
 
 class Obstacle(enum.Enum):
-    """What keeps a request from a server now."""
+    """What keeps a request from a server with a free slot."""
 
-    FULL = "full"
     AVOIDED = "avoided"
     MEMORY = "memory"
     HELD = "held"
--- a/galenascale/gateway/slots/server_slots.py
+++ b/galenascale/gateway/slots/server_slots.py
@@ -192,15 +192,11 @@
         self._hold.release_unless_in(queues)
 
     def obstacle(self, key, request, now):
-        """Return the Obstacle that keeps a request from a server, or None."""
-        server = self._servers_by_key[key]
-        if self._free_on(server) <= 0:
-            return Obstacle.FULL
-        return self._obstacle_on_free(server, request, now)
+        """
+        Return the Obstacle that keeps a request from a server, or None.
 
-    def _obstacle_on_free(self, server, request, now):
-        """Return what `obstacle` does, for a server with a free slot."""
-        key = server.key
+        `key` is that of a server with a free slot.
+        """
         if key in request.avoid:
             return Obstacle.AVOIDED
         if not self.has_memory(key, request):
@@ -239,7 +235,7 @@
         slowness_by_key = self._slowness_by_key(now)
         for server in self._servers_by_key.values():
             free = self._free_on(server)
-            if free <= 0 or self._obstacle_on_free(server, request, now):
+            if free <= 0 or self.obstacle(server.key, request, now):
                 continue
             weight = self._limit_weight(server, request.batch) if self._limited else 1.0
             score = free / server.slots * server.quality * weight
--- a/test/gateway/test_starts_of_items.py
+++ b/test/gateway/test_starts_of_items.py
@@ -17,7 +17,6 @@
 from galenascale.gateway.slots.idle_servers import Obstacle
 from galenascale.gateway.slots.pace import (
     MAX_DEBT,
-    MIN_REQUESTS_PER_S,
     LimitPart,
     Pace,
 )
@@ -90,8 +89,7 @@
     for _ in range(debt):
         owner.pool._servers.refill(owner.now)
         owner.pool._servers.spend(1)
-    rate = max(limit, MIN_REQUESTS_PER_S) * owner.pace.requests_per_s
-    rate /= max(limit, MIN_REQUESTS_PER_S)
+    rate = owner.pace.requests_per_s
     bound_s = (MAX_DEBT + owner.pace.burst) / rate + TICK_S
     for _ in range(4):
         owner.start_one(batch=batch, give_up_s=1.1 * bound_s)
