Read what a head and an item say of versions once

Cause: found on reading the change. The meaning of an answer compared its status with 421 again, though its head says that it is misdirected; the record of a gone server took a head that it did not use; a run parsed the expected version of its item again.

Change: the meaning uses the head's field, the record takes server and request, and a run the version that its item has.

Result: 172 tests of answers, weights, items and layers pass.

--- a/galenascale/gateway/answer_meaning.py
+++ b/galenascale/gateway/answer_meaning.py
@@ -10,8 +10,7 @@
 
 from galenascale.generated.gateway_messages import SlotOutcome
 
-# Misdirected request, too many requests, service unavailable.
-STATUS_MISDIRECTED = 421
+# Too many requests, service unavailable.
 STATUS_TOO_MANY = 429
 STATUS_UNAVAILABLE = 503
 
@@ -38,7 +37,7 @@
 
 def find_meaning(head, request):
     """Return the Meaning of a ResponseHead for the CallerRequest."""
-    if head.status == STATUS_MISDIRECTED:
+    if head.misdirected:
         # An expected version may be the reason, whatever else is.
         expects = request.expected_version is not None
         return Meaning.OTHER_WEIGHTS if expects else Meaning.OTHER_SERVER
--- a/galenascale/gateway/dispatch.py
+++ b/galenascale/gateway/dispatch.py
@@ -32,7 +32,7 @@
     repeatable: bool
     # Called with the server if its response announces that it is leaving.
     on_leaving: object
-    # Called with the Attempt and the ResponseHead if another server answers.
+    # Called with the server and the request if another one has its address.
     on_gone: object
     # Called with the Attempt and the ResponseHead of the server itself.
     on_head: object
@@ -51,7 +51,7 @@
         if head.leaving:
             self.on_leaving(self.server)
         if self.meaning is Meaning.OTHER_SERVER:
-            self.on_gone(self, head)
+            self.on_gone(self.server, self.request)
         else:
             self.on_head(self, head)
         return head
@@ -145,15 +145,14 @@
             # Triggers a message that tells the other hosts.
             context.load.mark_changed()
 
-    def _mark_gone(self, attempt, head):
+    def _mark_gone(self, server, request):
         context = self._context
-        server = attempt.server
         context.health.mark_gone(server.incarnation, context.clock.monotonic())
         context.log.write(
             "server_gone",
             "warning",
             server=server.server_id,
-            request=attempt.request.request_id,
+            request=request.request_id,
         )
 
     def _record_head(self, attempt, head):
--- a/galenascale/gateway/jobs/item_runs.py
+++ b/galenascale/gateway/jobs/item_runs.py
@@ -129,7 +129,7 @@
         headers=headers,
         body=body,
         shared_parts=context.dialect.parse_shared_parts(headers),
-        expected_version=context.dialect.parse_expected_version(headers),
+        expected_version=item.expected_version,
         tenant=None if context.configuration.tenants is None else item.state.job.tenant,
     )
     item.begin_run()
