Decode a record with its body elsewhere once, and derive when to read again

Cause: found on reading the change. Each such record of the jobs was decoded again to see whether it holds too much progress, and the time of the next read of records set aside was kept at infinity while there are none.

Change: the size is asked of the piece range that is known already; whether there are records says whether any are read again.

--- a/galenascale/gateway/jobs/partitions.py
+++ b/galenascale/gateway/jobs/partitions.py
@@ -198,7 +198,7 @@
         pieces = find_pieces(data) if self.topic == JOBS_TOPIC else None
         if pieces is None:
             return data
-        if is_excess_progress(data):
+        if is_excess_progress(data, pieces):
             raise PiecesMissing("progress is too long to be read", step="read_pieces")
         return insert_body(data, await read_pieces(self._context, self.number, pieces))
 
--- a/galenascale/gateway/jobs/unread_records.py
+++ b/galenascale/gateway/jobs/unread_records.py
@@ -14,7 +14,7 @@
 
 from galenascale.codec import decode
 from galenascale.errors import DecodeError
-from galenascale.gateway.jobs.pieces import PiecesMissing, find_pieces
+from galenascale.gateway.jobs.pieces import PiecesMissing
 from galenascale.gateway.store_sizes import MAX_PROGRESS_BODY_BYTES
 from galenascale.generated.gateway_messages import JobRecord, JobRecordKind
 from galenascale.store import PartitionTrimmed
@@ -51,12 +51,16 @@
     return Verdict.SKIP if kind == JobRecordKind.PROGRESS else Verdict.SET_ASIDE
 
 
-def is_excess_progress(data):
-    """Return True for a record with more progress than is worth the memory."""
-    pieces = find_pieces(data)
-    if pieces is None or pieces.size <= MAX_PROGRESS_BODY_BYTES:
+def is_excess_progress(data, pieces):
+    """
+    Return True for a record with more progress than is worth the memory.
+
+    `pieces` is the PieceRange of its body.
+    """
+    if pieces.size <= MAX_PROGRESS_BODY_BYTES:
         return False
-    return decode(JobRecord, data).kind == JobRecordKind.PROGRESS
+    kind, _ = describe(data)
+    return kind == JobRecordKind.PROGRESS
 
 
 def describe(data):
@@ -77,8 +81,8 @@
     tries: int = 0
     # (offset, bytes) of the records that jobs wait for, in order.
     records_by_job_id: dict = attrs.field(factory=dict)
-    # Monotonic time in seconds.
-    retry_at: float = float("inf")
+    # Monotonic time in seconds of the next read while there are some.
+    retry_at: float = 0.0
 
     def judge(self, offset, data, error):
         """Count a failed read of a record; return the Verdict on it."""
@@ -89,9 +93,10 @@
 
     def set_aside(self, offset, data, now):
         """Let the job of a record wait for it."""
+        if not self.records_by_job_id:
+            self.retry_at = now + RETRY_INTERVAL_S
         _, job_id = describe(data)
         self.records_by_job_id.setdefault(job_id, []).append((offset, data))
-        self.retry_at = min(self.retry_at, now + RETRY_INTERVAL_S)
 
     def concerns(self, data):
         """Return True for a record of a job that waits for an earlier one."""
@@ -102,7 +107,7 @@
 
     def take_due(self, now):
         """Return the ids of the jobs whose records are read again now."""
-        if now < self.retry_at:
+        if not self.records_by_job_id or now < self.retry_at:
             return []
         self.retry_at = now + RETRY_INTERVAL_S
         return list(self.records_by_job_id)
@@ -118,5 +123,3 @@
         del records[0]
         if not records:
             del self.records_by_job_id[job_id]
-        if not self.records_by_job_id:
-            self.retry_at = float("inf")
