Decide on records set aside as on all others

Seen by callers: nothing yet; found on reading the change. A job that waited for a record waited on for unfinished output behind it, which is not owed, for as long as the store did not return that.

Cause: reading again what was set aside had a copy of the decision, without its case for progress.

Change: both ask unread_records.decide; progress among records set aside is skipped there as well. It is more skipping than before for progress alone.

Result: test_progress_set_aside_keeps_no_outcome_back fails before (outcomes 0 in place of 0 and 2); 84 tests of records, jobs and layers pass.

--- a/galenascale/gateway/jobs/partitions.py
+++ b/galenascale/gateway/jobs/partitions.py
@@ -15,8 +15,10 @@
 from galenascale.gateway.jobs.records import encode_body
 from galenascale.gateway.jobs.state import PartitionState
 from galenascale.gateway.jobs.unread_records import (
+    MAX_TRIES,
     UnreadRecords,
     Verdict,
+    decide,
     describe,
     is_excess_progress,
 )
@@ -157,12 +159,11 @@
         record = None
         try:
             record = await self._insert_body(data)
-        except STORE_ERRORS as error:
-            if not isinstance(error, PiecesMissing):
+        except (PartitionTrimmed, *STORE_ERRORS) as error:
+            kind, _ = describe(data)
+            if decide(kind, error, MAX_TRIES) is not Verdict.SKIP:
                 return False
-            self._log_unread(offset, data, error, Verdict.SKIP)
-        except PartitionTrimmed as error:
-            self._log_unread(offset, data, error, Verdict.SKIP)
+            self._log_broken(offset, error.message)
         # Meanwhile another call may have applied it.
         if self._unread.first(job_id) == (offset, data):
             self._unread.remove_first(job_id)
--- a/test/gateway/test_record_sizes.py
+++ b/test/gateway/test_record_sizes.py
@@ -349,3 +349,26 @@
     for job_id in expected:
         assert outcomes(job_id) == expected[job_id]
         assert not partition.is_unsure_of(job_id)
+
+
+async def test_progress_set_aside_keeps_no_outcome_back():
+    """Its job waited for it for as long as the store did not return it."""
+    context = make_context(PartlyReadableStore())
+    context.clock = clock = Clock()
+    partitions = Partitions(context)
+    await write_job(partitions, "j0", 3)
+    entries = [
+        Written(0, "outcome", long=True, readable=False),
+        Written(0, "progress", long=True, readable=False),
+        Written(0, "outcome", long=False, readable=True),
+    ]
+    for index, entry in enumerate(entries):
+        await write(context, partitions, entry, index)
+    partition = Partition(context, JOBS_TOPIC, ord("j"), PartitionState())
+    await read_all(partition, clock, 2 * MAX_TRIES)
+    assert partition.is_unsure_of("j0")
+    context.job_store.unreadable.remove(min(context.job_store.unreadable))
+    await read_all(partition, clock, 2)
+    outcomes = partition.state.jobs_by_id["j0"].outcomes
+    assert [outcome.index for outcome in outcomes] == [0, 2]
+    assert not partition.is_unsure_of("j0")
