List jobs and refusals in statuses that fit in a datagram

Seen by callers: nothing yet.

Cause: active_jobs and refused in HostStatus had no bound; the datagram was larger than 65,507 bytes and the send failed, logged at level debug.

Change: above 2,000 jobs each status lists one shard of them, drawn at random. A takeover for a job that its live host does not list needs a list of its shard that arrived 2.5 s after it was missed. The newest 1,000 refusals are told.

--- a/galenascale/gateway/admission.py
+++ b/galenascale/gateway/admission.py
@@ -6,6 +6,8 @@
 probably fallen. A retried request is not refused again, at any host.
 """
 
+import itertools
+
 import attrs
 import xxhash
 
@@ -23,6 +25,8 @@
 MAX_RETRY_AFTER_FRACTION = 1 / 3
 # Seconds for which refused requests are remembered.
 REFUSAL_TTL_S = 4.0
+# Maximum number of refused requests in a message to the other hosts.
+MAX_SHARED_REFUSALS = 1000
 
 
 def fingerprint(request):
@@ -61,6 +65,8 @@
     def add(self, keys, now):
         """Remember refused requests for REFUSAL_TTL_S."""
         for key in keys:
+            # The newest key is the last.
+            self._until_by_key.pop(key, None)
             self._until_by_key[key] = now + REFUSAL_TTL_S
 
     def contains(self, key, now):
@@ -69,11 +75,17 @@
         return until is not None and now <= until
 
     def recent_keys(self, now):
-        """Drop expired entries and return the remaining keys."""
+        """
+        Drop expired entries and return the newest remaining keys.
+
+        These are MAX_SHARED_REFUSALS at most.
+        """
         for key, until in list(self._until_by_key.items()):
-            if until < now:
-                del self._until_by_key[key]
-        return list(self._until_by_key)
+            if until >= now:
+                break
+            del self._until_by_key[key]
+        skipped = max(0, len(self._until_by_key) - MAX_SHARED_REFUSALS)
+        return list(itertools.islice(self._until_by_key, skipped, None))
 
 
 class Admission:
--- a/galenascale/gateway/jobs/takeover.py
+++ b/galenascale/gateway/jobs/takeover.py
@@ -11,7 +11,8 @@
 # it has not heard from.
 START_GRACE_S = 3.2
 # Seconds after which a job is taken over although its host is alive, if that
-# host does not list it as running: it may not know that the job is its own.
+# host does not list it as running: it may not know that the job is its own. A
+# list counts if it arrived that long after the job was first missed.
 STALL_TIMEOUT_S = 2.5
 # Outcome of a claim that is in the store.
 CLAIMED = "claimed"
@@ -76,11 +77,13 @@
 
     def _is_stalled(self, state, now):
         """Return True if a job's live host has not run it for too long."""
-        if self._context.peers.runs_job(state.runner, job_key(state.job_id)):
+        key = job_key(state.job_id)
+        unlisted_at = self._context.peers.unlisted_at(state.runner, key)
+        if unlisted_at is None:
             self._idle_since.pop(state.job_id, None)
             return False
         since = self._idle_since.setdefault(state.job_id, now)
-        return now - since > STALL_TIMEOUT_S
+        return unlisted_at - since > STALL_TIMEOUT_S
 
     async def _claim(self, partition, state):
         previous_runner = state.runner
--- a/galenascale/gateway/peer_table.py
+++ b/galenascale/gateway/peer_table.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from galenascale.gateway.active_jobs import ListedJobs
 from galenascale.gateway.sockets import is_ip_address
 
 # Seconds without a status after which a host is considered dead.
@@ -26,8 +27,7 @@
     config_version: int = 0
     leaving: bool = False
     store_up: bool = False
-    # Keys of the jobs that the host runs.
-    active_jobs: frozenset = frozenset()
+    listed_jobs: ListedJobs = attrs.field(factory=ListedJobs)
 
     @classmethod
     def from_status(cls, status, now):
@@ -42,7 +42,6 @@
             config_version=status.config_version,
             leaving=status.leaving,
             store_up=status.store_up,
-            active_jobs=frozenset(status.active_jobs),
         )
 
 
@@ -73,6 +72,9 @@
         ):
             return None
         peer = Peer.from_status(status, now)
+        if known is not None and known.started_ms == peer.started_ms:
+            peer.listed_jobs = known.listed_jobs
+        peer.listed_jobs.update(status, now)
         if known is not None and known.address != peer.address:
             self._by_address.pop(known.address, None)
         former = self._by_address.get(peer.address)
@@ -124,10 +126,14 @@
             and now - peer.last_seen_at <= PEER_TIMEOUT_S
         )
 
-    def runs_job(self, host_id, job_key):
-        """Return True if the last status of a host lists a job as running."""
+    def unlisted_at(self, host_id, job_key):
+        """
+        Return when a host last told its jobs of a shard without one of them.
+
+        See ListedJobs.unlisted_at(); None also if the host is not known.
+        """
         peer = self._by_host_id.get(host_id)
-        return peer is not None and job_key in peer.active_jobs
+        return None if peer is None else peer.listed_jobs.unlisted_at(job_key)
 
     def is_alive(self, host_id, now):
         """Return True if any run of a host is alive."""
--- a/galenascale/gateway/peers.py
+++ b/galenascale/gateway/peers.py
@@ -5,6 +5,7 @@
 from galenascale.codec import decode, encode
 from galenascale.errors import DecodeError
 from galenascale.gateway import limit_exchange, suspect_exchange
+from galenascale.gateway.active_jobs import draw_shard
 from galenascale.gateway.gossip import StatusRouter
 from galenascale.gateway.load import InFlightCounts
 from galenascale.gateway.ownership import OwnerCandidate
@@ -213,6 +214,8 @@
 
     def _status(self):
         self._sequence += 1
+        now = self._clock.monotonic()
+        shard = draw_shard(self._load.active_jobs, self._context.rng)
         return HostStatus(
             host_id=self._settings.host_id,
             started_ms=self._started_ms,
@@ -222,17 +225,15 @@
             store_up=self._store_status.is_up is True,
             failure_domain=self._settings.failure_domain,
             address=self._own_address,
-            active_jobs=list(self._load.active_jobs),
-            crashed=self._crashes.recent_keys(self._clock.monotonic()),
-            refused=self._admission.local_refusals.recent_keys(self._clock.monotonic()),
-            leaving_servers=self._servers.recent_leaving(self._clock.monotonic()),
+            active_jobs=shard.jobs,
+            job_shard=shard.number,
+            job_shards=shard.count,
+            crashed=self._crashes.recent_keys(now),
+            refused=self._admission.local_refusals.recent_keys(now),
+            leaving_servers=self._servers.recent_leaving(now),
             in_flight=self._in_flight(),
-            **suspect_exchange.status_fields(
-                self._context.suspects, self._clock.monotonic()
-            ),
-            **limit_exchange.status_fields(
-                self._context.limits, self._clock.monotonic()
-            ),
+            **suspect_exchange.status_fields(self._context.suspects, now),
+            **limit_exchange.status_fields(self._context.limits, now),
         )
 
     def _in_flight(self):
--- a/schema/gateway.thrift
+++ b/schema/gateway.thrift
@@ -209,7 +209,7 @@
   10: string failure_domain = "",
   /** IP address of the host. */
   11: string address = "",
-  /** Hashes of the ids of the jobs that the host runs. */
+  /** Hashes of the ids of the jobs that the host runs, of one shard of them. */
   12: list<i32> active_jobs,
   /** Content hashes of recently rejected requests. */
   13: list<i32> refused,
@@ -225,6 +225,10 @@
   18: list<PartBlock> blocked_parts,
   /** Limits that servers named to this host lately, and ends of limits. */
   19: list<ServerLimitReport> server_limits,
+  /** Shard of the jobs that active_jobs lists: the hashes that leave this number
+   * when divided by the number of shards. */
+  20: i32 job_shard = 0,
+  21: i32 job_shards = 1,
 }
 
 /** Kinds of messages between hosts about slots of backend servers. */
