Forget the refusals that other hosts told of

Seen by callers: nothing yet; found while the lists in statuses were bounded. A host kept the key of every request that any host of the fleet ever refused, about 100 bytes each, for as long as it ran.

Cause: only the keys that a host tells to others were removed when they expired.

Change: each addition removes what has expired; keys stay in the order of their times.

Measured: test_refusals_of_other_hosts_leave_the_memory failed before (3,001 keys kept of 30 s, 402 allowed) and passes; test_admission.py and test_status_sizes.py: 26 passed.

--- a/galenascale/gateway/admission.py
+++ b/galenascale/gateway/admission.py
@@ -6,6 +6,7 @@
 probably fallen. A retried request is not refused again, at any host.
 """
 
+import collections
 import itertools
 
 import attrs
@@ -60,14 +61,15 @@
     """Keys of recently refused requests, with their expiry times."""
 
     def __init__(self):
-        self._until_by_key = {}
+        # The newest key is the last.
+        self._until_by_key = collections.OrderedDict()
 
     def add(self, keys, now):
         """Remember refused requests for REFUSAL_TTL_S."""
+        self._drop_expired(now)
         for key in keys:
-            # The newest key is the last.
-            self._until_by_key.pop(key, None)
             self._until_by_key[key] = now + REFUSAL_TTL_S
+            self._until_by_key.move_to_end(key)
 
     def contains(self, key, now):
         """Return True if a request was refused recently."""
@@ -80,13 +82,17 @@
 
         These are MAX_SHARED_REFUSALS at most.
         """
-        for key, until in list(self._until_by_key.items()):
-            if until >= now:
-                break
-            del self._until_by_key[key]
+        self._drop_expired(now)
         skipped = max(0, len(self._until_by_key) - MAX_SHARED_REFUSALS)
         return list(itertools.islice(self._until_by_key, skipped, None))
 
+    def _drop_expired(self, now):
+        while self._until_by_key:
+            key = next(iter(self._until_by_key))
+            if self._until_by_key[key] >= now:
+                break
+            del self._until_by_key[key]
+
 
 class Admission:
     """Decides how long requests may wait and which may be refused."""
--- a/test/gateway/test_admission.py
+++ b/test/gateway/test_admission.py
@@ -49,6 +49,17 @@
     assert not admission.was_refused(1, 10.0 + REFUSAL_TTL_S + 0.1)
 
 
+def test_refusals_of_other_hosts_leave_the_memory():
+    """Guards long-lived hosts: each refused request stayed in the memory."""
+    admission = Admission(random.Random(2))
+    for number in range(3000):
+        at = number * 0.01
+        admission.add_remote_refusals([number, number + 1], at)
+        assert admission.was_refused(number, at)
+    kept = len(admission._known_refusals._until_by_key)
+    assert kept <= REFUSAL_TTL_S / 0.01 + 2
+
+
 @pytest.mark.parametrize(
     ("timeout_s", "runs", "may_refuse"),
     [
