Give test runs on one machine ports of their own

Cause: free_port() of the tests started at one of ten ports by the process id and counted on through the ranges of the others, so that two processes found the same port free and listened on it.

--- a/test/commands/test_gateway.py
+++ b/test/commands/test_gateway.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from test.gateway.fleet import free_port
+from test.gateway.ports import free_port
 
 SETTINGS = {
     "schema_version": 1,
--- a/test/gateway/fleet.py
+++ b/test/gateway/fleet.py
@@ -2,8 +2,6 @@
 
 import asyncio
 import contextlib
-import itertools
-import os
 import random
 import socket
 
@@ -21,27 +19,12 @@
 from galenascale.platform.adapter import PlatformAdapter
 from galenascale.standins.runner import RunnerStandin
 from galenascale.standins.store_api import StoreStandin
+from test.gateway.ports import free_port
 
 HOST_NAME = "front.example"
 WAIT_S = 10.0
 
 
-# Below the ephemeral port range of outgoing connections.
-PORTS = itertools.cycle(range(20000 + os.getpid() % 10 * 1000, 31000))
-
-
-def free_port(kind=socket.SOCK_STREAM):
-    """Return a port that is free on all addresses."""
-    for port in PORTS:
-        with socket.socket(socket.AF_INET, kind) as sock:
-            try:
-                sock.bind(("0.0.0.0", port))
-            except OSError:
-                continue
-            return port
-    raise AssertionError("no free port")
-
-
 def make_route(name, kind, service, **fields):
     """Return a route in the operator's configuration format."""
     return {
