Use one error, clock and cache where the change had its own

The error of calls about a job that waits for records was made in two files, test_status_sizes.py had a clock like FakeClock, and the ports of test runs were kept in a list by hand.

Change: unread_records.not_returned_error(), FakeClock and functools.cache in their place. The clock of test_record_sizes.py stays: its wall time must stand still, or the jobs of long series expire. Behaviour and assertions are as they were.

--- a/galenascale/gateway/jobs/acceptance.py
+++ b/galenascale/gateway/jobs/acceptance.py
@@ -9,9 +9,10 @@
 from galenascale.gateway.jobs.records import compress, split_bytes
 from galenascale.gateway.jobs.scopes import QuotaScope
 from galenascale.gateway.jobs.state import JobState
+from galenascale.gateway.jobs.unread_records import not_returned_error
 from galenascale.gateway.store_sizes import record_limit
 from galenascale.generated.gateway_messages import Job, JobItem, JobRecordKind
-from galenascale.store import STORE_ERRORS, StoreFenced, StoreUnavailable
+from galenascale.store import STORE_ERRORS, StoreFenced
 
 # Share of the caller's timeout for which writes to the store are retried.
 TIMEOUT_SHARE = 0.7
@@ -121,7 +122,7 @@
         if self._partition.is_unsure_of(job_id):
             # It may be stored.
             self._maybe_stored = True
-            raise StoreUnavailable("records of the job are not returned")
+            raise not_returned_error()
         if not self._maybe_stored:
             check_item_routes(self._context.configuration, job)
             self._check_memory(job)
--- a/galenascale/gateway/jobs/api.py
+++ b/galenascale/gateway/jobs/api.py
@@ -13,9 +13,10 @@
     scoped_job_id,
 )
 from galenascale.gateway.jobs.stored_items import find_index
+from galenascale.gateway.jobs.unread_records import not_returned_error
 from galenascale.gateway.requests import ItemResult, JobCallKind
 from galenascale.generated.gateway_messages import ItemState, JobRecordKind
-from galenascale.store import STORE_ERRORS, StoreUnavailable
+from galenascale.store import STORE_ERRORS
 
 # Maximum age in seconds of a partition's known state with which a call is
 # answered without reading the store. Results that one host has returned must
@@ -29,7 +30,6 @@
 MAX_JOB_PARTS = 50_000
 # Seconds in the Retry-After header while the store does not answer.
 RETRY_AFTER_S = 0.5
-_NOT_READ = StoreUnavailable("records of the job are not returned")
 # Bytes of results that are read for one call; a page holds fewer.
 MAX_RESULTS_BYTES = 1 << 20
 # The same while the host stops: the kernel's buffers hold the whole page, so
@@ -122,7 +122,7 @@
             if job_id not in jobs_by_id:
                 raise self._store_unavailable(error) from error
         if partition.is_unsure_of(job_id):
-            raise self._store_unavailable(_NOT_READ)
+            raise self._store_unavailable(not_returned_error())
         return jobs_by_id.get(job_id)
 
     async def _retry(self, step):
--- a/galenascale/gateway/jobs/unread_records.py
+++ b/galenascale/gateway/jobs/unread_records.py
@@ -17,7 +17,7 @@
 from galenascale.gateway.jobs.pieces import PiecesMissing
 from galenascale.gateway.store_sizes import MAX_PROGRESS_BODY_BYTES
 from galenascale.generated.gateway_messages import JobRecord, JobRecordKind
-from galenascale.store import PartitionTrimmed
+from galenascale.store import PartitionTrimmed, StoreUnavailable
 
 # Reads of a body that fail although the store returned the record before it,
 # until that counts as a fault of the body.
@@ -51,6 +51,11 @@
     return Verdict.SKIP if kind == JobRecordKind.PROGRESS else Verdict.SET_ASIDE
 
 
+def not_returned_error():
+    """Return the error of calls about a job that waits for records."""
+    return StoreUnavailable("records of the job are not returned")
+
+
 def is_excess_progress(data, pieces):
     """
     Return True for a record with more progress than is worth the memory.
--- a/test/gateway/ports.py
+++ b/test/gateway/ports.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import fcntl
+import functools
 import itertools
 import os
 import socket
@@ -44,14 +45,12 @@
     raise AssertionError("no free port")
 
 
+@functools.cache
 def _ports():
-    if not _cycles:
-        first = FIRST_PORT + claim_block(tempfile.gettempdir()) * PORTS_PER_RUN
-        _cycles.append(itertools.cycle(range(first, first + PORTS_PER_RUN)))
-    return _cycles[0]
+    """Return the endless iterator over the ports of this process."""
+    first = FIRST_PORT + claim_block(tempfile.gettempdir()) * PORTS_PER_RUN
+    return itertools.cycle(range(first, first + PORTS_PER_RUN))
 
 
 # Open files whose locks are this process's claims.
 _claims = []
-# The ports of this process, once it has claimed a block.
-_cycles = []
--- a/test/gateway/test_status_sizes.py
+++ b/test/gateway/test_status_sizes.py
@@ -9,6 +9,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from galenascale.clock import FakeClock
 from galenascale.gateway import active_jobs
 from galenascale.gateway.active_jobs import draw_shard
 from galenascale.gateway.admission import MAX_SHARED_REFUSALS, RecentRefusals
@@ -157,7 +158,7 @@
 @pytest.mark.parametrize("shards", [1, 4])
 def test_takeover_waits_for_a_status_after_the_stall_timeout(shards):
     """Guards running items: an old list says nothing of newer jobs."""
-    clock = ManualClock()
+    clock = FakeClock(0.0)
     table = PeerTable("10.0.0.1")
     context = SimpleNamespace(clock=clock, peers=table)
     takeover = Takeover(context, None, None, None, 0, None)
@@ -171,22 +172,11 @@
             job_shards=shards,
         )
         table.update(status, 0.0)
-    clock.now = 0.1
-    assert not takeover._is_stalled(state, clock.now)
-    clock.now += STALL_TIMEOUT_S + 0.1
-    assert not takeover._is_stalled(state, clock.now)
+    clock.now_s = 0.1
+    assert not takeover._is_stalled(state, clock.now_s)
+    clock.now_s += STALL_TIMEOUT_S + 0.1
+    assert not takeover._is_stalled(state, clock.now_s)
     status.sequence += 1
     status.job_shard = hash_key("job-1") % shards
-    table.update(status, clock.now)
-    assert takeover._is_stalled(state, clock.now)
-
-
-class ManualClock:
-    """A clock that a test sets."""
-
-    def __init__(self):
-        self.now = 0.0
-
-    def monotonic(self):
-        """Return the time in seconds."""
-        return self.now
+    table.update(status, clock.now_s)
+    assert takeover._is_stalled(state, clock.now_s)
