Poll the sockets again before a connect counts as late

Cause: a connect may take 0.12 s. After a stall, asyncio runs due timers before the tasks that the sockets wake up, so the timeout cancelled connects that the kernel had completed. The failure domain of the server was suspected and its open connections were given up.

Ruled out: a server that is late itself, as its kernel accepts for it.

Change: polling_timeout expires only after eight more turns of the event loop, each of which polls the sockets.

--- a/galenascale/gateway/backend_pool.py
+++ b/galenascale/gateway/backend_pool.py
@@ -4,6 +4,7 @@
 
 from galenascale.errors import BackendError, Execution
 from galenascale.gateway.backend_connection import BackendConnection
+from galenascale.gateway.polling_timeout import polling_timeout
 from galenascale.gateway.sockets import split_address
 
 # Connect timeouts in seconds. Servers accept within some milliseconds; an
@@ -53,7 +54,7 @@
         host, port = split_address(server.address)
         loop = asyncio.get_running_loop()
         try:
-            async with asyncio.timeout(timeout_s):
+            async with polling_timeout(timeout_s):
                 _, connection = await loop.create_connection(
                     lambda: BackendConnection(self._parse_head), host, port
                 )
