Read what has arrived before an owner of slots counts as silent

What callers saw: a host that stalls for 25 ms twice leaves the owner of the slots for the next host, and slots are decided in two places for a while.

Cause: the wait for the answer of an owner is a plain timeout, as that of connects was. It expired though the answer lay in the socket.

Change: the wait uses polling_timeout; the loop reads one datagram in each of its turns, so up to eight may lie before the answer.

--- a/galenascale/gateway/slots/leases.py
+++ b/galenascale/gateway/slots/leases.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from galenascale.gateway.polling_timeout import polling_timeout
 from galenascale.gateway.slots.wait_queue import SlotRequest
 
 # Seconds between two messages to the owner that renew a pending request: for
@@ -84,7 +85,7 @@
     async def wait_for_answer(self, timeout_s):
         """Return True if an owner answers within `timeout_s` seconds."""
         try:
-            async with asyncio.timeout(timeout_s):
+            async with polling_timeout(timeout_s):
                 await self.answered.wait()
         except TimeoutError:
             return False
--- a/test/gateway/test_stalled_loop.py
+++ b/test/gateway/test_stalled_loop.py
@@ -1,8 +1,8 @@
 """
-Connects to backend servers while the event loop of the host stalls.
+Answers that the kernel has received while the event loop of a host stalls.
 
-Guards against a host that takes servers for lost because it was late itself:
-the kernel had connected long before the loop saw that the timeout had passed.
+Guards against a host that takes servers and owners of slots for lost because
+it was late itself.
 """
 
 import asyncio
@@ -20,11 +20,15 @@
     REQUEST_CONNECT_TIMEOUT_S,
     BackendPool,
 )
+from galenascale.gateway.slots.acquisition import ANSWER_TIMEOUT_S
+from galenascale.gateway.slots.leases import PendingRequest
+from galenascale.gateway.slots.wait_queue import SlotRequest
 
 # Seconds that a connect may take beyond its timeout and the stall.
 MARGIN_S = 0.5
 # Connections that fill the queue of a socket that accepts none.
 QUEUE_FILLERS = 4
+ANSWER = b"answer"
 
 
 @attrs.frozen
@@ -122,3 +126,43 @@
         duration_s = time.monotonic() - started_at
     assert codes == [code] * connects
     assert duration_s < REQUEST_CONNECT_TIMEOUT_S + stall_s + MARGIN_S
+
+
+async def is_answered(is_sent, datagrams_ahead, turns, stall_s):
+    """Return whether a stalled host sees the answer of an owner of slots."""
+    loop = asyncio.get_running_loop()
+    pending = PendingRequest(SlotRequest("", 1), "pool", "owner", 0.0, 0.0, None)
+
+    class Receiver(asyncio.DatagramProtocol):
+        def datagram_received(self, data, address):
+            if data == ANSWER:
+                pending.answered.set()
+
+    transport, _ = await loop.create_datagram_endpoint(
+        Receiver, local_addr=("127.0.0.1", 0)
+    )
+    address = transport.get_extra_info("sockname")
+    with contextlib.closing(transport), socket.socket(type=socket.SOCK_DGRAM) as sender:
+        for _ in range(datagrams_ahead):
+            sender.sendto(b"other", address)
+        if is_sent:
+            sender.sendto(ANSWER, address)
+        answered, _ = await asyncio.gather(
+            pending.wait_for_answer(ANSWER_TIMEOUT_S), stall_after(turns, stall_s)
+        )
+    return answered
+
+
+@pytest.mark.parametrize("is_sent", [True, False])
+@settings(max_examples=20)
+@given(
+    datagrams_ahead=st.integers(0, 3),
+    turns=st.integers(0, 8),
+    stall_s=st.one_of(st.just(0.0), st.floats(0.03, 0.4)),
+)
+def test_stall_of_the_host_hides_no_answer_of_an_owner(
+    is_sent, datagrams_ahead, turns, stall_s
+):
+    """An owner of slots counts as silent only if it did not answer in time."""
+    answered = asyncio.run(is_answered(is_sent, datagrams_ahead, turns, stall_s))
+    assert answered == is_sent
