Record that a short request gives way to a crowd of callers

Cause: CallerMemory evicts the connection with the lowest rate. For 1 s the connections of the crowd count as active, with rates above that of a request of some bytes, which gives way though it holds next to nothing.

It is not mended in this commit.

--- a/test/gateway/test_caller_memory.py
+++ b/test/gateway/test_caller_memory.py
@@ -123,6 +123,22 @@
     assert sum(caller.evicted for caller in crowd) == 1
 
 
+@given(
+    crowd_size=st.integers(2, 40),
+    age_s=st.floats(0.0, STALL_S, exclude_max=True),
+    count=st.integers(1, BUDGET // 41),
+)
+def test_small_request_is_not_evicted_for_a_crowd(crowd_size, age_s, count):
+    """Pattern: a crowd has just filled the memory, then one short request."""
+    memory = CallerMemory(BUDGET)
+    crowd = [Caller(memory) for _ in range(crowd_size)]
+    for caller in crowd:
+        caller.send(BUDGET // crowd_size, 0.0)
+    other = Caller(memory, now=age_s)
+    assert other.send(count, age_s)
+    assert not other.evicted
+
+
 def test_reader_that_takes_most_gives_way_last():
     """A slow reader counts by what it takes, not by what it holds."""
     memory = CallerMemory(300)
