--- a/test/gateway/test_linear_readers.py
+++ b/test/gateway/test_linear_readers.py
@@ -24,7 +24,7 @@
 # Processor time of the long input over that of the short one: 4 for linear
 # work, 16 for quadratic work.
 MAX_GROWTH = 9.0
-# The long input takes longer, or its end is not read.
+# An input that takes no longer is refused before its end.
 MIN_GROWTH = 1.0
 # Shortest processor time in seconds that is compared.
 MIN_TIME_S = 0.004
@@ -117,7 +117,7 @@
     return time.process_time() - started_at
 
 
-def growth(function, size, measurements=MEASUREMENTS):
+def growth(function, size):
     """
     Return the time of a long input over that of a short one.
 
@@ -128,7 +128,7 @@
     while processor_time(function, size, repetitions) < MIN_TIME_S:
         repetitions *= 2
     times, long_times = [], []
-    for _ in range(measurements):
+    for _ in range(MEASUREMENTS):
         times.append(processor_time(function, size, repetitions))
         long_times.append(processor_time(function, LENGTH_FACTOR * size, repetitions))
     return min(long_times) / min(times)
--- a/test/gateway/test_stalled_loop.py
+++ b/test/gateway/test_stalled_loop.py
@@ -16,10 +16,7 @@
 from hypothesis import strategies as st
 
 from galenascale.errors import BackendError
-from galenascale.gateway.backend_pool import (
-    REQUEST_CONNECT_TIMEOUT_S,
-    BackendPool,
-)
+from galenascale.gateway.backend_pool import REQUEST_CONNECT_TIMEOUT_S, BackendPool
 from galenascale.gateway.slots.acquisition import ANSWER_TIMEOUT_S
 from galenascale.gateway.slots.leases import PendingRequest
 from galenascale.gateway.slots.wait_queue import SlotRequest
@@ -29,6 +26,8 @@
 # Connections that fill the queue of a socket that accepts none.
 QUEUE_FILLERS = 4
 ANSWER = b"answer"
+# Turns of the event loop before it stalls.
+TURNS = st.integers(0, 8)
 
 
 @attrs.frozen
@@ -112,7 +111,7 @@
 @settings(max_examples=20)
 @given(
     connects=st.integers(1, 30),
-    turns=st.integers(0, 8),
+    turns=TURNS,
     stall_s=st.one_of(st.just(0.0), st.floats(0.05, 0.4)),
 )
 def test_stall_of_the_host_hides_no_answer_of_a_peer(
@@ -157,7 +156,7 @@
 @settings(max_examples=20)
 @given(
     datagrams_ahead=st.integers(0, 3),
-    turns=st.integers(0, 8),
+    turns=TURNS,
     stall_s=st.one_of(st.just(0.0), st.floats(0.03, 0.4)),
 )
 def test_stall_of_the_host_hides_no_answer_of_an_owner(
